Serve the platform's callers by a gateway that sends straight to backend servers

Cause: the product speaks its own interface through agents; the platform's callers, store and engines speak another one, and plain servers have no agent. Added: marigold-gateway, with fleet (routes and registrations), placement (engine or pair of engines by predicted first event), upstream (sends that are never repeated by themselves), registry (watches of the store), and platform/ (names, formats and calls).

Not covered yet: tests, the retry budget's share by live gateways, resume and late answers in the log.

--- /dev/null
+++ b/cmd/marigold-gateway/main.go
@@ -0,0 +1,29 @@
+// Command marigold-gateway serves the platform's callers at backend servers
+// that have no agent.
+package main
+
+import (
+	"context"
+	"os"
+
+	"github.com/go-logr/logr"
+
+	settingsv1 "github.com/marigoldwing/marigoldwing/api/settings/v1"
+	"github.com/marigoldwing/marigoldwing/internal/gateway"
+	"github.com/marigoldwing/marigoldwing/internal/process"
+	"github.com/marigoldwing/marigoldwing/internal/settings"
+	"github.com/marigoldwing/marigoldwing/internal/telemetry"
+	"github.com/marigoldwing/marigoldwing/platform"
+)
+
+func main() {
+	out := telemetry.NewWriter(os.Stdout, telemetry.DefaultLogBuffer)
+	code := process.Main(os.Args[1:], settings.LoadGateway, run, out, os.Stderr)
+	out.Close()
+	os.Exit(code)
+}
+
+func run(ctx context.Context, s *settingsv1.Gateway, log logr.Logger) error {
+	wire := gateway.Wire{Source: platform.NewStore(s.GetPlatformAddress()), Protocol: platform.Protocol{}}
+	return gateway.Run(ctx, s, wire, log)
+}
--- /dev/null
+++ b/internal/gateway/attempt.go
@@ -0,0 +1,278 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/marigoldwing/marigoldwing/internal/fleet"
+	"github.com/marigoldwing/marigoldwing/internal/placement"
+	"github.com/marigoldwing/marigoldwing/internal/upstream"
+)
+
+const (
+	// maxAnswerBytes bounds an answer that is kept whole before it goes out.
+	maxAnswerBytes = 16 << 20
+	// patienceObjectives is how many objectives a repeatable request waits for
+	// its answer's head before another server is tried.
+	patienceObjectives = 3
+	// patiencePredictions is the same in predicted times.
+	patiencePredictions = 4
+)
+
+// attempt sends the request to the chosen server, after its prompt has been
+// prefilled elsewhere if the choice says so.
+func (q *request) attempt(ctx context.Context, c placement.Choice) outcome {
+	if q.left() < leastUseful {
+		return outcome{result: timedOut, reason: "deadline"}
+	}
+	q.g.metrics.choseWithLoadOf(c.LoadAge)
+	a := Attempt{ServerID: c.Server.ID, Priority: q.route.Priority, LastEvent: q.lastEvent}
+	tokens := c.NewTokens
+	if c.Split {
+		handle, out := q.prefill(ctx, c)
+		if handle == nil {
+			return out
+		}
+		a.Source = handle
+		tokens = 1
+	}
+	q.server = c.Server.ID
+	out := q.send(ctx, c, a, tokens)
+	if a.Source != nil && out.result == notRun {
+		// The handle is gone or was not used.
+		go q.g.release(c.Prefill, *a.Source)
+	}
+	return out
+}
+
+// prefill has the prompt prefilled and returns where its KV cache is kept, or
+// nil and what went wrong. A prompt that is prefilled has not run.
+func (q *request) prefill(ctx context.Context, c placement.Choice) (*Handle, outcome) {
+	q.prefills++
+	predicted := c.FirstEvent
+	k := q.service.sent(q.g.now(), c.Prefill.ID, c.NewTokens, q.call.Parts, predicted)
+	defer q.service.ended(k)
+	a := Attempt{
+		ServerID:    c.Prefill.ID,
+		Remaining:   q.left(),
+		PrefillOnly: true,
+		FetchFrom:   c.FetchFrom,
+		Priority:    q.route.Priority,
+	}
+	e, err := q.g.pool.Do(ctx, c.Prefill.Key(), q.upstreamRequest(a), q.isMine)
+	if err != nil {
+		return nil, q.prefillFailed(ctx, c, err.Error())
+	}
+	defer e.Release()
+	answer := q.g.opts.Protocol.Answer(e.Answer.StatusCode, e.Answer.Header)
+	q.service.told(q.g.now(), c.Prefill.ID, answer)
+	body, err := io.ReadAll(io.LimitReader(e.Answer.Body, maxAnswerBytes))
+	if err != nil {
+		return nil, q.prefillFailed(ctx, c, err.Error())
+	}
+	if e.Answer.StatusCode != http.StatusOK {
+		return nil, q.prefillFailed(ctx, c, fmt.Sprintf("prefill answered with status %d", e.Answer.StatusCode))
+	}
+	id, err := q.g.opts.Protocol.ReadHandle(body)
+	if err != nil {
+		return nil, q.prefillFailed(ctx, c, err.Error())
+	}
+	q.service.started(q.g.now(), k)
+	q.service.succeeded(c.Prefill.ID)
+	q.g.metrics.attempts.WithLabelValues(q.service.name, "prefill", "done").Inc()
+	return &Handle{Address: c.Prefill.Address, ID: id}, outcome{}
+}
+
+// prefillFailed notes a prefill that gave no handle. The request then goes to
+// a decode engine directly, as a second prefill counts as a repeated send.
+func (q *request) prefillFailed(ctx context.Context, c placement.Choice, reason string) outcome {
+	q.g.metrics.attempts.WithLabelValues(q.service.name, "prefill", "failed").Inc()
+	if out, over := q.over(ctx); over {
+		return out
+	}
+	q.service.failed(q.g.now(), c.Prefill.ID)
+	q.exclude = append(q.exclude, c.Prefill.ID)
+	q.directOnly = true
+	return outcome{result: notRun, reason: "prefill: " + reason}
+}
+
+// over tells whether the request has ended because its caller left or its
+// time is over.
+func (q *request) over(ctx context.Context) (outcome, bool) {
+	switch {
+	case q.r.Context().Err() != nil:
+		return outcome{result: callerLeft, reason: "caller closed its connection"}, true
+	case ctx.Err() != nil || q.left() <= 0:
+		return outcome{result: timedOut, reason: "deadline"}, true
+	}
+	return outcome{}, false
+}
+
+// release frees a KV cache that will not be used.
+func (g *Gateway) release(server fleet.Server, h Handle) {
+	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
+	defer cancel()
+	request := upstream.Request{
+		Method: http.MethodDelete,
+		Target: g.opts.Protocol.ReleaseTarget(h.ID),
+		Host:   server.Address,
+		Header: http.Header{},
+	}
+	e, err := g.pool.Do(ctx, server.Key(), request, func(http.Header) bool { return true })
+	if err != nil {
+		g.log.V(1).Info("handle was not released, it expires", "server", server.ID, "error", err.Error())
+		return
+	}
+	defer e.Release()
+	// Only the end of the answer matters.
+	_, _ = io.Copy(io.Discard, e.Answer.Body)
+}
+
+// releaseTimeout bounds the release of a handle, which expires by itself.
+const releaseTimeout = time.Second
+
+// upstreamRequest returns what is sent to a server.
+func (q *request) upstreamRequest(a Attempt) upstream.Request {
+	return upstream.Request{
+		Method: q.r.Method,
+		Target: q.r.RequestURI,
+		Host:   q.r.Host,
+		Header: q.g.opts.Protocol.RequestHeader(q.r.Header, a),
+		Body:   q.body,
+	}
+}
+
+// isMine tells whether an answer is for this request. Answers that name none
+// are judged by what they say.
+func (q *request) isMine(h http.Header) bool {
+	id := q.g.opts.Protocol.Answer(0, h).RequestID
+	return id == "" || id == q.call.ID
+}
+
+// send makes one send to the server that is to run the request.
+func (q *request) send(ctx context.Context, c placement.Choice, a Attempt, tokens int) outcome {
+	q.sends++
+	a.Remaining = q.left()
+	sentAt := q.g.now()
+	k := q.service.sent(sentAt, c.Server.ID, tokens, q.call.Parts, c.FirstEvent)
+	defer q.service.ended(k)
+	sendCtx, stop := context.WithCancel(ctx)
+	defer stop()
+	patience := q.startPatience(c, stop)
+	e, err := q.g.pool.Do(sendCtx, c.Server.Key(), q.upstreamRequest(a), q.isMine)
+	hurried := patience.over()
+	if err != nil {
+		return q.sendFailed(ctx, err, hurried)
+	}
+	defer e.Release()
+	q.service.started(q.g.now(), k)
+	answer := q.g.opts.Protocol.Answer(e.Answer.StatusCode, e.Answer.Header)
+	q.service.told(q.g.now(), c.Server.ID, answer)
+	return q.take(ctx, e, answer)
+}
+
+// patience gives up an attempt whose answer does not begin.
+type patience struct {
+	timer *time.Timer
+	fired bool
+}
+
+// over stops the timer and tells whether it had fired.
+func (p *patience) over() bool { return p.timer != nil && !p.timer.Stop() }
+
+// startPatience bounds the wait for an answer's head where another server may
+// be tried.
+func (q *request) startPatience(c placement.Choice, stop context.CancelFunc) *patience {
+	if !q.route.Repeatable() || q.runs+1 >= q.route.Attempts || q.route.Objective == 0 {
+		return &patience{}
+	}
+	wait := max(patienceObjectives*q.route.Objective, patiencePredictions*c.FirstEvent)
+	return &patience{timer: time.AfterFunc(wait, stop)}
+}
+
+// sendFailed tells what a send without an answer's head means.
+func (q *request) sendFailed(ctx context.Context, err error, hurried bool) outcome {
+	if out, over := q.over(ctx); over {
+		if errors.Is(err, upstream.ErrNotSent) && out.result == timedOut {
+			return outcome{result: notRun, reason: "deadline before a connection stood", serverFault: true}
+		}
+		return out
+	}
+	if errors.Is(err, upstream.ErrNotSent) {
+		return outcome{result: notRun, reason: err.Error(), serverFault: true}
+	}
+	return outcome{result: noAnswer, reason: err.Error(), serverFault: true, patienceOver: hurried}
+}
+
+// take passes an answer on, or says why it is not the caller's answer.
+func (q *request) take(ctx context.Context, e *upstream.Exchange, answer Answer) outcome {
+	status := e.Answer.StatusCode
+	success := status >= http.StatusOK && status < http.StatusMultipleChoices
+	switch {
+	case answer.NotRun && !success:
+		// The body is read so that the connection can be kept.
+		_, _ = io.Copy(io.Discard, io.LimitReader(e.Answer.Body, maxAnswerBytes))
+		return outcome{result: notRun, reason: fmt.Sprintf("server refused with status %d", status)}
+	case answer.RequestID != q.call.ID:
+		return outcome{result: noAnswer, reason: "answer names no request", serverFault: true}
+	case !answer.Sealed && success:
+		return outcome{result: noAnswer, reason: "success without a seal", serverFault: true}
+	case success && q.route.Kind == fleet.Streaming:
+		return q.stream(ctx, e)
+	default:
+		return q.takeWhole(ctx, e, success)
+	}
+}
+
+// takeWhole reads an answer to its end before any of it goes out.
+func (q *request) takeWhole(ctx context.Context, e *upstream.Exchange, success bool) outcome {
+	body, err := readAll(io.LimitReader(e.Answer.Body, maxAnswerBytes), e.Answer.ContentLength)
+	if err != nil {
+		if out, over := q.over(ctx); over {
+			return out
+		}
+		return outcome{result: noAnswer, reason: "answer was cut: " + err.Error(), serverFault: true}
+	}
+	if e.Answer.ContentLength >= 0 {
+		// Reaches the end of the body, so that the connection can be kept.
+		_, _ = e.Answer.Body.Read(make([]byte, 1))
+	}
+	whole := &wholeAnswer{status: e.Answer.StatusCode, header: e.Answer.Header, body: body}
+	if success || e.Answer.StatusCode < http.StatusInternalServerError && !promisesNotRun(e.Answer.StatusCode) {
+		q.writeAnswer(whole)
+		return outcome{result: delivered, answer: whole}
+	}
+	if promisesNotRun(e.Answer.StatusCode) {
+		return outcome{result: noAnswer, reason: fmt.Sprintf("status %d without the word that it was not run", e.Answer.StatusCode), serverFault: true}
+	}
+	return outcome{result: failedAnswer, reason: fmt.Sprintf("server failed with status %d", e.Answer.StatusCode), answer: whole}
+}
+
+// status returns the status that the caller got.
+func (o outcome) status() int {
+	if o.answer != nil {
+		return o.answer.status
+	}
+	return http.StatusOK
+}
+
+// writeAnswer sends a server's whole answer to the caller.
+func (q *request) writeAnswer(a *wholeAnswer) {
+	copyHeader(q.w.Header(), q.g.opts.Protocol.AnswerHeader(a.header))
+	if a.status != http.StatusNoContent && a.status != http.StatusNotModified {
+		q.w.Header().Set("Content-Length", fmt.Sprint(len(a.body)))
+	}
+	q.w.WriteHeader(a.status)
+	// A caller that has left needs no answer.
+	_, _ = q.w.Write(a.body)
+}
+
+func copyHeader(to, from http.Header) {
+	for name, values := range from {
+		to[name] = values
+	}
+}
--- /dev/null
+++ b/internal/gateway/gateway.go
@@ -0,0 +1,208 @@
+// Package gateway serves callers' requests at backend servers that have no
+// agent: it takes each request whole, chooses a server, sends it there, and
+// returns the server's whole answer or a truthful refusal.
+//
+// Decisions are in other packages: fleet (what may be used), placement (where
+// a request goes), retry (whether it is sent again, and who is left alone).
+// This package connects them to sockets and clocks.
+package gateway
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/marigoldwing/marigoldwing/internal/fleet"
+	"github.com/marigoldwing/marigoldwing/internal/placement"
+	"github.com/marigoldwing/marigoldwing/internal/retry"
+	"github.com/marigoldwing/marigoldwing/internal/upstream"
+)
+
+// Options of a gateway.
+type Options struct {
+	Name          string
+	FailureDomain string
+	Protocol      Protocol
+	Log           logr.Logger
+	Registerer    prometheus.Registerer
+	// Retries bounds repeated sends to each service.
+	Retries RetryOptions
+}
+
+// RetryOptions are the retry budget that all gateways share.
+type RetryOptions struct {
+	// Ratio of repeated sends to requests.
+	Ratio float64
+	// Reserve of repeated sends in each window beside the ratio.
+	Reserve float64
+}
+
+// Gateway serves callers.
+type Gateway struct {
+	opts    Options
+	log     logr.Logger
+	pool    *upstream.Pool
+	metrics *metrics
+	origin  time.Time
+	state   atomic.Pointer[state]
+	leaving atomic.Bool
+	// inflight counts requests that have been read and not answered.
+	inflight sync.WaitGroup
+	seed     atomic.Uint64
+}
+
+// state is what is in force. It is replaced as a whole.
+type state struct {
+	config   *fleet.Config
+	services map[string]*service
+}
+
+// service is the shard of one service, under its own lock.
+type service struct {
+	name   string
+	engine *fleet.EngineSpec
+
+	mu     sync.Mutex
+	table  *placement.Table
+	health *retry.Health
+	budget *retry.Budget
+	ids    []string
+}
+
+// New returns a gateway that knows no configuration yet.
+func New(opts Options) *Gateway {
+	g := &Gateway{
+		opts:    opts,
+		log:     opts.Log,
+		pool:    upstream.NewPool(),
+		metrics: newMetrics(opts.Registerer),
+		origin:  time.Now(),
+	}
+	g.state.Store(&state{services: map[string]*service{}})
+	return g
+}
+
+// now returns the monotonic time since the gateway was made.
+func (g *Gateway) now() time.Duration { return time.Since(g.origin) }
+
+// Update puts a configuration and a set of servers in force. Calls must not
+// overlap.
+func (g *Gateway) Update(config *fleet.Config, servers []fleet.Server) {
+	if config == nil {
+		return
+	}
+	old := g.state.Load()
+	next := &state{config: config, services: make(map[string]*service)}
+	byService := make(map[string][]fleet.Server)
+	keys := make([]fleet.Key, 0, len(servers))
+	for _, s := range servers {
+		byService[s.Service] = append(byService[s.Service], s)
+		if !s.Leaving {
+			keys = append(keys, s.Key())
+		}
+	}
+	for _, name := range config.Services() {
+		spec, _ := config.Service(name)
+		s := old.services[name]
+		if s == nil {
+			s = g.newService(spec)
+		}
+		s.setServers(spec, byService[name])
+		next.services[name] = s
+	}
+	g.state.Store(next)
+	g.pool.Retain(keys)
+	g.metrics.configVersion.Set(float64(config.Version))
+}
+
+func (g *Gateway) newService(spec fleet.Service) *service {
+	options := retry.DefaultOptions(g.opts.Retries.Ratio)
+	options.BudgetReserve = g.opts.Retries.Reserve
+	return &service{
+		name:   spec.Name,
+		engine: spec.Engine,
+		table:  placement.NewTable(placement.DefaultOptions(g.opts.FailureDomain), spec.Engine),
+		health: retry.NewHealth(retry.DefaultHealthOptions()),
+		budget: retry.NewBudget(options),
+	}
+}
+
+func (s *service) setServers(spec fleet.Service, servers []fleet.Server) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.engine = spec.Engine
+	s.table.SetServers(spec.Engine, servers)
+	s.ids = s.ids[:0]
+	for _, server := range servers {
+		s.ids = append(s.ids, server.ID)
+	}
+	s.health.SetServers(s.ids)
+}
+
+// choose chooses a server for a request.
+func (s *service) choose(now time.Duration, r placement.Request) (placement.Choice, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, id := range s.ids {
+		s.table.SetWeight(id, s.health.Weight(now, id))
+	}
+	return s.table.Choose(now, r)
+}
+
+// sent, started, ended and told pass events on to the table.
+
+func (s *service) sent(now time.Duration, id string, tokens int, parts []placement.Part, predicted time.Duration) *placement.Ticket {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.table.Sent(now, id, tokens, parts, predicted)
+}
+
+func (s *service) started(now time.Duration, k *placement.Ticket) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.table.Started(now, k)
+}
+
+func (s *service) ended(k *placement.Ticket) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.table.Ended(k)
+}
+
+func (s *service) told(now time.Duration, id string, a Answer) {
+	if !a.HasLoad {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.table.Told(now, id, a.Load)
+}
+
+// succeeded and failed follow the health of a server.
+
+func (s *service) succeeded(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.health.Succeeded(id)
+}
+
+func (s *service) failed(now time.Duration, id string) (ejected bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.health.Failed(now, id)
+}
+
+func (s *service) attempted() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.budget.Attempted()
+}
+
+func (s *service) decide(a retry.Attempt) retry.Decision {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.budget.Decide(a)
+}
--- /dev/null
+++ b/internal/gateway/metrics.go
@@ -0,0 +1,54 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+// metrics count what the gateway does.
+type metrics struct {
+	requests      *prometheus.CounterVec
+	attempts      *prometheus.CounterVec
+	firstEvent    *prometheus.HistogramVec
+	duration      *prometheus.HistogramVec
+	loadAge       prometheus.Histogram
+	inflight      prometheus.Gauge
+	configVersion prometheus.Gauge
+}
+
+var latencyBuckets = []float64{0.01, 0.02, 0.05, 0.1, 0.15, 0.2, 0.3, 0.4, 0.6, 0.8, 1, 1.5, 2, 3, 5, 10}
+
+func newMetrics(registerer prometheus.Registerer) *metrics {
+	m := &metrics{
+		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "marigold_gateway_requests_total", Help: "Requests by route, outcome and reason.",
+		}, []string{"route", "outcome", "reason"}),
+		attempts: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "marigold_gateway_attempts_total", Help: "Sends to backend servers by service, step and outcome.",
+		}, []string{"service", "step", "outcome"}),
+		firstEvent: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "marigold_gateway_first_event_seconds", Help: "Time to the first event of a stream.", Buckets: latencyBuckets,
+		}, []string{"route"}),
+		duration: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "marigold_gateway_request_seconds", Help: "Time to the end of the answer.", Buckets: latencyBuckets,
+		}, []string{"route"}),
+		loadAge: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name: "marigold_gateway_load_age_seconds", Help: "Age of the load that a choice rests on.", Buckets: latencyBuckets,
+		}),
+		inflight: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "marigold_gateway_inflight_requests", Help: "Requests that have been read and not answered.",
+		}),
+		configVersion: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "marigold_gateway_config_version", Help: "Version of the configuration in force.",
+		}),
+	}
+	registerer.MustRegister(m.requests, m.attempts, m.firstEvent, m.duration, m.loadAge, m.inflight, m.configVersion)
+	return m
+}
+
+func (m *metrics) choseWithLoadOf(age time.Duration) {
+	if age >= 0 {
+		m.loadAge.Observe(age.Seconds())
+	}
+}
--- /dev/null
+++ b/internal/gateway/run.go
@@ -0,0 +1,195 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/go-kratos/kratos/v2/transport"
+	kratoshttp "github.com/go-kratos/kratos/v2/transport/http"
+	"github.com/go-logr/logr"
+	"github.com/prometheus/client_golang/prometheus"
+
+	settingsv1 "github.com/marigoldwing/marigoldwing/api/settings/v1"
+	"github.com/marigoldwing/marigoldwing/internal/process"
+	"github.com/marigoldwing/marigoldwing/internal/registry"
+	"github.com/marigoldwing/marigoldwing/internal/telemetry"
+)
+
+const (
+	// headerTimeout bounds the reading of a request's head.
+	headerTimeout = 10 * time.Second
+	// idleTimeout bounds how long a caller's connection may be idle.
+	idleTimeout = 60 * time.Second
+	// maxHeaderBytes bounds a request's head.
+	maxHeaderBytes = 64 << 10
+	// leaveNotice is how long callers are still taken after the readiness
+	// check has begun to fail, so that the balancer turns away first.
+	leaveNotice = 2500 * time.Millisecond
+	// stopMargin is left between the end of the drain and the end of the
+	// grace.
+	stopMargin = 700 * time.Millisecond
+	// memoryShare of the allowed memory is the collector's limit.
+	memoryShare = 0.7
+	bytesPerMB  = 1 << 20
+)
+
+// Wire connects a gateway to the platform's store and protocol.
+type Wire struct {
+	Source   registry.Source
+	Protocol Protocol
+}
+
+// Run runs marigold-gateway until it is stopped.
+func Run(ctx context.Context, s *settingsv1.Gateway, wire Wire, log logr.Logger) error {
+	if s.GetMemoryMb() > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * s.GetMemoryMb() * bytesPerMB))
+	}
+	metrics := telemetry.NewRegistry()
+	g := New(Options{
+		Name:          s.GetName(),
+		FailureDomain: s.GetFailureDomain(),
+		Protocol:      wire.Protocol,
+		Log:           log,
+		Registerer:    metrics,
+		Retries:       retryShare(s),
+	})
+	follower := registry.NewFollower(wire.Source, log, g.Update)
+	registerStore(metrics, follower, g)
+	mux := telemetry.NewMux(telemetry.MuxOptions{
+		Metrics: metrics,
+		State:   func(context.Context) any { return g.State() },
+		Ready:   func() error { return g.ready(follower) },
+	})
+	log.Info("starting", "failure_domain", s.GetFailureDomain(), "callers_address", s.GetCallersAddress())
+	return process.Run(ctx, process.Options{
+		Name:        s.GetName(),
+		Log:         log,
+		HTTPAddress: s.GetCallersAddress(),
+		Handler:     g,
+		Servers: []transport.Server{
+			sideServer(s.GetReadinessAddress(), g.readiness(follower)),
+			sideServer(s.GetMetricsAddress(), mux),
+		},
+		Loops:        []func(context.Context){follower.Run, g.ignoreHangup},
+		Drain:        g.Drain,
+		DrainTimeout: time.Duration(s.GetStopGraceS()*float64(time.Second)) - stopMargin,
+		Tune:         tuneServer,
+	})
+}
+
+// assumedGateways is the number of gateways that share the retry budget as
+// long as they do not know each other.
+const assumedGateways = 5
+
+// retryShare returns this gateway's share of the retry budget.
+func retryShare(s *settingsv1.Gateway) RetryOptions {
+	return RetryOptions{
+		Ratio:   s.GetRetryBudgetRatio() * budgetUse,
+		Reserve: s.GetRetryBudgetReserve() / assumedGateways * budgetUse,
+	}
+}
+
+// budgetUse is the part of the retry budget that is used, as requests and
+// their repeats are counted in windows that do not match.
+const budgetUse = 0.8
+
+// tuneServer sets the limits of the callers' listener.
+func tuneServer(server *kratoshttp.Server) {
+	server.ReadHeaderTimeout = headerTimeout
+	server.IdleTimeout = idleTimeout
+	server.MaxHeaderBytes = maxHeaderBytes
+}
+
+func sideServer(address string, handler http.Handler) transport.Server {
+	server := kratoshttp.NewServer(kratoshttp.Address(address), kratoshttp.Timeout(0))
+	server.Handler = handler
+	return server
+}
+
+// Why a gateway is not ready.
+var (
+	errLeaving       = errors.New("leaving")
+	errNotConfigured = errors.New("no configuration is in force")
+)
+
+func (g *Gateway) ready(f *registry.Follower) error {
+	if g.leaving.Load() {
+		return errLeaving
+	}
+	if !f.Ready() {
+		return errNotConfigured
+	}
+	return nil
+}
+
+// readiness answers the balancer on any path.
+func (g *Gateway) readiness(f *registry.Follower) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if g.ready(f) != nil {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		w.WriteHeader(http.StatusOK)
+	})
+}
+
+// Drain turns callers away and returns when the requests in flight have their
+// answers, or when ctx is over.
+func (g *Gateway) Drain(ctx context.Context) {
+	g.leaving.Store(true)
+	select {
+	case <-time.After(leaveNotice):
+	case <-ctx.Done():
+	}
+	ended := make(chan struct{})
+	go func() {
+		g.inflight.Wait()
+		close(ended)
+	}()
+	select {
+	case <-ended:
+	case <-ctx.Done():
+	}
+}
+
+// ignoreHangup keeps the process alive when its settings have changed.
+func (g *Gateway) ignoreHangup(ctx context.Context) {
+	hangup := make(chan os.Signal, 1)
+	signal.Notify(hangup, syscall.SIGHUP)
+	defer signal.Stop(hangup)
+	for {
+		select {
+		case <-hangup:
+			g.log.Info("reload asked for, settings that are in use take effect at the next start")
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// registerStore adds the metrics of the store's calls.
+func registerStore(registerer prometheus.Registerer, f *registry.Follower, g *Gateway) {
+	counter := func(name, help string, value func() float64) {
+		registerer.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{Name: name, Help: help}, value))
+	}
+	counter("marigold_gateway_store_calls_total", "Calls to the platform's store.", func() float64 {
+		made, _ := f.Calls()
+		return float64(made)
+	})
+	counter("marigold_gateway_store_failures_total", "Calls to the platform's store that failed.", func() float64 {
+		_, failed := f.Calls()
+		return float64(failed)
+	})
+	counter("marigold_gateway_connections_opened_total", "Connections opened to backend servers.", func() float64 {
+		return float64(g.pool.Opened())
+	})
+	registerer.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "marigold_gateway_store_answer_age_seconds", Help: "Time since the store last answered.",
+	}, func() float64 { return f.AnswerAge().Seconds() }))
+}
--- /dev/null
+++ b/internal/gateway/state.go
@@ -0,0 +1,33 @@
+package gateway
+
+import "github.com/marigoldwing/marigoldwing/internal/placement"
+
+// StateDump is what a gateway shows of itself on request.
+type StateDump struct {
+	Name          string                            `json:"name"`
+	FailureDomain string                            `json:"failure_domain"`
+	Leaving       bool                              `json:"leaving"`
+	ConfigVersion int64                             `json:"config_version"`
+	Services      map[string][]placement.ServerDump `json:"services"`
+}
+
+// State returns a dump of what the gateway believes.
+func (g *Gateway) State() StateDump {
+	st := g.state.Load()
+	dump := StateDump{
+		Name:          g.opts.Name,
+		FailureDomain: g.opts.FailureDomain,
+		Leaving:       g.leaving.Load(),
+		Services:      make(map[string][]placement.ServerDump, len(st.services)),
+	}
+	if st.config != nil {
+		dump.ConfigVersion = st.config.Version
+	}
+	now := g.now()
+	for name, s := range st.services {
+		s.mu.Lock()
+		dump.Services[name] = s.table.Dump(now)
+		s.mu.Unlock()
+	}
+	return dump
+}
--- /dev/null
+++ b/internal/placement/choose.go
@@ -0,0 +1,275 @@
+package placement
+
+import (
+	"math"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/marigoldwing/marigoldwing/internal/fleet"
+)
+
+// Choose returns where a request is best sent: the lowest predicted time of
+// its first event, with what the choice costs others added. The caller tells
+// the table with Sent.
+func (t *Table) Choose(now time.Duration, r Request) (Choice, error) {
+	if t.engine == nil {
+		return t.choosePlain(now, r)
+	}
+	keys := chain(r.Parts)
+	whole, okWhole := t.chooseWhole(now, r, keys)
+	var split option
+	okSplit := false
+	if !r.DirectOnly {
+		split, okSplit = t.chooseSplit(now, r, keys)
+	}
+	switch {
+	case okWhole && (!okSplit || whole.score <= split.score):
+		return whole.Choice, nil
+	case okSplit:
+		return split.Choice, nil
+	default:
+		return Choice{}, ErrNoServer
+	}
+}
+
+// option is a choice with its price.
+type option struct {
+	Choice
+	// score in seconds; the lowest is best.
+	score float64
+}
+
+// best returns the option with the lowest score.
+func best(options []option) (option, bool) {
+	if len(options) == 0 {
+		return option{}, false
+	}
+	least := options[0]
+	for _, o := range options[1:] {
+		if o.score < least.score {
+			least = o
+		}
+	}
+	return least, true
+}
+
+// choosePlain chooses a plain server by its queue, those of the gateway's own
+// failure domain first.
+func (t *Table) choosePlain(now time.Duration, r Request) (Choice, error) {
+	var options []option
+	for _, s := range t.usable(fleet.StageWhole, r.Exclude) {
+		first := plainService * s.slowdown * (1 + queueTurns(s, s.load(now)))
+		options = append(options, option{
+			Choice: t.choice(now, s, first),
+			score:  first/s.weight + t.distance(s, r.BodyBytes),
+		})
+	}
+	o, ok := best(options)
+	if !ok {
+		return Choice{}, ErrNoServer
+	}
+	return o.Choice, nil
+}
+
+// queueTurns returns how many services a request waits for at a server with
+// this load.
+func queueTurns(s *server, load float64) float64 {
+	slots := float64(max(1, s.Slots))
+	if load < slots {
+		// Requests in other slots make a wait likelier that is not seen yet.
+		return load / slots / 4
+	}
+	return (load - slots + 1) / slots
+}
+
+// chooseWhole chooses one decode engine for prefill and decode.
+func (t *Table) chooseWhole(now time.Duration, r Request, keys []uint64) (option, bool) {
+	var options []option
+	home := t.home(t.usable(fleet.StageDecode, nil), keys)
+	for _, s := range t.usable(fleet.StageDecode, r.Exclude) {
+		held := t.heldOrHome(now, s, home, r, keys)
+		fresh := float64(max(1, r.PromptTokens-held))
+		prefill := fresh / (t.rate.perSecond * decodePrefillShare)
+		wait := s.ownTokens / (t.rate.perSecond * decodePrefillShare)
+		first := (firstStep+prefill+wait)*s.slowdown + t.slotWait(s, now)
+		o := option{Choice: t.choice(now, s, first)}
+		o.NewTokens = int(fresh)
+		o.score = first/s.weight + t.distance(s, r.BodyBytes) + t.reread(r, held) +
+			t.opts.Disturbance*prefill*s.load(now)/float64(max(1, t.engine.Slots))
+		options = append(options, o)
+	}
+	return best(options)
+}
+
+// chooseSplit chooses an engine to prefill and another to decode.
+func (t *Table) chooseSplit(now time.Duration, r Request, keys []uint64) (option, bool) {
+	p, ok := t.choosePrefill(now, r, keys)
+	if !ok {
+		return option{}, false
+	}
+	d, ok := t.chooseDecode(now, r, p.Server)
+	if !ok {
+		return option{}, false
+	}
+	o := p
+	o.Prefill, o.Server, o.Split = p.Server, d.Server, true
+	o.FirstEvent = p.FirstEvent + d.FirstEvent
+	o.LoadAge = max(p.LoadAge, d.LoadAge)
+	o.score = p.score + d.score
+	return o, true
+}
+
+// choosePrefill chooses the engine that prefills the prompt.
+func (t *Table) choosePrefill(now time.Duration, r Request, keys []uint64) (option, bool) {
+	engines := t.usable(fleet.StagePrefill, r.Exclude)
+	home := t.home(engines, keys)
+	var options []option
+	for _, s := range engines {
+		held := t.heldOrHome(now, s, home, r, keys)
+		fetch := ""
+		fetched := 0
+		if held == 0 && home != nil && s != home && len(r.Parts) > 1 {
+			fetch = home.Address
+			fetched = sharedTokens(r.Parts)
+			held = fetched
+		}
+		fresh := float64(max(1, r.PromptTokens-held))
+		queue := s.ownTokens + s.others(now)*t.meanPrompt(s)
+		first := (firstStep+(fresh+queue)/t.rate.perSecond)*s.slowdown + t.moveSeconds(fetched)
+		o := option{Choice: t.choice(now, s, first)}
+		o.NewTokens, o.FetchFrom = int(fresh), fetch
+		o.score = first/s.weight + t.distance(s, r.BodyBytes) + t.reread(r, held) + t.opts.MoveToken*float64(fetched)
+		options = append(options, o)
+	}
+	return best(options)
+}
+
+// chooseDecode chooses the engine that generates after another one has
+// prefilled.
+func (t *Table) chooseDecode(now time.Duration, r Request, prefill fleet.Server) (option, bool) {
+	var options []option
+	for _, s := range t.usable(fleet.StageDecode, r.Exclude) {
+		move := t.moveSeconds(r.PromptTokens)
+		price := t.opts.MoveToken * float64(r.PromptTokens)
+		if s.FailureDomain != prefill.FailureDomain {
+			move *= 2
+			price *= 2
+		}
+		wait := s.ownTokens / (t.rate.perSecond * decodePrefillShare)
+		first := (firstStep+wait)*s.slowdown + move + t.slotWait(s, now)
+		o := option{Choice: t.choice(now, s, first)}
+		o.score = first/s.weight + price + t.distance(s, r.BodyBytes)
+		options = append(options, o)
+	}
+	return best(options)
+}
+
+func (t *Table) choice(now time.Duration, s *server, first float64) Choice {
+	age := time.Duration(-1)
+	if s.hasTold {
+		age = now - s.toldAt
+	}
+	return Choice{Server: s.Server, FirstEvent: time.Duration(first * float64(time.Second)), LoadAge: age}
+}
+
+// distance prices a server in another failure domain.
+func (t *Table) distance(s *server, bodyBytes int) float64 {
+	if s.FailureDomain == t.opts.FailureDomain {
+		return 0
+	}
+	return t.opts.CrossDomain + t.opts.CrossDomainByte*float64(bodyBytes)
+}
+
+// reread prices the shared tokens that are prefilled although others have
+// them.
+func (t *Table) reread(r Request, held int) float64 {
+	return t.opts.RereadToken * float64(max(0, sharedTokens(r.Parts)-held))
+}
+
+// sharedTokens returns the tokens of all parts but the request's own.
+func sharedTokens(parts []Part) int {
+	tokens := 0
+	for i := 0; i+1 < len(parts); i++ {
+		tokens += parts[i].Tokens
+	}
+	return tokens
+}
+
+// heldOrHome returns the leading tokens that an engine is thought to have
+// cached. The home of a prompt is taken to hold its shared parts, as other
+// gateways send their requests there too.
+func (t *Table) heldOrHome(now time.Duration, s, home *server, r Request, keys []uint64) int {
+	held := s.held(now, r.Parts, keys)
+	if s == home {
+		held = max(held, sharedTokens(r.Parts))
+	}
+	return min(held, max(0, r.PromptTokens-1))
+}
+
+// home returns the engine with the highest rendezvous weight for the first
+// part of a prompt. All gateways that know the same engines find the same one.
+func (t *Table) home(engines []*server, keys []uint64) *server {
+	if len(keys) < 2 {
+		return nil
+	}
+	var best *server
+	var highest uint64
+	for _, s := range engines {
+		if weight := mix(keys[0] ^ xxhash.Sum64String(s.ID)); best == nil || weight > highest {
+			best, highest = s, weight
+		}
+	}
+	return best
+}
+
+// mix spreads the bits of a key.
+func mix(x uint64) uint64 {
+	x ^= x >> 33
+	x *= 0xff51afd7ed558ccd
+	x ^= x >> 33
+	x *= 0xc4ceb9fe1a85ec53
+	return x ^ x>>33
+}
+
+// slotWait returns the seconds that a request waits for a slot at an engine.
+func (t *Table) slotWait(s *server, now time.Duration) float64 {
+	slots := float64(max(1, t.engine.Slots))
+	load := s.load(now) + 1
+	fill := min(1, load/slots)
+	// A fuller batch makes each step slower.
+	wait := firstStep * fill * s.slowdown
+	if load > slots {
+		wait += (load - slots) / slots * typicalRun
+	}
+	return wait
+}
+
+// typicalRun is the time that a request holds a slot, in seconds.
+const typicalRun = 0.3
+
+// moveSeconds returns the time of a transfer of KV cache.
+func (t *Table) moveSeconds(tokens int) float64 {
+	if tokens == 0 || t.engine.LinkMbps <= 0 {
+		return 0
+	}
+	const bitsPerMegabit = 1e6
+	bits := float64(tokens) * float64(t.engine.BytesPerToken) * 8
+	return bits/(t.engine.LinkMbps*bitsPerMegabit) + moveSetup
+}
+
+// moveSetup is the time before a transfer begins, in seconds.
+const moveSetup = 0.003
+
+// meanPrompt returns the prompt tokens that one more request at a prefill
+// engine stands for.
+func (t *Table) meanPrompt(s *server) float64 {
+	if s.own == 0 {
+		return unknownPrompt
+	}
+	return math.Max(unknownPrompt, s.ownTokens/float64(s.own))
+}
+
+// unknownPrompt is the number of new prompt tokens of a request of another
+// gateway.
+const unknownPrompt = 1500
--- /dev/null
+++ b/internal/placement/placement.go
@@ -0,0 +1,113 @@
+// Package placement chooses the backend server, or the pair of engines, that a
+// request goes to.
+//
+// It answers a load of two kinds that share one fleet: long prompts of which
+// most is the same as that of others, and short ones that wait for a quick
+// first event. A Table holds what one gateway knows of the servers of one
+// service: its own sends, the load that servers tell with their answers, and
+// which prompt parts they have read. It is pure state: times are arguments,
+// nothing blocks, and it is not safe for concurrent use.
+package placement
+
+import (
+	"errors"
+	"time"
+
+	"github.com/marigoldwing/marigoldwing/internal/fleet"
+)
+
+// ErrNoServer says that no backend server can take the request now.
+var ErrNoServer = errors.New("no backend server can take the request")
+
+// Part is one part of a prompt; requests share parts.
+type Part struct {
+	ID     string
+	Tokens int
+}
+
+// Request is what a choice depends on.
+type Request struct {
+	// Parts of the prompt in order; the last is the request's or session's own.
+	Parts []Part
+	// PromptTokens in all, and the most tokens that the answer may have.
+	PromptTokens, OutputTokens int
+	// BodyBytes that are sent to the chosen server.
+	BodyBytes int
+	// Exclude names servers that have failed this request.
+	Exclude []string
+	// DirectOnly keeps the request from engines that only prefill.
+	DirectOnly bool
+}
+
+// Choice is where a request goes.
+type Choice struct {
+	// Server runs the request.
+	Server fleet.Server
+	// Prefill is the engine that prefills the prompt first, if Split.
+	Prefill fleet.Server
+	Split   bool
+	// FetchFrom is the address of an engine that has read more of the prompt
+	// than the one that prefills it; empty if there is none.
+	FetchFrom string
+	// NewTokens of the prompt are not in the cache of the engine that
+	// prefills.
+	NewTokens int
+	// FirstEvent is predicted from now.
+	FirstEvent time.Duration
+	// LoadAge is the age of the newest load that the choice rests on, negative
+	// if the server has told none.
+	LoadAge time.Duration
+}
+
+// Load is what a server tells of itself with an answer.
+type Load struct {
+	Running, Waiting, Slots int
+}
+
+// Options are the gateway's place and the price of what a choice costs others,
+// in seconds of a later first event.
+type Options struct {
+	FailureDomain string
+	// CrossDomain is added for a server in another failure domain, and
+	// CrossDomainByte for each byte of the body besides.
+	CrossDomain, CrossDomainByte float64
+	// RereadToken is added for each shared token that is prefilled again.
+	RereadToken float64
+	// MoveToken is added for each token of KV cache that is transferred.
+	MoveToken float64
+	// Disturbance weighs the time for which a prefill at a decode engine holds
+	// up the streams there.
+	Disturbance float64
+}
+
+// DefaultOptions returns the usual options.
+func DefaultOptions(failureDomain string) Options {
+	return Options{
+		FailureDomain:   failureDomain,
+		CrossDomain:     0.015,
+		CrossDomainByte: 1e-6,
+		RereadToken:     30e-6,
+		MoveToken:       2e-6,
+		Disturbance:     0.5,
+	}
+}
+
+const (
+	// initialPrefillRate is assumed until answers tell the rate, in prompt
+	// tokens per second.
+	initialPrefillRate = 60_000
+	// decodePrefillShare is the rate at which decode engines prefill, as a
+	// share of that of prefill engines.
+	decodePrefillShare = 0.5
+	// firstStep is the time of a request without any prefill before it, in
+	// seconds.
+	firstStep = 0.015
+	// plainService is the time that a plain server takes, in seconds.
+	plainService = 0.015
+	// loadHalfLife is the age at which the load that a server has told counts
+	// half.
+	loadHalfLife = 500 * time.Millisecond
+	// partLife is how long a part is taken to stay in an engine's cache after
+	// its last use.
+	partLife = 20 * time.Second
+)
--- a/internal/process/main.go
+++ b/internal/process/main.go
@@ -30,9 +30,25 @@
 	GetProcess() *settingsv1.Process
 }
 
+// logged is a settings message that names the process and its log verbosity.
+type logged interface {
+	GetName() string
+	GetLogVerbosity() int32
+}
+
+// loggedAs returns where a settings message says how the process logs.
+func loggedAs(s any) logged {
+	if p, ok := s.(withProcess); ok {
+		return p.GetProcess()
+	}
+	return s.(logged)
+}
+
 // Main loads settings, runs a process until it is stopped, and returns the
 // exit code. Logs go to out, messages about settings to errOut.
-func Main[S withProcess](
+//
+// S holds a common section or names the process itself.
+func Main[S any](
 	args []string,
 	load func(args []string) (S, settings.Mode, error),
 	run func(ctx context.Context, s S, log logr.Logger) error,
@@ -50,7 +66,8 @@
 		fmt.Fprintln(errOut, "settings are in order")
 		return ExitOK
 	}
-	log := telemetry.NewLogger(out, s.GetProcess().GetName(), int(s.GetProcess().GetLogVerbosity()))
+	as := loggedAs(s)
+	log := telemetry.NewLogger(out, as.GetName(), int(as.GetLogVerbosity()))
 	if err := run(context.Background(), s, log); err != nil {
 		log.Error(err, "failed")
 		return ExitFailed
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -40,6 +40,9 @@
 	Drain func(ctx context.Context)
 	// DrainTimeout bounds Drain.
 	DrainTimeout time.Duration
+	// Tune sets limits of the HTTP server, which then serves Handler without
+	// a router of its own; nil keeps the router.
+	Tune func(*kratoshttp.Server)
 }
 
 // Run serves until a signal stops the process, and returns after a graceful
@@ -74,6 +77,11 @@
 		kratoshttp.Timeout(0),
 	)
 	httpServer.HandlePrefix("/", opts.Handler)
+	if opts.Tune != nil {
+		// The router would redirect paths that it finds unclean.
+		httpServer.Handler = opts.Handler
+		opts.Tune(httpServer)
+	}
 	return append([]transport.Server{httpServer}, opts.Servers...)
 }
 
--- /dev/null
+++ b/internal/registry/follow.go
@@ -0,0 +1,236 @@
+package registry
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"github.com/marigoldwing/marigoldwing/internal/fleet"
+)
+
+const (
+	// watchWait is how long the store may hold a watch. A connection that has
+	// gone silent is found sooner by its keep-alive probes.
+	watchWait = 20 * time.Second
+	// minPause and maxPause bound the time between calls to a store that does
+	// not answer.
+	minPause = 50 * time.Millisecond
+	maxPause = 800 * time.Millisecond
+	// expireInterval is how often missing servers are looked at.
+	expireInterval = 100 * time.Millisecond
+)
+
+// Follower keeps the configuration and the servers in force up to date.
+type Follower struct {
+	source Source
+	log    logr.Logger
+	origin time.Time
+	// changed is told of each new state.
+	changed func(*fleet.Config, []fleet.Server)
+
+	mu     sync.Mutex
+	view   *fleet.View
+	config *fleet.Config
+	listed bool
+
+	storeCalls   atomic.Int64
+	storeFailed  atomic.Int64
+	lastAnswered atomic.Int64
+}
+
+// NewFollower returns a follower that tells changed of every new state. The
+// calls of changed do not overlap.
+func NewFollower(source Source, log logr.Logger, changed func(*fleet.Config, []fleet.Server)) *Follower {
+	return &Follower{source: source, log: log, origin: time.Now(), changed: changed, view: fleet.NewView()}
+}
+
+// Ready reports whether a configuration and the servers are known.
+func (f *Follower) Ready() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.config != nil && f.listed
+}
+
+// Calls returns the calls made to the store, and how many of them failed.
+func (f *Follower) Calls() (made, failed int64) { return f.storeCalls.Load(), f.storeFailed.Load() }
+
+// AnswerAge returns the time since the store last answered.
+func (f *Follower) AnswerAge() time.Duration {
+	return f.now() - time.Duration(f.lastAnswered.Load())
+}
+
+func (f *Follower) now() time.Duration { return time.Since(f.origin) }
+
+// Run follows until ctx ends.
+func (f *Follower) Run(ctx context.Context) {
+	var loops sync.WaitGroup
+	loops.Go(func() { f.follow(ctx, "config", f.listConfig, f.watchConfig) })
+	loops.Go(func() { f.follow(ctx, "servers", f.listServers, f.watchServers) })
+	loops.Go(func() { f.expire(ctx) })
+	loops.Wait()
+}
+
+// follow lists once and then watches; it lists again when history is gone or
+// a call has failed.
+func (f *Follower) follow(ctx context.Context, kind string, list func(context.Context) (uint64, error), watch func(context.Context, uint64) (uint64, error)) {
+	var revision uint64
+	pause := minPause
+	lost := false
+	for ctx.Err() == nil {
+		next, err := f.step(ctx, revision, list, watch)
+		switch {
+		case err == nil:
+			if lost {
+				f.log.Info("store answers again", "kind", kind, "revision", next)
+			}
+			revision, pause, lost = next, minPause, false
+			continue
+		case errors.Is(err, ErrHistoryGone):
+			f.log.Info("history of the store is gone, listing anew", "kind", kind, "revision", revision)
+			revision = 0
+			continue
+		case ctx.Err() != nil:
+			return
+		}
+		f.failed(err, kind, revision, &lost)
+		revision = 0
+		sleep(ctx, pause/2+rand.N(pause/2))
+		pause = min(2*pause, maxPause)
+	}
+}
+
+func (f *Follower) step(ctx context.Context, revision uint64, list func(context.Context) (uint64, error), watch func(context.Context, uint64) (uint64, error)) (uint64, error) {
+	f.storeCalls.Add(1)
+	if revision == 0 {
+		return list(ctx)
+	}
+	return watch(ctx, revision)
+}
+
+func (f *Follower) failed(err error, kind string, revision uint64, lost *bool) {
+	f.storeFailed.Add(1)
+	f.source.Reconnect()
+	if errors.Is(err, ErrNoConfig) {
+		return
+	}
+	f.mu.Lock()
+	f.view.Lost()
+	f.mu.Unlock()
+	if !*lost {
+		f.log.Info("store does not answer, what is known stays in force", "kind", kind, "revision", revision, "error", err.Error())
+	}
+	*lost = true
+}
+
+// answered notes that the store has answered; f.mu is held.
+func (f *Follower) answered() {
+	now := f.now()
+	f.lastAnswered.Store(int64(now))
+	f.view.Answered(now)
+}
+
+func (f *Follower) listConfig(ctx context.Context) (uint64, error) {
+	config, revision, err := f.source.Config(ctx)
+	if err != nil {
+		return 0, err
+	}
+	f.putConfig(config, revision)
+	return revision, nil
+}
+
+func (f *Follower) watchConfig(ctx context.Context, since uint64) (uint64, error) {
+	config, revision, err := f.source.ConfigChanges(ctx, since, watchWait)
+	if err != nil {
+		return 0, err
+	}
+	f.putConfig(config, revision)
+	return revision, nil
+}
+
+// putConfig puts a configuration in force if it is newer.
+func (f *Follower) putConfig(config *fleet.Config, revision uint64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.answered()
+	if config == nil {
+		return
+	}
+	next := fleet.Newer(f.config, config)
+	if next == f.config {
+		return
+	}
+	f.config = next
+	f.log.Info("configuration in force", "version", next.Version, "revision", revision)
+	f.publish()
+}
+
+func (f *Follower) listServers(ctx context.Context) (uint64, error) {
+	changes, revision, err := f.source.Servers(ctx)
+	if err != nil {
+		return 0, err
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.answered()
+	servers := make([]fleet.Server, 0, len(changes))
+	for _, c := range changes {
+		if c.Unreadable || c.Removed {
+			f.log.Info("registration names no server to use", "server", c.Server.ID, "revision", revision, "removed", c.Removed)
+			continue
+		}
+		servers = append(servers, c.Server)
+	}
+	f.view.Listed(f.now(), servers)
+	f.listed = true
+	f.publish()
+	return revision, nil
+}
+
+func (f *Follower) watchServers(ctx context.Context, since uint64) (uint64, error) {
+	changes, revision, err := f.source.ServerChanges(ctx, since, watchWait)
+	if err != nil {
+		return 0, err
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.answered()
+	for _, c := range changes {
+		f.view.Changed(f.now(), c)
+		f.log.Info("registration changed", "server", c.Server.ID, "revision", revision, "removed", c.Removed,
+			"unreadable", c.Unreadable, "leaving", c.Server.Leaving, "stage", c.Server.Stage.String(), "address", c.Server.Address)
+	}
+	if len(changes) > 0 {
+		f.publish()
+	}
+	return revision, nil
+}
+
+// publish tells of the state; f.mu is held.
+func (f *Follower) publish() { f.changed(f.config, f.view.Servers()) }
+
+// expire drops missing servers when their grace is over.
+func (f *Follower) expire(ctx context.Context) {
+	for ctx.Err() == nil {
+		sleep(ctx, expireInterval)
+		f.mu.Lock()
+		if f.view.Expire(f.now()) {
+			f.log.Info("missing registrations dropped")
+			f.publish()
+		}
+		f.mu.Unlock()
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- a/internal/settings/schema.go
+++ b/internal/settings/schema.go
@@ -45,3 +45,25 @@
 		{Name: "load_interval_ms", Unit: "ms", Default: "500", Allowed: inischema.Range{Min: 10, Max: math.MaxInt32}, Help: "Interval between reads of what an engine reports."},
 	},
 }
+
+// GatewaySection describes the section of marigold-gateway.
+var GatewaySection = inischema.Section{
+	Name: "gateway",
+	Help: "Settings of marigold-gateway.",
+	Keys: []inischema.Key{
+		{Name: "name", Required: true, Allowed: inischema.Name, Help: "Name of the process, unique in the deployment."},
+		{Name: "failure_domain", Required: true, Allowed: inischema.Name, Help: "Failure domain in which the process runs."},
+		{Name: "callers_address", Required: true, Allowed: inischema.Address{}, Help: "Address of the callers' listener."},
+		{Name: "readiness_address", Required: true, Allowed: inischema.Address{}, Help: "Address of the listener for the balancer's readiness checks."},
+		{Name: "metrics_address", Required: true, Allowed: inischema.Address{}, Help: "Address of the listener for metrics and the state dump."},
+		{Name: "platform_address", Required: true, Allowed: inischema.Address{}, Help: "Address of the platform's store."},
+		{Name: "stop_grace_s", Unit: "s", Default: "8", Allowed: inischema.Decimal{Min: 1, Max: 600}, Help: "Time between SIGTERM and SIGKILL."},
+		{Name: "retry_budget_ratio", Default: "0.1", Allowed: inischema.Decimal{Max: 1}, Help: "Repeated sends allowed to a service as a share of its requests, over all gateways."},
+		{Name: "retry_budget_reserve", Default: "10", Allowed: inischema.Decimal{Max: 1_000_000}, Help: "Repeated sends allowed beside the share, over all gateways."},
+		{Name: "retry_budget_window_s", Unit: "s", Default: "10", Allowed: inischema.Decimal{Min: 0.1, Max: 600}, Help: "Window of the retry budget."},
+		{Name: "order_lease_ms", Unit: "ms", Default: "3000", Allowed: inischema.Decimal{Min: 100, Max: 600_000}, Help: "Time for which the right to give orders to engines lasts."},
+		{Name: "registration_interval_ms", Unit: "ms", Default: "1000", Allowed: inischema.Decimal{Min: 50, Max: 60_000}, Help: "Interval at which backend servers renew their registration."},
+		{Name: "memory_mb", Unit: "MB", Default: "0", Allowed: inischema.Decimal{Max: 1 << 20}, Help: "Memory that the process may use; 0 sets no limit."},
+		{Name: "log_verbosity", Default: "0", Allowed: inischema.Range{Min: 0, Max: 4}, Help: "Log verbosity; 0 logs at level info."},
+	},
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -49,6 +49,13 @@
 	return agent, mode, err
 }
 
+// LoadGateway is LoadEntry for marigold-gateway.
+func LoadGateway(args []string) (*settingsv1.Gateway, Mode, error) {
+	gateway := &settingsv1.Gateway{}
+	mode, err := load("marigold-gateway", args, []part{{GatewaySection, gateway}}, func() inischema.Errors { return nil })
+	return gateway, mode, err
+}
+
 // part is a section and the message that it fills.
 type part struct {
 	section inischema.Section
