Bound the wait of watches by the times within which news must take effect

Ruled out: keep-alive probes, as the connection lives. Change: watches wait for 0.6 of the bound of a configuration or of a leaving server, and lists follow.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -178,7 +178,6 @@
 // patience gives up an attempt whose answer does not begin.
 type patience struct {
 	timer *time.Timer
-	fired bool
 }
 
 // over stops the timer and tells whether it had fired.
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -59,7 +59,7 @@
 		Registerer:    metrics,
 		Retries:       retryShare(s),
 	})
-	follower := registry.NewFollower(wire.Source, log, g.Update)
+	follower := registry.NewFollower(wire.Source, bounds(s), log, g.Update)
 	registerStore(metrics, follower, g)
 	mux := telemetry.NewMux(telemetry.MuxOptions{
 		Metrics: metrics,
@@ -83,6 +83,13 @@
 	})
 }
 
+// bounds returns the times within which news from the store must take effect.
+func bounds(s *settingsv1.Gateway) registry.Bounds {
+	return registry.Bounds{Config: milliseconds(s.GetConfigApplyMs()), Leaving: milliseconds(s.GetDrainNoticeMs())}
+}
+
+func milliseconds(n float64) time.Duration { return time.Duration(n * float64(time.Millisecond)) }
+
 // assumedGateways is the number of gateways that share the retry budget as
 // long as they do not know each other.
 const assumedGateways = 5
--- a/internal/registry/follow.go
+++ b/internal/registry/follow.go
@@ -14,9 +14,9 @@
 )
 
 const (
-	// watchWait is how long the store may hold a watch. A connection that has
-	// gone silent is found sooner by its keep-alive probes.
-	watchWait = 20 * time.Second
+	// waitShare is the part of a bound for which the store may hold a watch: a
+	// watch may hear nothing of a change, and a list must follow in time.
+	waitShare = 0.6
 	// minPause and maxPause bound the time between calls to a store that does
 	// not answer.
 	minPause = 50 * time.Millisecond
@@ -25,9 +25,16 @@
 	expireInterval = 100 * time.Millisecond
 )
 
+// Bounds are the times within which news must take effect.
+type Bounds struct {
+	// Config is for a configuration, Leaving for a leaving backend server.
+	Config, Leaving time.Duration
+}
+
 // Follower keeps the configuration and the servers in force up to date.
 type Follower struct {
 	source Source
+	bounds Bounds
 	log    logr.Logger
 	origin time.Time
 	// changed is told of each new state.
@@ -45,8 +52,8 @@
 
 // NewFollower returns a follower that tells changed of every new state. The
 // calls of changed do not overlap.
-func NewFollower(source Source, log logr.Logger, changed func(*fleet.Config, []fleet.Server)) *Follower {
-	return &Follower{source: source, log: log, origin: time.Now(), changed: changed, view: fleet.NewView()}
+func NewFollower(source Source, bounds Bounds, log logr.Logger, changed func(*fleet.Config, []fleet.Server)) *Follower {
+	return &Follower{source: source, bounds: bounds, log: log, origin: time.Now(), changed: changed, view: fleet.NewView()}
 }
 
 // Ready reports whether a configuration and the servers are known.
@@ -144,7 +151,7 @@
 }
 
 func (f *Follower) watchConfig(ctx context.Context, since uint64) (uint64, error) {
-	config, revision, err := f.source.ConfigChanges(ctx, since, watchWait)
+	config, revision, err := f.source.ConfigChanges(ctx, since, share(f.bounds.Config))
 	if err != nil {
 		return 0, err
 	}
@@ -192,7 +199,7 @@
 }
 
 func (f *Follower) watchServers(ctx context.Context, since uint64) (uint64, error) {
-	changes, revision, err := f.source.ServerChanges(ctx, since, watchWait)
+	changes, revision, err := f.source.ServerChanges(ctx, since, share(f.bounds.Leaving))
 	if err != nil {
 		return 0, err
 	}
@@ -226,6 +233,9 @@
 	}
 }
 
+// share returns how long a watch may wait under a bound.
+func share(bound time.Duration) time.Duration { return time.Duration(waitShare * float64(bound)) }
+
 func sleep(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
--- a/internal/settings/schema.go
+++ b/internal/settings/schema.go
@@ -63,6 +63,8 @@
 		{Name: "retry_budget_window_s", Unit: "s", Default: "10", Allowed: inischema.Decimal{Min: 0.1, Max: 600}, Help: "Window of the retry budget."},
 		{Name: "order_lease_ms", Unit: "ms", Default: "3000", Allowed: inischema.Decimal{Min: 100, Max: 600_000}, Help: "Time for which the right to give orders to engines lasts."},
 		{Name: "registration_interval_ms", Unit: "ms", Default: "1000", Allowed: inischema.Decimal{Min: 50, Max: 60_000}, Help: "Interval at which backend servers renew their registration."},
+		{Name: "config_apply_ms", Unit: "ms", Default: "15000", Allowed: inischema.Decimal{Min: 200, Max: 600_000}, Help: "Time within which a configuration must be in force."},
+		{Name: "drain_notice_ms", Unit: "ms", Default: "3000", Allowed: inischema.Decimal{Min: 200, Max: 600_000}, Help: "Time within which a leaving backend server must get no more work."},
 		{Name: "memory_mb", Unit: "MB", Default: "0", Allowed: inischema.Decimal{Max: 1 << 20}, Help: "Memory that the process may use; 0 sets no limit."},
 		{Name: "log_verbosity", Default: "0", Allowed: inischema.Range{Min: 0, Max: 4}, Help: "Log verbosity; 0 logs at level info."},
 	},
