Fetch shared prompt parts from the engine that has read them

From the log: prompts went to engines without the part in the gateway's own failure domain, with a fetch from a home that had never read it (60 of 98 fetches), and direct sends at decode engines rested on parts that were evicted. Ruled out: that prefill engines drop parts with a handle that was taken; their lists hold them. Change: a prompt with long shared parts has its home at a prefill engine; other engines fetch from it once it is known to have read the part, also where they are thought to hold it. A first step takes 90 ms, not 15. Requests that can't start within the caller's patience are refused at once.

--- a/internal/fleet/config.go
+++ b/internal/fleet/config.go
@@ -57,6 +57,9 @@
 	Objective time.Duration
 	// GapObjective is the longest pause between events that is in time.
 	GapObjective time.Duration
+	// Patience is the longest pause, also before the first event, after which
+	// callers leave a stream; 0 if they wait for their deadline.
+	Patience time.Duration
 	// Attempts is the largest number of backend servers that one request may
 	// run on.
 	Attempts int
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -39,6 +39,8 @@
 		}
 		a.Source = handle
 		tokens = 1
+	} else {
+		a.FetchFrom = c.FetchFrom
 	}
 	q.server = c.Server.ID
 	out := q.send(ctx, c, a, tokens)
@@ -52,10 +54,12 @@
 // prefill has the prompt prefilled and returns where its KV cache is kept, or
 // nil and what went wrong. A prompt that is prefilled has not run.
 func (q *request) prefill(ctx context.Context, c placement.Choice) (*Handle, outcome) {
-	q.prefills++
-	predicted := c.FirstEvent
-	k := q.service.sent(q.g.now(), c.Prefill.ID, c.NewTokens, q.call.Parts, predicted)
-	defer q.service.ended(k)
+	begun := q.g.now()
+	k := q.service.sent(begun, c.Prefill.ID, c.NewTokens, q.call.Parts, c.FirstEvent)
+	defer func() {
+		q.service.ended(k)
+		q.prefilled = q.g.now() - begun
+	}()
 	a := Attempt{
 		ServerID:    c.Prefill.ID,
 		Remaining:   q.left(),
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -31,8 +31,8 @@
 	sends, runs int
 	// exclude names servers that have failed the request.
 	exclude []string
-	// prefills made at prefill engines.
-	prefills int
+	// prefilled is the time that the last prefill at a prefill engine took.
+	prefilled time.Duration
 	// directOnly keeps the request from engines that only prefill.
 	directOnly bool
 	// lastEvent is the ID of the last event that the caller has.
@@ -178,9 +178,14 @@
 	}
 }
 
-// inTime tells whether the first event is predicted before the deadline.
+// inTime tells whether the first event is predicted before the deadline, and
+// before the caller's patience is over.
 func (q *request) inTime(c placement.Choice) bool {
-	return c.FirstEvent+leastUseful < q.left()
+	left := q.left()
+	if q.route.Patience > 0 && !q.committed {
+		left = min(left, q.arrived+q.route.Patience-q.g.now())
+	}
+	return c.FirstEvent+leastUseful < left
 }
 
 // settled takes in an attempt's outcome. It reports whether the request has
--- a/internal/gateway/log.go
+++ b/internal/gateway/log.go
@@ -19,12 +19,16 @@
 		"server", c.Server.ID,
 		"predicted_ms", c.FirstEvent.Milliseconds(),
 		"load_age_ms", c.LoadAge.Milliseconds(),
+		"prompt_tokens", q.call.PromptTokens,
 		"new_tokens", c.NewTokens,
 		"result", out.result.String(),
 		"elapsed_ms", (q.g.now() - q.arrived).Milliseconds(),
 	}
 	if c.Split {
-		values = append(values, "prefill_server", c.Prefill.ID, "fetch_from", c.FetchFrom)
+		values = append(values, "prefill_server", c.Prefill.ID, "prefill_elapsed_ms", q.prefilled.Milliseconds())
+	}
+	if c.FetchFrom != "" {
+		values = append(values, "fetch_from", c.FetchFrom)
 	}
 	if out.reason != "" {
 		values = append(values, "reason", out.reason)
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -86,17 +86,16 @@
 // chooseWhole chooses one decode engine for prefill and decode.
 func (t *Table) chooseWhole(now time.Duration, r Request, keys []uint64) (option, bool) {
 	var options []option
-	home := t.home(t.usable(fleet.StageDecode, nil), keys)
+	rate := t.rate.perSecond * decodePrefillShare
 	for _, s := range t.usable(fleet.StageDecode, r.Exclude) {
-		held := t.heldOrHome(now, s, home, r, keys)
-		fresh := float64(max(1, r.PromptTokens-held))
-		prefill := fresh / (t.rate.perSecond * decodePrefillShare)
-		wait := s.ownTokens / (t.rate.perSecond * decodePrefillShare)
-		first := (firstStep+prefill+wait)*s.slowdown + t.slotWait(s, now)
+		c := t.cachedFor(now, s, r, keys)
+		fresh := float64(max(1, r.PromptTokens-c.tokens))
+		prefill := fresh / rate
+		first := (firstStep+prefill+s.ownTokens/rate)*s.slowdown + t.moveSeconds(c.fetched) + t.slotWait(s, now)
 		o := option{Choice: t.choice(now, s, first)}
-		o.NewTokens = int(fresh)
-		o.score = first/s.weight + t.distance(s, r.BodyBytes) + t.reread(r, held) +
-			t.opts.Disturbance*prefill*s.load(now)/float64(max(1, t.engine.Slots))
+		o.NewTokens, o.FetchFrom = int(fresh), c.from
+		o.score = first/s.weight + t.distance(s, r.BodyBytes) + t.reread(r, c.tokens) +
+			t.opts.MoveToken*float64(c.fetched) + t.opts.Disturbance*prefill*s.load(now)
 		options = append(options, o)
 	}
 	return best(options)
@@ -122,24 +121,15 @@
 
 // choosePrefill chooses the engine that prefills the prompt.
 func (t *Table) choosePrefill(now time.Duration, r Request, keys []uint64) (option, bool) {
-	engines := t.usable(fleet.StagePrefill, r.Exclude)
-	home := t.home(engines, keys)
 	var options []option
-	for _, s := range engines {
-		held := t.heldOrHome(now, s, home, r, keys)
-		fetch := ""
-		fetched := 0
-		if held == 0 && home != nil && s != home && len(r.Parts) > 1 {
-			fetch = home.Address
-			fetched = sharedTokens(r.Parts)
-			held = fetched
-		}
-		fresh := float64(max(1, r.PromptTokens-held))
+	for _, s := range t.usable(fleet.StagePrefill, r.Exclude) {
+		c := t.cachedFor(now, s, r, keys)
+		fresh := float64(max(1, r.PromptTokens-c.tokens))
 		queue := s.ownTokens + s.others(now)*t.meanPrompt(s)
-		first := (firstStep+(fresh+queue)/t.rate.perSecond)*s.slowdown + t.moveSeconds(fetched)
+		first := (firstStep+(fresh+queue)/t.rate.perSecond)*s.slowdown + t.moveSeconds(c.fetched)
 		o := option{Choice: t.choice(now, s, first)}
-		o.NewTokens, o.FetchFrom = int(fresh), fetch
-		o.score = first/s.weight + t.distance(s, r.BodyBytes) + t.reread(r, held) + t.opts.MoveToken*float64(fetched)
+		o.NewTokens, o.FetchFrom = int(fresh), c.from
+		o.score = first/s.weight + t.distance(s, r.BodyBytes) + t.reread(r, c.tokens) + t.opts.MoveToken*float64(c.fetched)
 		options = append(options, o)
 	}
 	return best(options)
@@ -196,23 +186,48 @@
 	return tokens
 }
 
-// heldOrHome returns the leading tokens that an engine is thought to have
-// cached. The home of a prompt is taken to hold its shared parts, as other
-// gateways send their requests there too.
-func (t *Table) heldOrHome(now time.Duration, s, home *server, r Request, keys []uint64) int {
+// cached is what an engine need not prefill of a prompt.
+type cached struct {
+	// tokens held already, or fetched before the prefill.
+	tokens int
+	// fetched of them from the engine at the address from.
+	fetched int
+	from    string
+}
+
+// cachedFor returns what an engine is thought to have cached of a prompt. The
+// home of a prompt is taken to hold its shared parts, as all gateways send
+// there first; other engines can fetch them from it.
+func (t *Table) cachedFor(now time.Duration, s *server, r Request, keys []uint64) cached {
+	shared := sharedTokens(r.Parts)
+	most := max(0, r.PromptTokens-1)
 	held := s.held(now, r.Parts, keys)
+	home := t.home(keys, s.Stage, shared)
 	if s == home {
-		held = max(held, sharedTokens(r.Parts))
+		return cached{tokens: min(max(held, shared), most)}
+	}
+	c := cached{tokens: min(held, most)}
+	if home != nil && shared >= leastFetch && home.held(now, r.Parts[:len(r.Parts)-1], keys) > 0 {
+		// A fetch of what is held already costs nothing.
+		c.from = home.Address
+		c.fetched = max(0, shared-held)
+		c.tokens = min(max(held, shared), most)
 	}
-	return min(held, max(0, r.PromptTokens-1))
+	return c
 }
 
 // home returns the engine with the highest rendezvous weight for the first
 // part of a prompt. All gateways that know the same engines find the same one.
-func (t *Table) home(engines []*server, keys []uint64) *server {
+// Prompts with long shared parts have their home at a prefill engine, if there
+// is one, others at an engine of the stage that is asked for.
+func (t *Table) home(keys []uint64, stage fleet.Stage, shared int) *server {
 	if len(keys) < 2 {
 		return nil
 	}
+	engines := t.usable(stage, nil)
+	if prefills := t.usable(fleet.StagePrefill, nil); shared >= leastFetch && len(prefills) > 0 {
+		engines = prefills
+	}
 	var best *server
 	var highest uint64
 	for _, s := range engines {
@@ -238,13 +253,17 @@
 	load := s.load(now) + 1
 	fill := min(1, load/slots)
 	// A fuller batch makes each step slower.
-	wait := firstStep * fill * s.slowdown
+	wait := fullBatchStep * fill * s.slowdown
 	if load > slots {
 		wait += (load - slots) / slots * typicalRun
 	}
 	return wait
 }
 
+// fullBatchStep is how much longer a first step takes in a full batch, in
+// seconds.
+const fullBatchStep = 0.02
+
 // typicalRun is the time that a request holds a slot, in seconds.
 const typicalRun = 0.3
 
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -76,7 +76,7 @@
 	// MoveToken is added for each token of KV cache that is transferred.
 	MoveToken float64
 	// Disturbance weighs the time for which a prefill at a decode engine holds
-	// up the streams there.
+	// up each of the streams there.
 	Disturbance float64
 }
 
@@ -88,10 +88,14 @@
 		CrossDomainByte: 1e-6,
 		RereadToken:     30e-6,
 		MoveToken:       2e-6,
-		Disturbance:     0.5,
+		Disturbance:     0.1,
 	}
 }
 
+// leastFetch is the number of cached tokens from which a transfer is faster
+// than a prefill of the same tokens.
+const leastFetch = 512
+
 const (
 	// initialPrefillRate is assumed until answers tell the rate, in prompt
 	// tokens per second.
@@ -101,7 +105,7 @@
 	decodePrefillShare = 0.5
 	// firstStep is the time of a request without any prefill before it, in
 	// seconds.
-	firstStep = 0.015
+	firstStep = 0.09
 	// plainService is the time that a plain server takes, in seconds.
 	plainService = 0.015
 	// loadHalfLife is the age at which the load that a server has told counts
--- a/internal/placement/table.go
+++ b/internal/placement/table.go
@@ -246,12 +246,12 @@
 // have cached.
 func (s *server) held(now time.Duration, parts []Part, keys []uint64) int {
 	tokens := 0
-	for i, key := range keys {
-		used, ok := s.parts[key]
+	for i, part := range parts {
+		used, ok := s.parts[keys[i]]
 		if !ok || now-used > partLife {
 			break
 		}
-		tokens += parts[i].Tokens
+		tokens += part.Tokens
 	}
 	return tokens
 }
