--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -24,31 +24,38 @@
 )
 
 // attempt sends the request to the chosen server, after its prompt has been
-// prefilled elsewhere if the choice says so.
-func (q *request) attempt(ctx context.Context, c placement.Choice) outcome {
+// prefilled elsewhere if the choice says so. It returns the choice that the
+// send was made by.
+func (q *request) attempt(ctx context.Context, c placement.Choice) (outcome, placement.Choice) {
 	if q.left() < leastUseful {
-		return outcome{result: timedOut, reason: "deadline"}
+		return outcome{result: timedOut, reason: "deadline"}, c
 	}
 	q.g.metrics.choseWithLoadOf(c.LoadAge)
-	a := Attempt{ServerID: c.Server.ID, Priority: q.route.Priority, LastEvent: q.lastEvent}
-	tokens := c.NewTokens
 	if c.Split {
-		handle, out := q.prefill(ctx, c)
-		if handle == nil {
-			return out
-		}
-		a.Source = handle
-		tokens = 1
-	} else {
-		a.FetchFrom = c.FetchFrom
+		return q.attemptSplit(ctx, c)
 	}
-	q.server = c.Server.ID
-	out := q.send(ctx, c, a, tokens)
-	if a.Source != nil && out.result == notRun {
+	return q.send(ctx, c, Attempt{FetchFrom: c.FetchFrom}, c.NewTokens), c
+}
+
+// attemptSplit has the prompt prefilled at one engine and decoded at another,
+// which is chosen anew when the prefill is done.
+func (q *request) attemptSplit(ctx context.Context, c placement.Choice) (outcome, placement.Choice) {
+	handle, out := q.prefill(ctx, c)
+	if handle == nil {
+		return out, c
+	}
+	d, err := q.service.chooseDecode(q.g.now(), q.wanted(), c.Prefill)
+	if err != nil {
+		go q.g.release(c.Prefill, *handle)
+		return outcome{result: notRun, reason: "no_server"}, c
+	}
+	d.NewTokens, d.FetchFrom = c.NewTokens, c.FetchFrom
+	out = q.send(ctx, d, Attempt{Source: handle}, 1)
+	if out.result == notRun {
 		// The handle is gone or was not used.
-		go q.g.release(c.Prefill, *a.Source)
+		go q.g.release(c.Prefill, *handle)
 	}
-	return out
+	return out, d
 }
 
 // prefill has the prompt prefilled and returns where its KV cache is kept, or
@@ -160,6 +167,10 @@
 // send makes one send to the server that is to run the request.
 func (q *request) send(ctx context.Context, c placement.Choice, a Attempt, tokens int) outcome {
 	q.sends++
+	q.server = c.Server.ID
+	a.ServerID = c.Server.ID
+	a.Priority = q.route.Priority
+	a.LastEvent = q.lastEvent
 	a.Remaining = q.left()
 	sentAt := q.g.now()
 	k := q.service.sent(sentAt, c.Server.ID, tokens, q.call.Parts, c.FirstEvent)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -152,6 +152,13 @@
 	return s.table.Choose(now, r)
 }
 
+// chooseDecode chooses where a prefilled prompt is decoded.
+func (s *service) chooseDecode(now time.Duration, r placement.Request, prefill fleet.Server) (placement.Choice, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.table.ChooseDecode(now, r, prefill)
+}
+
 // sent, started, ended and told pass events on to the table.
 
 func (s *service) sent(now time.Duration, id string, tokens int, parts []placement.Part, predicted time.Duration) *placement.Ticket {
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -159,7 +159,7 @@
 			q.giveUp(outcome{result: notRun, reason: "overloaded"}, overloadPause(choice, q.route))
 			return
 		}
-		out := q.attempt(ctx, choice)
+		out, choice := q.attempt(ctx, choice)
 		if q.settled(ctx, out, choice) {
 			return
 		}
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -135,6 +135,17 @@
 	return best(options)
 }
 
+// ChooseDecode chooses where a prompt that has been prefilled is decoded. The
+// engine of the first choice may be leaving by then, or busy.
+func (t *Table) ChooseDecode(now time.Duration, r Request, prefill fleet.Server) (Choice, error) {
+	o, ok := t.chooseDecode(now, r, prefill)
+	if !ok {
+		return Choice{}, ErrNoServer
+	}
+	o.Prefill, o.Split = prefill, true
+	return o.Choice, nil
+}
+
 // chooseDecode chooses the engine that generates after another one has
 // prefilled.
 func (t *Table) chooseDecode(now time.Duration, r Request, prefill fleet.Server) (option, bool) {
