Have engines change their stage by fenced orders of one lease holder

Change: the holder of a lease in the store reads the engines' reports and gives one order at a time, with its term as the fencing number and the number of orders that the engine must have accepted before. Servers that refuse are left alone for up to a second.

--- a/cmd/marigold-gateway/main.go
+++ b/cmd/marigold-gateway/main.go
@@ -24,6 +24,7 @@
 }
 
 func run(ctx context.Context, s *settingsv1.Gateway, log logr.Logger) error {
-	wire := gateway.Wire{Source: platform.NewStore(s.GetPlatformAddress()), Protocol: platform.Protocol{}}
+	store := platform.NewStore(s.GetPlatformAddress())
+	wire := gateway.Wire{Source: store, Protocol: platform.Protocol{}, Stages: platform.Protocol{}, Leases: store}
 	return gateway.Run(ctx, s, wire, log)
 }
--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -82,6 +82,8 @@
 
 type entry struct {
 	server Server
+	// seenAt is when the store last told of the registration.
+	seenAt time.Duration
 	// dropAt is when a missing server stops to be used; 0 while registered.
 	dropAt time.Duration
 }
@@ -106,7 +108,7 @@
 	listed := make(map[string]bool, len(servers))
 	for _, s := range servers {
 		listed[s.ID] = true
-		v.put(s)
+		v.put(now, s)
 	}
 	for id := range v.servers {
 		if !listed[id] {
@@ -121,21 +123,24 @@
 		v.remove(now, c.Server.ID)
 		return
 	}
-	v.put(c.Server)
+	v.put(now, c.Server)
 }
 
-func (v *View) put(s Server) { v.servers[s.ID] = &entry{server: s} }
+func (v *View) put(now time.Duration, s Server) { v.servers[s.ID] = &entry{server: s, seenAt: now} }
 
-// remove drops a server, at once unless the store has just come back.
+// remove drops a server. One that the store has not told of since it came
+// back may have lapsed meanwhile, and is kept for a grace.
 func (v *View) remove(now time.Duration, id string) {
 	e := v.servers[id]
 	if e == nil || e.dropAt > 0 {
 		return
 	}
-	e.dropAt = max(now, v.backAt+MissingGrace)
-	if e.dropAt <= now || e.server.Leaving {
+	graceEnds := v.backAt + MissingGrace
+	if e.seenAt >= v.backAt || e.server.Leaving || graceEnds <= now {
 		delete(v.servers, id)
+		return
 	}
+	e.dropAt = graceEnds
 }
 
 // Expire drops the servers whose grace is over and reports whether there were
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -85,6 +85,9 @@
 	if err != nil {
 		return nil, q.prefillFailed(ctx, c, err.Error())
 	}
+	if answer.NotRun {
+		q.service.refused(q.g.now(), c.Prefill.ID)
+	}
 	if e.Answer.StatusCode != http.StatusOK {
 		return nil, q.prefillFailed(ctx, c, fmt.Sprintf("prefill answered with status %d", e.Answer.StatusCode))
 	}
@@ -187,6 +190,12 @@
 	q.service.started(q.g.now(), k)
 	answer := q.g.opts.Protocol.Answer(e.Answer.StatusCode, e.Answer.Header)
 	q.service.told(q.g.now(), c.Server.ID, answer)
+	if answer.NotRun && a.Source == nil {
+		// With a source, the handle may be what was refused.
+		q.service.refused(q.g.now(), c.Server.ID)
+	} else if !answer.NotRun {
+		q.service.accepted(c.Server.ID)
+	}
 	return q.take(ctx, e, answer)
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -69,7 +69,7 @@
 	table  *placement.Table
 	health *retry.Health
 	budget *retry.Budget
-	ids    []string
+	known  []fleet.Server
 }
 
 // New returns a gateway that knows no configuration yet.
@@ -135,19 +135,27 @@
 	defer s.mu.Unlock()
 	s.engine = spec.Engine
 	s.table.SetServers(spec.Engine, servers)
-	s.ids = s.ids[:0]
+	s.known = servers
+	ids := make([]string, 0, len(servers))
 	for _, server := range servers {
-		s.ids = append(s.ids, server.ID)
+		ids = append(ids, server.ID)
 	}
-	s.health.SetServers(s.ids)
+	s.health.SetServers(ids)
+}
+
+// servers returns the registered servers.
+func (s *service) servers() []fleet.Server {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.known
 }
 
 // choose chooses a server for a request.
 func (s *service) choose(now time.Duration, r placement.Request) (placement.Choice, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, id := range s.ids {
-		s.table.SetWeight(id, s.health.Weight(now, id))
+	for _, server := range s.known {
+		s.table.SetWeight(server.ID, s.health.Weight(now, server.ID))
 	}
 	return s.table.Choose(now, r)
 }
@@ -188,6 +196,20 @@
 	s.table.Told(now, id, a.Load)
 }
 
+// refused and accepted tell whether a server takes requests.
+
+func (s *service) refused(now time.Duration, id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.table.Refused(now, id)
+}
+
+func (s *service) accepted(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.table.Accepted(id)
+}
+
 // succeeded and failed follow the health of a server.
 
 func (s *service) succeeded(id string) {
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -16,6 +16,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	settingsv1 "github.com/marigoldwing/marigoldwing/api/settings/v1"
+	"github.com/marigoldwing/marigoldwing/internal/lease"
 	"github.com/marigoldwing/marigoldwing/internal/process"
 	"github.com/marigoldwing/marigoldwing/internal/registry"
 	"github.com/marigoldwing/marigoldwing/internal/telemetry"
@@ -43,6 +44,9 @@
 type Wire struct {
 	Source   registry.Source
 	Protocol Protocol
+	// Stages and Leases are used to have engines change their stages.
+	Stages StageProtocol
+	Leases lease.Store
 }
 
 // Run runs marigold-gateway until it is stopped.
@@ -59,6 +63,7 @@
 		Registerer:    metrics,
 		Retries:       retryShare(s),
 	})
+	keepers := newStageKeepers(g, wire, milliseconds(s.GetOrderLeaseMs()))
 	follower := registry.NewFollower(wire.Source, bounds(s), log, g.Update)
 	registerStore(metrics, follower, g)
 	mux := telemetry.NewMux(telemetry.MuxOptions{
@@ -76,7 +81,7 @@
 			sideServer(s.GetReadinessAddress(), g.readiness(follower)),
 			sideServer(s.GetMetricsAddress(), mux),
 		},
-		Loops:        []func(context.Context){follower.Run, g.ignoreHangup},
+		Loops:        []func(context.Context){follower.Run, g.ignoreHangup, keepers.run},
 		Drain:        g.Drain,
 		DrainTimeout: time.Duration(s.GetStopGraceS()*float64(time.Second)) - stopMargin,
 		Tune:         tuneServer,
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -58,7 +58,7 @@
 // failure domain first.
 func (t *Table) choosePlain(now time.Duration, r Request) (Choice, error) {
 	var options []option
-	for _, s := range t.usable(fleet.StageWhole, r.Exclude) {
+	for _, s := range t.usable(now, fleet.StageWhole, r.Exclude) {
 		first := plainService * s.slowdown * (1 + queueTurns(s, s.load(now)))
 		options = append(options, option{
 			Choice: t.choice(now, s, first),
@@ -87,7 +87,7 @@
 func (t *Table) chooseWhole(now time.Duration, r Request, keys []uint64) (option, bool) {
 	var options []option
 	rate := t.rate.perSecond * decodePrefillShare
-	for _, s := range t.usable(fleet.StageDecode, r.Exclude) {
+	for _, s := range t.usable(now, fleet.StageDecode, r.Exclude) {
 		c := t.cachedFor(now, s, r, keys)
 		fresh := float64(max(1, r.PromptTokens-c.tokens))
 		prefill := fresh / rate
@@ -122,7 +122,7 @@
 // choosePrefill chooses the engine that prefills the prompt.
 func (t *Table) choosePrefill(now time.Duration, r Request, keys []uint64) (option, bool) {
 	var options []option
-	for _, s := range t.usable(fleet.StagePrefill, r.Exclude) {
+	for _, s := range t.usable(now, fleet.StagePrefill, r.Exclude) {
 		c := t.cachedFor(now, s, r, keys)
 		fresh := float64(max(1, r.PromptTokens-c.tokens))
 		queue := s.ownTokens + s.others(now)*t.meanPrompt(s)
@@ -150,7 +150,7 @@
 // prefilled.
 func (t *Table) chooseDecode(now time.Duration, r Request, prefill fleet.Server) (option, bool) {
 	var options []option
-	for _, s := range t.usable(fleet.StageDecode, r.Exclude) {
+	for _, s := range t.usable(now, fleet.StageDecode, r.Exclude) {
 		move := t.moveSeconds(r.PromptTokens)
 		price := t.opts.MoveToken * float64(r.PromptTokens)
 		if s.FailureDomain != prefill.FailureDomain {
@@ -213,7 +213,7 @@
 	shared := sharedTokens(r.Parts)
 	most := max(0, r.PromptTokens-1)
 	held := s.held(now, r.Parts, keys)
-	home := t.home(keys, s.Stage, shared)
+	home := t.home(now, keys, s.Stage, shared)
 	if s == home {
 		return cached{tokens: min(max(held, shared), most)}
 	}
@@ -231,12 +231,12 @@
 // part of a prompt. All gateways that know the same engines find the same one.
 // Prompts with long shared parts have their home at a prefill engine, if there
 // is one, others at an engine of the stage that is asked for.
-func (t *Table) home(keys []uint64, stage fleet.Stage, shared int) *server {
+func (t *Table) home(now time.Duration, keys []uint64, stage fleet.Stage, shared int) *server {
 	if len(keys) < 2 {
 		return nil
 	}
-	engines := t.usable(stage, nil)
-	if prefills := t.usable(fleet.StagePrefill, nil); shared >= leastFetch && len(prefills) > 0 {
+	engines := t.usable(now, stage, nil)
+	if prefills := t.usable(now, fleet.StagePrefill, nil); shared >= leastFetch && len(prefills) > 0 {
 		engines = prefills
 	}
 	var best *server
--- a/internal/placement/table.go
+++ b/internal/placement/table.go
@@ -34,6 +34,10 @@
 	slowdown float64
 	// weight is the share of its usual work that the server is to get.
 	weight float64
+	// refusedUntil keeps requests away from a server that refuses; refusals
+	// counts those in a row.
+	refusedUntil time.Duration
+	refusals     int
 	// parts has the time of the last use of each prompt part.
 	parts map[uint64]time.Duration
 }
@@ -151,6 +155,32 @@
 	}
 }
 
+const (
+	// leastRefusedPause and mostRefusedPause bound how long a server that
+	// refuses is left alone; engines refuse for seconds while they change.
+	leastRefusedPause = 150 * time.Millisecond
+	mostRefusedPause  = time.Second
+)
+
+// Refused takes in that a server has refused a request for want of room or
+// while it carries out an order.
+func (t *Table) Refused(now time.Duration, id string) {
+	s := t.find(id)
+	if s == nil || now < s.refusedUntil {
+		return
+	}
+	pause := min(leastRefusedPause<<min(s.refusals, 8), mostRefusedPause)
+	s.refusals++
+	s.refusedUntil = now + pause
+}
+
+// Accepted takes in that a server has taken a request.
+func (t *Table) Accepted(id string) {
+	if s := t.find(id); s != nil {
+		s.refusals = 0
+	}
+}
+
 // Forget takes in that an engine does not hold the parts it was taken to.
 func (t *Table) Forget(id string, parts []Part) {
 	if s := t.find(id); s != nil {
@@ -257,10 +287,10 @@
 }
 
 // usable returns the servers of a stage that may take a request.
-func (t *Table) usable(stage fleet.Stage, exclude []string) []*server {
+func (t *Table) usable(now time.Duration, stage fleet.Stage, exclude []string) []*server {
 	var list []*server
 	for _, s := range t.servers {
-		if s.Stage == stage && !s.Leaving && s.weight > 0 && !slices.Contains(exclude, s.ID) {
+		if s.Stage == stage && !s.Leaving && s.weight > 0 && now >= s.refusedUntil && !slices.Contains(exclude, s.ID) {
 			list = append(list, s)
 		}
 	}
--- a/internal/registry/follow.go
+++ b/internal/registry/follow.go
@@ -18,9 +18,11 @@
 	// watch may hear nothing of a change, and a list must follow in time.
 	waitShare = 0.6
 	// minPause and maxPause bound the time between calls to a store that does
-	// not answer.
+	// not answer. A process that is out of touch must hear of leaving servers
+	// within the time in which it counts as reconnected, less
+	// fleet.MissingGrace.
 	minPause = 50 * time.Millisecond
-	maxPause = 800 * time.Millisecond
+	maxPause = 300 * time.Millisecond
 	// expireInterval is how often missing servers are looked at.
 	expireInterval = 100 * time.Millisecond
 )
--- /dev/null
+++ b/internal/stages/stages.go
@@ -0,0 +1,190 @@
+// Package stages decides which engines of a service prefill and which decode.
+//
+// It answers a mix of long prompts and long answers that swings faster than
+// engines can be added: an engine that changes its stage is away for seconds,
+// so one moves at a time, towards the stage whose queue makes callers wait, and
+// only if the other stage can spare it. Decide is pure; the caller gives the
+// order.
+package stages
+
+import (
+	"math"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/marigoldwing/marigoldwing/internal/fleet"
+)
+
+// Engine is one engine as it reports itself.
+type Engine struct {
+	ID    string
+	Stage fleet.Stage
+	// Leaving engines count for nothing.
+	Leaving bool
+	// Changing engines are carrying out an order.
+	Changing bool
+	// Running and Queued requests, and how many can run at once.
+	Running, Queued, Slots int
+}
+
+// Options set when an engine changes.
+type Options struct {
+	// Change is how long a change takes an engine away.
+	Change time.Duration
+	// LongQueue is the mean number of prompts at a prefill engine above which
+	// another engine is to prefill.
+	LongQueue float64
+	// ShortQueue is the number below which a prefill engine can be spared.
+	ShortQueue float64
+	// BusyDecode is the share of decode slots in use above which another
+	// engine is to decode, and the most that may be in use after one has left.
+	BusyDecode float64
+	// Half is the age at which an observation counts half.
+	Half time.Duration
+	// PrefillShare of the engines prefill as long as the load shows no other
+	// need.
+	PrefillShare float64
+	// LeastOfStage is the least number of engines of each stage.
+	LeastOfStage int
+}
+
+// DefaultOptions returns the usual options for engines that are away for a
+// time.
+func DefaultOptions(change time.Duration) Options {
+	return Options{
+		Change:       change,
+		LongQueue:    6,
+		ShortQueue:   1,
+		BusyDecode:   0.7,
+		Half:         4 * time.Second,
+		PrefillShare: 0.45,
+		LeastOfStage: 2,
+	}
+}
+
+// State is what the decision remembers.
+type State struct {
+	// prefillQueue and decodeUse are smoothed.
+	prefillQueue, decodeUse float64
+	seenAt                  time.Duration
+	seen                    bool
+	// orderedAt is when the last order was given.
+	orderedAt time.Duration
+	ordered   bool
+}
+
+// Order is a change of one engine.
+type Order struct {
+	Engine string
+	To     fleet.Stage
+	// PrefillQueue and DecodeUse are the inputs that decided.
+	PrefillQueue, DecodeUse float64
+}
+
+// sums are the engines and the load of each stage.
+type sums struct {
+	prefills, decodes, changing int
+	prompts, used, slots        float64
+}
+
+func sum(engines []Engine) sums {
+	var s sums
+	for _, e := range engines {
+		switch {
+		case e.Leaving:
+		case e.Changing:
+			s.changing++
+		case e.Stage == fleet.StagePrefill:
+			s.prefills++
+			s.prompts += float64(e.Running + e.Queued)
+		case e.Stage == fleet.StageDecode:
+			s.decodes++
+			s.used += float64(e.Running + e.Queued)
+			s.slots += float64(e.Slots)
+		}
+	}
+	return s
+}
+
+// Decide takes in what the engines report and returns the change that is worth
+// making, if any. Nothing changes while another change is under way.
+func Decide(st State, o Options, now time.Duration, engines []Engine) (State, Order, bool) {
+	s := sum(engines)
+	st = st.observe(o, now, s)
+	settled := !st.ordered || now-st.orderedAt >= o.Change
+	if s.changing > 0 || !settled {
+		return st, Order{}, false
+	}
+	to, ok := st.wanted(o, s)
+	if !ok {
+		return st, Order{}, false
+	}
+	id := cheapest(engines, to)
+	if id == "" {
+		return st, Order{}, false
+	}
+	st.ordered, st.orderedAt = true, now
+	return st, Order{Engine: id, To: to, PrefillQueue: st.prefillQueue, DecodeUse: st.decodeUse}, true
+}
+
+// observe smooths the load.
+func (st State) observe(o Options, now time.Duration, s sums) State {
+	queue := s.prompts / float64(max(1, s.prefills))
+	use := s.used / max(1, s.slots)
+	if !st.seen {
+		st.prefillQueue, st.decodeUse = queue, use
+	} else {
+		share := 1 - math.Exp2(-float64(now-st.seenAt)/float64(o.Half))
+		st.prefillQueue += share * (queue - st.prefillQueue)
+		st.decodeUse += share * (use - st.decodeUse)
+	}
+	st.seen, st.seenAt = true, now
+	return st
+}
+
+// wanted returns the stage that needs another engine.
+func (st State) wanted(o Options, s sums) (fleet.Stage, bool) {
+	switch {
+	case s.prefills == 0 && s.decodes > 1:
+		return fleet.StagePrefill, true
+	case s.decodes == 0 && s.prefills > 1:
+		return fleet.StageDecode, true
+	case float64(s.prefills) < math.Round(o.PrefillShare*float64(s.prefills+s.decodes)) && st.useWithout(s) < o.BusyDecode:
+		return fleet.StagePrefill, true
+	case s.decodes > o.LeastOfStage && st.prefillQueue > o.LongQueue && st.useWithout(s) < o.BusyDecode:
+		return fleet.StagePrefill, true
+	case s.prefills > o.LeastOfStage && st.decodeUse > o.BusyDecode && st.prefillQueue < o.ShortQueue:
+		return fleet.StageDecode, true
+	}
+	return fleet.StageWhole, false
+}
+
+// useWithout returns the share of decode slots in use if one engine left.
+func (st State) useWithout(s sums) float64 {
+	return st.decodeUse * float64(s.decodes) / float64(max(1, s.decodes-1))
+}
+
+// cheapest returns the engine of the other stage with the least work.
+func cheapest(engines []Engine, to fleet.Stage) string {
+	from := fleet.StageDecode
+	if to == fleet.StageDecode {
+		from = fleet.StagePrefill
+	}
+	var candidates []Engine
+	for _, e := range engines {
+		if e.Stage == from && !e.Leaving && !e.Changing {
+			candidates = append(candidates, e)
+		}
+	}
+	if len(candidates) == 0 {
+		return ""
+	}
+	least := slices.MinFunc(candidates, func(a, b Engine) int {
+		if d := a.Running + a.Queued - b.Running - b.Queued; d != 0 {
+			return d
+		}
+		return strings.Compare(a.ID, b.ID)
+	})
+	return least.ID
+}
