--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -47,7 +47,7 @@
 	d, err := q.service.chooseDecode(q.g.now(), q.wanted(), c.Prefill)
 	if err != nil {
 		go q.g.release(c.Prefill, *handle)
-		return outcome{result: notRun, reason: "no_server"}, c
+		return outcome{result: notRun, reason: "no_server", untried: true}, c
 	}
 	d.NewTokens, d.FetchFrom = c.NewTokens, c.FetchFrom
 	out = q.send(ctx, d, Attempt{Source: handle}, 1)
@@ -76,24 +76,25 @@
 	}
 	e, err := q.g.pool.Do(ctx, c.Prefill.Key(), q.upstreamRequest(a), q.isMine)
 	if err != nil {
-		return nil, q.prefillFailed(ctx, c, err.Error())
+		return nil, q.prefillBroke(ctx, c, err.Error())
 	}
 	defer e.Release()
 	answer := q.g.opts.Protocol.Answer(e.Answer.StatusCode, e.Answer.Header)
 	q.service.told(q.g.now(), c.Prefill.ID, answer)
 	body, err := io.ReadAll(io.LimitReader(e.Answer.Body, maxAnswerBytes))
 	if err != nil {
-		return nil, q.prefillFailed(ctx, c, err.Error())
+		return nil, q.prefillBroke(ctx, c, err.Error())
 	}
 	if answer.NotRun {
 		q.service.refused(q.g.now(), c.Prefill.ID)
+		return nil, q.prefillFailed(ctx, c, fmt.Sprintf("refused with status %d", e.Answer.StatusCode))
 	}
 	if e.Answer.StatusCode != http.StatusOK {
-		return nil, q.prefillFailed(ctx, c, fmt.Sprintf("prefill answered with status %d", e.Answer.StatusCode))
+		return nil, q.prefillBroke(ctx, c, fmt.Sprintf("status %d", e.Answer.StatusCode))
 	}
 	id, err := q.g.opts.Protocol.ReadHandle(body)
 	if err != nil {
-		return nil, q.prefillFailed(ctx, c, err.Error())
+		return nil, q.prefillBroke(ctx, c, err.Error())
 	}
 	q.service.started(q.g.now(), k)
 	q.service.succeeded(c.Prefill.ID)
@@ -101,6 +102,15 @@
 	return &Handle{Address: c.Prefill.Address, ID: id}, outcome{}
 }
 
+// prefillBroke notes a prefill that failed by fault of its engine.
+func (q *request) prefillBroke(ctx context.Context, c placement.Choice, reason string) outcome {
+	if out, over := q.over(ctx); over {
+		return out
+	}
+	q.service.failed(q.g.now(), c.Prefill.ID)
+	return q.prefillFailed(ctx, c, reason)
+}
+
 // prefillFailed notes a prefill that gave no handle. The request then goes to
 // a decode engine directly, as a second prefill counts as a repeated send.
 func (q *request) prefillFailed(ctx context.Context, c placement.Choice, reason string) outcome {
@@ -108,10 +118,9 @@
 	if out, over := q.over(ctx); over {
 		return out
 	}
-	q.service.failed(q.g.now(), c.Prefill.ID)
 	q.exclude = append(q.exclude, c.Prefill.ID)
 	q.directOnly = true
-	return outcome{result: notRun, reason: "prefill: " + reason}
+	return outcome{result: notRun, reason: "prefill: " + reason, untried: true}
 }
 
 // over tells whether the request has ended because its caller left or its
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -85,6 +85,10 @@
 	return g
 }
 
+// ConnectionsOpened returns the number of connections opened to backend
+// servers.
+func (g *Gateway) ConnectionsOpened() int64 { return g.pool.Opened() }
+
 // now returns the monotonic time since the gateway was made.
 func (g *Gateway) now() time.Duration { return time.Since(g.origin) }
 
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -230,7 +230,9 @@
 	if decision.Action != retry.Retry {
 		return false
 	}
-	q.exclude = append(q.exclude, choice.Server.ID)
+	if !out.untried {
+		q.exclude = append(q.exclude, choice.Server.ID)
+	}
 	if decision.Backoff == 0 {
 		return true
 	}
--- a/internal/gateway/outcome.go
+++ b/internal/gateway/outcome.go
@@ -45,6 +45,8 @@
 	serverFault bool
 	// patienceOver tells that the attempt was given up for another one.
 	patienceOver bool
+	// untried tells that the request was not sent to the chosen server.
+	untried bool
 }
 
 // wholeAnswer is a server's answer that was read to its end.
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -199,7 +199,7 @@
 		return float64(failed)
 	})
 	counter("marigold_gateway_connections_opened_total", "Connections opened to backend servers.", func() float64 {
-		return float64(g.pool.Opened())
+		return float64(g.ConnectionsOpened())
 	})
 	registerer.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Name: "marigold_gateway_store_answer_age_seconds", Help: "Time since the store last answered.",
--- /dev/null
+++ b/internal/stages/stages_test.go
@@ -0,0 +1,89 @@
+package stages
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/marigoldwing/marigoldwing/internal/fleet"
+)
+
+const change = 3 * time.Second
+
+// engines returns so many engines of each stage with this load at each.
+func engines(prefills, prompts, decodes, running int) []Engine {
+	var list []Engine
+	for i := range prefills {
+		list = append(list, Engine{ID: fmt.Sprintf("p%d", i), Stage: fleet.StagePrefill, Queued: prompts, Slots: 16})
+	}
+	for i := range decodes {
+		list = append(list, Engine{ID: fmt.Sprintf("d%d", i), Stage: fleet.StageDecode, Running: running + i, Slots: 16})
+	}
+	return list
+}
+
+// settle observes the same load for a while and returns the orders.
+func settle(list []Engine, times int) []Order {
+	var st State
+	var orders []Order
+	for i := range times {
+		var order Order
+		var ok bool
+		st, order, ok = Decide(st, DefaultOptions(change), time.Duration(i)*500*time.Millisecond, list)
+		if ok {
+			orders = append(orders, order)
+		}
+	}
+	return orders
+}
+
+func TestIdleFleetMovesTowardsTheUsualShare(t *testing.T) {
+	orders := settle(engines(3, 0, 9, 0), 1)
+	require.Len(t, orders, 1)
+	require.Equal(t, "d0", orders[0].Engine)
+	require.Equal(t, fleet.StagePrefill, orders[0].To)
+	require.Empty(t, settle(engines(5, 0, 7, 0), 20))
+}
+
+func TestLongQueueTakesTheLeastBusyDecodeEngine(t *testing.T) {
+	orders := settle(engines(5, 20, 7, 2), 3)
+	require.Equal(t, "d0", orders[0].Engine)
+	require.Equal(t, fleet.StagePrefill, orders[0].To)
+}
+
+func TestBusyDecodeEnginesAreNotTaken(t *testing.T) {
+	require.Empty(t, settle(engines(5, 20, 7, 14), 10))
+}
+
+func TestBusyDecodeTakesAnIdlePrefillEngine(t *testing.T) {
+	orders := settle(engines(5, 0, 7, 16), 3)
+	require.Equal(t, fleet.StageDecode, orders[0].To)
+}
+
+func TestOneChangeAtATime(t *testing.T) {
+	list := engines(5, 20, 7, 2)
+	list[5].Changing = true
+	require.Empty(t, settle(list, 10))
+	// The reports lag behind the order: none follows within a change.
+	require.Len(t, settle(engines(5, 20, 7, 2), int(change/(500*time.Millisecond))), 1)
+}
+
+func TestAStageIsNeverEmptied(t *testing.T) {
+	require.Empty(t, settle(engines(5, 50, 1, 0), 10))
+	require.Empty(t, settle(engines(1, 0, 5, 200), 10))
+}
+
+func TestAMissingStageIsRestored(t *testing.T) {
+	require.Equal(t, fleet.StageDecode, settle(engines(4, 50, 0, 0), 1)[0].To)
+	require.Equal(t, fleet.StagePrefill, settle(engines(0, 0, 4, 100), 1)[0].To)
+}
+
+func TestLeavingEnginesCountForNothing(t *testing.T) {
+	list := engines(5, 0, 7, 0)
+	for i := range list {
+		list[i].Leaving = true
+	}
+	require.Empty(t, settle(list, 5))
+}
--- /dev/null
+++ b/internal/telemetry/writer_test.go
@@ -0,0 +1,41 @@
+package telemetry
+
+import (
+	"bytes"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// gate is an output that blocks until it is opened.
+type gate struct {
+	open chan struct{}
+	mu   sync.Mutex
+	out  bytes.Buffer
+}
+
+func (g *gate) Write(p []byte) (int, error) {
+	<-g.open
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.out.Write(p)
+}
+
+func TestWriterNeverBlocksAndTellsWhatItDropped(t *testing.T) {
+	out := &gate{open: make(chan struct{})}
+	w := NewWriter(out, 100)
+	line := []byte(strings.Repeat("x", 39) + "\n")
+	for range 50 {
+		n, err := w.Write(line)
+		require.NoError(t, err)
+		require.Equal(t, len(line), n)
+	}
+	require.Positive(t, w.Dropped())
+	close(out.open)
+	w.Close()
+	text := out.out.String()
+	require.Contains(t, text, "log lines dropped")
+	require.Equal(t, int64(50), int64(strings.Count(text, "xxx\n"))+w.Dropped())
+}
