Weigh the streams that a prefill holds up, and bytes to another failure domain

Bytes between failure domains were the largest price. Change: 0.4 s for each second of prefill and stream held up (0.1 before); 40 ms and 3 us a byte for another failure domain (15 ms and 1 us before).

--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -84,11 +84,11 @@
 func DefaultOptions(failureDomain string) Options {
 	return Options{
 		FailureDomain:   failureDomain,
-		CrossDomain:     0.015,
-		CrossDomainByte: 1e-6,
+		CrossDomain:     0.04,
+		CrossDomainByte: 3e-6,
 		RereadToken:     30e-6,
 		MoveToken:       2e-6,
-		Disturbance:     0.1,
+		Disturbance:     0.4,
 	}
 }
 
