Have gateways exchange heartbeats: news, loads, and how many there are

The budget's reserve is divided by those that live. Watches wait longer where others tell of news. 60 us for a shared token read again (30 before), as better known queues sent more prompts away from their home.

--- a/cmd/marigold-gateway/main.go
+++ b/cmd/marigold-gateway/main.go
@@ -25,6 +25,6 @@
 
 func run(ctx context.Context, s *settingsv1.Gateway, log logr.Logger) error {
 	store := platform.NewStore(s.GetPlatformAddress())
-	wire := gateway.Wire{Source: store, Protocol: platform.Protocol{}, Stages: platform.Protocol{}, Leases: store}
+	wire := gateway.Wire{Source: store, Protocol: platform.Protocol{}, Stages: platform.Protocol{}, Leases: store, Peers: store}
 	return gateway.Run(ctx, s, wire, log)
 }
--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -60,6 +60,8 @@
 // Change is a registration that was written or removed.
 type Change struct {
 	Server Server
+	// Revision of the store at which the entry last changed.
+	Revision uint64
 	// Unreadable entries name no server to use.
 	Unreadable bool
 	Removed    bool
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -52,6 +52,8 @@
 	// inflight counts requests that have been read and not answered.
 	inflight sync.WaitGroup
 	seed     atomic.Uint64
+	// live returns the number of gateways that live; nil if this is alone.
+	live func() int
 }
 
 // state is what is in force. It is replaced as a whole.
@@ -123,17 +125,34 @@
 }
 
 func (g *Gateway) newService(spec fleet.Service) *service {
-	options := retry.DefaultOptions(g.opts.Retries.Ratio)
-	options.BudgetReserve = g.opts.Retries.Reserve
 	return &service{
 		name:   spec.Name,
 		engine: spec.Engine,
 		table:  placement.NewTable(placement.DefaultOptions(g.opts.FailureDomain), spec.Engine),
 		health: retry.NewHealth(retry.DefaultHealthOptions()),
-		budget: retry.NewBudget(options),
+		budget: retry.NewBudget(g.retryOptions()),
 	}
 }
 
+// retryOptions returns this gateway's share of the retry budget.
+func (g *Gateway) retryOptions() retry.Options {
+	options := retry.DefaultOptions(g.opts.Retries.Ratio)
+	options.BudgetReserve = g.opts.Retries.Reserve / float64(max(g.gateways(), leastGateways))
+	return options
+}
+
+// leastGateways is the smallest number of gateways that the reserve of the
+// retry budget is shared by, as some may not have been heard of yet.
+const leastGateways = 4
+
+// gateways returns the number of gateways that live.
+func (g *Gateway) gateways() int {
+	if g.live == nil {
+		return 1
+	}
+	return g.live()
+}
+
 func (s *service) setServers(spec fleet.Service, servers []fleet.Server) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -164,6 +183,20 @@
 	return s.table.Choose(now, r)
 }
 
+// ownLoads and peerLoads exchange what gateways have at the servers.
+
+func (s *service) ownLoads() []placement.OwnLoad {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.table.OwnLoads()
+}
+
+func (s *service) peerLoads(now time.Duration, peer string, loads []placement.OwnLoad) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.table.PeerLoads(now, peer, loads)
+}
+
 // chooseDecode chooses where a prefilled prompt is decoded.
 func (s *service) chooseDecode(now time.Duration, r placement.Request, prefill fleet.Server) (placement.Choice, error) {
 	s.mu.Lock()
@@ -234,6 +267,12 @@
 	s.budget.Attempted()
 }
 
+func (s *service) setRetryOptions(o retry.Options) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.budget.SetOptions(o)
+}
+
 func (s *service) decide(a retry.Attempt) retry.Decision {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- /dev/null
+++ b/internal/gateway/peers.go
@@ -0,0 +1,66 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	peerv1 "github.com/marigoldwing/marigoldwing/api/peer/v1"
+	"github.com/marigoldwing/marigoldwing/internal/placement"
+	"github.com/marigoldwing/marigoldwing/internal/registry"
+)
+
+// companion connects a gateway with the others.
+type companion struct {
+	g        *Gateway
+	follower *registry.Follower
+}
+
+// fill writes what this gateway has in force, and at the servers, into a
+// heartbeat.
+func (c companion) fill(h *peerv1.Heartbeat) {
+	h.Leaving = c.g.leaving.Load()
+	version, revision := c.follower.News()
+	h.ConfigRevision, h.ServersRevision = uint64(version), revision
+	for _, s := range c.g.state.Load().services {
+		for _, l := range s.ownLoads() {
+			h.Loads = append(h.Loads, &peerv1.Load{
+				BackendServer: l.Server, Running: int32(l.Requests), QueuedPromptTokens: int64(l.Tokens),
+			})
+		}
+	}
+}
+
+// heard takes in a heartbeat of another gateway.
+func (c companion) heard(h *peerv1.Heartbeat) {
+	c.follower.Told(int64(h.GetConfigRevision()), h.GetServersRevision())
+	loads := make([]placement.OwnLoad, 0, len(h.GetLoads()))
+	for _, l := range h.GetLoads() {
+		loads = append(loads, placement.OwnLoad{
+			Server: l.GetBackendServer(), Requests: int(l.GetRunning()), Tokens: int(l.GetQueuedPromptTokens()),
+		})
+	}
+	now := c.g.now()
+	for _, s := range c.g.state.Load().services {
+		s.peerLoads(now, h.GetSender(), loads)
+	}
+}
+
+// shareInterval is the time between looks at the number of gateways.
+const shareInterval = time.Second
+
+// shareBudgets follows the number of gateways that share the retry budget.
+func (g *Gateway) shareBudgets(ctx context.Context) {
+	ticker := time.NewTicker(shareInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		options := g.retryOptions()
+		for _, s := range g.state.Load().services {
+			s.setRetryOptions(options)
+		}
+	}
+}
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -17,6 +17,8 @@
 
 	settingsv1 "github.com/marigoldwing/marigoldwing/api/settings/v1"
 	"github.com/marigoldwing/marigoldwing/internal/lease"
+	"github.com/marigoldwing/marigoldwing/internal/peer"
+	"github.com/marigoldwing/marigoldwing/internal/peers"
 	"github.com/marigoldwing/marigoldwing/internal/process"
 	"github.com/marigoldwing/marigoldwing/internal/registry"
 	"github.com/marigoldwing/marigoldwing/internal/telemetry"
@@ -47,6 +49,8 @@
 	// Stages and Leases are used to have engines change their stages.
 	Stages StageProtocol
 	Leases lease.Store
+	// Peers is where gateways find each other.
+	Peers peers.Store
 }
 
 // Run runs marigold-gateway until it is stopped.
@@ -61,11 +65,22 @@
 		Protocol:      wire.Protocol,
 		Log:           log,
 		Registerer:    metrics,
-		Retries:       retryShare(s),
+		Retries:       retryBudget(s),
 	})
 	keepers := newStageKeepers(g, wire, milliseconds(s.GetOrderLeaseMs()))
 	follower := registry.NewFollower(wire.Source, bounds(s), log, g.Update)
 	registerStore(metrics, follower, g)
+	peerMetrics := peer.NewMetrics(metrics)
+	client := peer.NewClient(peer.ClientOptions{Metrics: peerMetrics})
+	defer client.Close()
+	c := companion{g: g, follower: follower}
+	exchange := peers.NewExchange(peers.Options{
+		Name: s.GetName(), Address: s.GetPeerAddress(), Incarnation: uint64(time.Now().UnixNano()),
+		Store: wire.Peers, Client: client, Log: log, Fill: c.fill, Heard: c.heard,
+	})
+	g.live = exchange.Live
+	follower.SetCompanions(exchange.Live)
+	follower.SetNews(exchange.News)
 	mux := telemetry.NewMux(telemetry.MuxOptions{
 		Metrics: metrics,
 		State:   func(context.Context) any { return g.State() },
@@ -80,8 +95,9 @@
 		Servers: []transport.Server{
 			sideServer(s.GetReadinessAddress(), g.readiness(follower)),
 			sideServer(s.GetMetricsAddress(), mux),
+			peer.NewServer(s.GetPeerAddress(), exchange, peerMetrics, log),
 		},
-		Loops:        []func(context.Context){follower.Run, g.ignoreHangup, keepers.run},
+		Loops:        []func(context.Context){follower.Run, g.ignoreHangup, keepers.run, exchange.Run, g.shareBudgets},
 		Drain:        g.Drain,
 		DrainTimeout: time.Duration(s.GetStopGraceS()*float64(time.Second)) - stopMargin,
 		Tune:         tuneServer,
@@ -95,15 +111,11 @@
 
 func milliseconds(n float64) time.Duration { return time.Duration(n * float64(time.Millisecond)) }
 
-// assumedGateways is the number of gateways that share the retry budget as
-// long as they do not know each other.
-const assumedGateways = 5
-
-// retryShare returns this gateway's share of the retry budget.
-func retryShare(s *settingsv1.Gateway) RetryOptions {
+// retryBudget returns the budget that all gateways share.
+func retryBudget(s *settingsv1.Gateway) RetryOptions {
 	return RetryOptions{
 		Ratio:   s.GetRetryBudgetRatio() * budgetUse,
-		Reserve: s.GetRetryBudgetReserve() / assumedGateways * budgetUse,
+		Reserve: s.GetRetryBudgetReserve() * budgetUse,
 	}
 }
 
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -105,6 +105,12 @@
 	}
 }
 
+// Drop closes the control connection to an address, so that the next call
+// makes a new one: a connection can go silent without a reset.
+func (c *Client) Drop(address string) {
+	c.pool(address).slots[0].drop()
+}
+
 func (c *Client) call(ctx context.Context, address, method string, in, out proto.Message) error {
 	link, err := c.pool(address).control(ctx)
 	if err != nil {
@@ -211,6 +217,16 @@
 	return l, nil
 }
 
+// drop closes the connection and leaves the slot open.
+func (s *slot) drop() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.link != nil {
+		_ = s.link.rpc.Close()
+		s.link = nil
+	}
+}
+
 func (s *slot) close() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -1,7 +1,6 @@
 package placement
 
 import (
-	"math"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -91,7 +90,7 @@
 		c := t.cachedFor(now, s, r, keys)
 		fresh := float64(max(1, r.PromptTokens-c.tokens))
 		prefill := fresh / rate
-		first := (firstStep+prefill+s.ownTokens/rate)*s.slowdown + t.moveSeconds(c.fetched) + t.slotWait(s, now)
+		first := (firstStep+prefill+s.queued(now)/rate)*s.slowdown + t.moveSeconds(c.fetched) + t.slotWait(s, now)
 		o := option{Choice: t.choice(now, s, first)}
 		o.NewTokens, o.FetchFrom = int(fresh), c.from
 		o.score = first/s.weight + t.distance(s, r.BodyBytes) + t.reread(r, c.tokens) +
@@ -125,7 +124,7 @@
 	for _, s := range t.usable(now, fleet.StagePrefill, r.Exclude) {
 		c := t.cachedFor(now, s, r, keys)
 		fresh := float64(max(1, r.PromptTokens-c.tokens))
-		queue := s.ownTokens + s.others(now)*t.meanPrompt(s)
+		queue := s.queued(now)
 		first := (firstStep+(fresh+queue)/t.rate.perSecond)*s.slowdown + t.moveSeconds(c.fetched)
 		o := option{Choice: t.choice(now, s, first)}
 		o.NewTokens, o.FetchFrom = int(fresh), c.from
@@ -157,7 +156,7 @@
 			move *= 2
 			price *= 2
 		}
-		wait := s.ownTokens / (t.rate.perSecond * decodePrefillShare)
+		wait := s.queued(now) / (t.rate.perSecond * decodePrefillShare)
 		first := (firstStep+wait)*s.slowdown + move + t.slotWait(s, now)
 		o := option{Choice: t.choice(now, s, first)}
 		o.score = first/s.weight + price + t.distance(s, r.BodyBytes)
@@ -290,16 +289,3 @@
 
 // moveSetup is the time before a transfer begins, in seconds.
 const moveSetup = 0.003
-
-// meanPrompt returns the prompt tokens that one more request at a prefill
-// engine stands for.
-func (t *Table) meanPrompt(s *server) float64 {
-	if s.own == 0 {
-		return unknownPrompt
-	}
-	return math.Max(unknownPrompt, s.ownTokens/float64(s.own))
-}
-
-// unknownPrompt is the number of new prompt tokens of a request of another
-// gateway.
-const unknownPrompt = 1500
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -86,7 +86,7 @@
 		FailureDomain:   failureDomain,
 		CrossDomain:     0.04,
 		CrossDomainByte: 3e-6,
-		RereadToken:     30e-6,
+		RereadToken:     60e-6,
 		MoveToken:       2e-6,
 		Disturbance:     0.4,
 	}
--- a/internal/placement/table.go
+++ b/internal/placement/table.go
@@ -30,6 +30,8 @@
 	toldOwn int
 	toldAt  time.Duration
 	hasTold bool
+	// peers has the sends of other gateways under way, by gateway.
+	peers map[string]peerLoad
 	// slowdown is the mean ratio of observed to predicted times.
 	slowdown float64
 	// weight is the share of its usual work that the server is to get.
@@ -67,7 +69,10 @@
 			return s
 		}
 	}
-	return &server{Server: now, slowdown: 1, weight: 1, parts: make(map[uint64]time.Duration)}
+	return &server{
+		Server: now, slowdown: 1, weight: 1,
+		parts: make(map[uint64]time.Duration), peers: make(map[string]peerLoad),
+	}
 }
 
 // SetWeight sets the share of its usual work that a server is to get; 0 keeps
@@ -205,14 +210,78 @@
 	}
 }
 
+// peerLoad is what another gateway has at a server.
+type peerLoad struct {
+	requests int
+	tokens   float64
+	at       time.Duration
+}
+
+// peerLife is how long the load that another gateway told counts.
+const peerLife = 2 * time.Second
+
+// OwnLoad is what a gateway has at one server.
+type OwnLoad struct {
+	Server   string
+	Requests int
+	// Tokens of prompts that are not prefilled yet.
+	Tokens int
+}
+
+// OwnLoads returns what this gateway has at each server, to be told to
+// others.
+func (t *Table) OwnLoads() []OwnLoad {
+	var loads []OwnLoad
+	for _, s := range t.servers {
+		if s.own > 0 {
+			loads = append(loads, OwnLoad{Server: s.ID, Requests: s.own, Tokens: int(s.ownTokens)})
+		}
+	}
+	return loads
+}
+
+// PeerLoads takes in what another gateway has at the servers. It has nothing
+// at those that it does not name.
+func (t *Table) PeerLoads(now time.Duration, peer string, loads []OwnLoad) {
+	for _, s := range t.servers {
+		delete(s.peers, peer)
+	}
+	for _, l := range loads {
+		if s := t.find(l.Server); s != nil {
+			s.peers[peer] = peerLoad{requests: l.Requests, tokens: float64(l.Tokens), at: now}
+		}
+	}
+}
+
+// fromPeers returns the requests and the prompt tokens that other gateways
+// have told of.
+func (s *server) fromPeers(now time.Duration) (requests, tokens float64) {
+	for _, l := range s.peers {
+		if now-l.at < peerLife {
+			requests += float64(l.requests)
+			tokens += l.tokens
+		}
+	}
+	return requests, tokens
+}
+
 // others returns the requests that other gateways are thought to have at the
-// server: what it told beyond the own sends, less the older it is.
+// server: what they told, or what the server told beyond the own sends, less
+// the older it is.
 func (s *server) others(now time.Duration) float64 {
+	requests, _ := s.fromPeers(now)
 	if !s.hasTold {
-		return 0
+		return requests
 	}
 	age := float64(now-s.toldAt) / float64(loadHalfLife)
-	return float64(max(0, s.told-s.toldOwn)) * math.Exp2(-age)
+	return max(requests, float64(max(0, s.told-s.toldOwn))*math.Exp2(-age))
+}
+
+// queued returns the prompt tokens that are to be prefilled at the server
+// before a new request.
+func (s *server) queued(now time.Duration) float64 {
+	_, tokens := s.fromPeers(now)
+	return s.ownTokens + tokens
 }
 
 // load returns the requests at the server now.
--- a/internal/registry/follow.go
+++ b/internal/registry/follow.go
@@ -17,6 +17,13 @@
 	// waitShare is the part of a bound for which the store may hold a watch: a
 	// watch may hear nothing of a change, and a list must follow in time.
 	waitShare = 0.6
+	// togetherShare is the part for each gateway where several tell each
+	// other: some watch of theirs ends well within the bound.
+	togetherShare = 0.1
+	// longestWait keeps watches from outliving the memory of connections on
+	// the way, and waitSpread keeps them from ending together.
+	longestWait = 10 * time.Second
+	waitSpread  = 0.2
 	// minPause and maxPause bound the time between calls to a store that does
 	// not answer. A process that is out of touch must hear of leaving servers
 	// within the time in which it counts as reconnected, less
@@ -42,10 +49,23 @@
 	// changed is told of each new state.
 	changed func(*fleet.Config, []fleet.Server)
 
+	// companions is the number of gateways that tell each other of news.
+	companions func() int
+	// news is called after each change.
+	news func()
+	// relist ends a watch, so that a list follows at once.
+	relist map[string]chan struct{}
+
 	mu     sync.Mutex
 	view   *fleet.View
 	config *fleet.Config
 	listed bool
+	// known is the revision up to which the registrations are known, changedAt
+	// the one of the newest change among them.
+	known, changedAt uint64
+	// toldVersion and toldChange are what other gateways know.
+	toldVersion int64
+	toldChange  uint64
 
 	storeCalls   atomic.Int64
 	storeFailed  atomic.Int64
@@ -55,7 +75,67 @@
 // NewFollower returns a follower that tells changed of every new state. The
 // calls of changed do not overlap.
 func NewFollower(source Source, bounds Bounds, log logr.Logger, changed func(*fleet.Config, []fleet.Server)) *Follower {
-	return &Follower{source: source, bounds: bounds, log: log, origin: time.Now(), changed: changed, view: fleet.NewView()}
+	return &Follower{
+		source: source, bounds: bounds, log: log, origin: time.Now(), changed: changed, view: fleet.NewView(),
+		companions: func() int { return 1 },
+		news:       func() {},
+		relist:     map[string]chan struct{}{kindConfig: make(chan struct{}, 1), kindServers: make(chan struct{}, 1)},
+	}
+}
+
+// What is followed.
+const (
+	kindConfig  = "config"
+	kindServers = "servers"
+)
+
+// SetCompanions has the follower wait longer for watches, as others tell it
+// of news. It is called before Run.
+func (f *Follower) SetCompanions(count func() int) { f.companions = count }
+
+// SetNews has a function called after each change, to tell others. It is
+// called before Run.
+func (f *Follower) SetNews(news func()) { f.news = news }
+
+// News returns the configuration version in force and the revision of the
+// newest change of the registrations.
+func (f *Follower) News() (version int64, changedAt uint64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.config != nil {
+		version = f.config.Version
+	}
+	return version, f.changedAt
+}
+
+// Told takes in what another gateway knows. News that has not come through
+// the own watch is read from the store.
+func (f *Follower) Told(version int64, changedAt uint64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.toldVersion = max(f.toldVersion, version)
+	f.toldChange = max(f.toldChange, changedAt)
+	if f.behind(kindConfig) {
+		wake(f.relist[kindConfig])
+	}
+	if f.behind(kindServers) {
+		wake(f.relist[kindServers])
+	}
+}
+
+// behind tells whether another gateway knows news; f.mu is held.
+func (f *Follower) behind(kind string) bool {
+	if kind == kindConfig {
+		return f.config != nil && f.toldVersion > f.config.Version
+	}
+	return f.toldChange > f.known
+}
+
+func wake(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
 }
 
 // Ready reports whether a configuration and the servers are known.
@@ -78,8 +158,8 @@
 // Run follows until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
 	var loops sync.WaitGroup
-	loops.Go(func() { f.follow(ctx, "config", f.listConfig, f.watchConfig) })
-	loops.Go(func() { f.follow(ctx, "servers", f.listServers, f.watchServers) })
+	loops.Go(func() { f.follow(ctx, kindConfig, f.listConfig, f.watchConfig) })
+	loops.Go(func() { f.follow(ctx, kindServers, f.listServers, f.watchServers) })
 	loops.Go(func() { f.expire(ctx) })
 	loops.Wait()
 }
@@ -91,7 +171,7 @@
 	pause := minPause
 	lost := false
 	for ctx.Err() == nil {
-		next, err := f.step(ctx, revision, list, watch)
+		next, err := f.step(ctx, kind, revision, list, watch)
 		switch {
 		case err == nil:
 			if lost {
@@ -99,6 +179,10 @@
 			}
 			revision, pause, lost = next, minPause, false
 			continue
+		case errors.Is(err, errNews):
+			f.log.Info("another gateway knows news, listing anew", "kind", kind, "revision", revision)
+			revision = 0
+			continue
 		case errors.Is(err, ErrHistoryGone):
 			f.log.Info("history of the store is gone, listing anew", "kind", kind, "revision", revision)
 			revision = 0
@@ -113,12 +197,39 @@
 	}
 }
 
-func (f *Follower) step(ctx context.Context, revision uint64, list func(context.Context) (uint64, error), watch func(context.Context, uint64) (uint64, error)) (uint64, error) {
+// errNews says that a watch was ended since another gateway knows news.
+var errNews = errors.New("another gateway knows news")
+
+// newsDelay is how long the own watch has to tell news by itself.
+const newsDelay = 150 * time.Millisecond
+
+func (f *Follower) step(ctx context.Context, kind string, revision uint64, list func(context.Context) (uint64, error), watch func(context.Context, uint64) (uint64, error)) (uint64, error) {
 	f.storeCalls.Add(1)
 	if revision == 0 {
 		return list(ctx)
 	}
-	return watch(ctx, revision)
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	done := make(chan struct{})
+	defer close(done)
+	go func() {
+		select {
+		case <-f.relist[kind]:
+			sleep(ctx, newsDelay)
+			f.mu.Lock()
+			behind := f.behind(kind)
+			f.mu.Unlock()
+			if behind {
+				cancel(errNews)
+			}
+		case <-done:
+		}
+	}()
+	next, err := watch(ctx, revision)
+	if err != nil && errors.Is(context.Cause(ctx), errNews) {
+		return 0, errNews
+	}
+	return next, err
 }
 
 func (f *Follower) failed(err error, kind string, revision uint64, lost *bool) {
@@ -153,7 +264,7 @@
 }
 
 func (f *Follower) watchConfig(ctx context.Context, since uint64) (uint64, error) {
-	config, revision, err := f.source.ConfigChanges(ctx, since, share(f.bounds.Config))
+	config, revision, err := f.source.ConfigChanges(ctx, since, f.wait(f.bounds.Config))
 	if err != nil {
 		return 0, err
 	}
@@ -196,12 +307,13 @@
 	}
 	f.view.Listed(f.now(), servers)
 	f.listed = true
+	f.noteChanges(changes, revision)
 	f.publish()
 	return revision, nil
 }
 
 func (f *Follower) watchServers(ctx context.Context, since uint64) (uint64, error) {
-	changes, revision, err := f.source.ServerChanges(ctx, since, share(f.bounds.Leaving))
+	changes, revision, err := f.source.ServerChanges(ctx, since, f.wait(f.bounds.Leaving))
 	if err != nil {
 		return 0, err
 	}
@@ -213,14 +325,26 @@
 		f.log.Info("registration changed", "server", c.Server.ID, "revision", revision, "removed", c.Removed,
 			"unreadable", c.Unreadable, "leaving", c.Server.Leaving, "stage", c.Server.Stage.String(), "address", c.Server.Address)
 	}
+	f.noteChanges(changes, revision)
 	if len(changes) > 0 {
 		f.publish()
 	}
 	return revision, nil
 }
 
+// noteChanges follows the revisions of the registrations; f.mu is held.
+func (f *Follower) noteChanges(changes []fleet.Change, asOf uint64) {
+	f.known = max(f.known, asOf)
+	for _, c := range changes {
+		f.changedAt = max(f.changedAt, c.Revision)
+	}
+}
+
 // publish tells of the state; f.mu is held.
-func (f *Follower) publish() { f.changed(f.config, f.view.Servers()) }
+func (f *Follower) publish() {
+	f.changed(f.config, f.view.Servers())
+	f.news()
+}
 
 // expire drops missing servers when their grace is over.
 func (f *Follower) expire(ctx context.Context) {
@@ -235,8 +359,15 @@
 	}
 }
 
-// share returns how long a watch may wait under a bound.
-func share(bound time.Duration) time.Duration { return time.Duration(waitShare * float64(bound)) }
+// wait returns how long a watch may wait under a bound. Where many gateways
+// tell each other of news, one whose watch has just ended finds what the
+// others' watches do not hear.
+func (f *Follower) wait(bound time.Duration) time.Duration {
+	alone := waitShare * float64(bound)
+	together := togetherShare * float64(bound) * float64(f.companions())
+	wait := min(max(alone, together), float64(longestWait))
+	return time.Duration(wait * (1 - waitSpread*rand.Float64()))
+}
 
 func sleep(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
--- a/internal/settings/schema.go
+++ b/internal/settings/schema.go
@@ -56,6 +56,7 @@
 		{Name: "callers_address", Required: true, Allowed: inischema.Address{}, Help: "Address of the callers' listener."},
 		{Name: "readiness_address", Required: true, Allowed: inischema.Address{}, Help: "Address of the listener for the balancer's readiness checks."},
 		{Name: "metrics_address", Required: true, Allowed: inischema.Address{}, Help: "Address of the listener for metrics and the state dump."},
+		{Name: "peer_address", Required: true, Allowed: inischema.Address{}, Help: "Address of the peer listener, as other gateways reach it."},
 		{Name: "platform_address", Required: true, Allowed: inischema.Address{}, Help: "Address of the platform's store."},
 		{Name: "stop_grace_s", Unit: "s", Default: "8", Allowed: inischema.Decimal{Min: 1, Max: 600}, Help: "Time between SIGTERM and SIGKILL."},
 		{Name: "retry_budget_ratio", Default: "0.1", Allowed: inischema.Decimal{Max: 1}, Help: "Repeated sends allowed to a service as a share of its requests, over all gateways."},
