--- a/cmd/marigold-gateway/main.go
+++ b/cmd/marigold-gateway/main.go
@@ -18,13 +18,18 @@
 
 func main() {
 	out := telemetry.NewWriter(os.Stdout, telemetry.DefaultLogBuffer)
+	run := func(ctx context.Context, s *settingsv1.Gateway, log logr.Logger) error {
+		store := platform.NewStore(s.GetPlatformAddress())
+		return gateway.Run(ctx, s, gateway.Wire{
+			Source:      store,
+			Protocol:    platform.Protocol{},
+			Stages:      platform.Protocol{},
+			Leases:      store,
+			Peers:       store,
+			LogsDropped: out.Dropped,
+		}, log)
+	}
 	code := process.Main(os.Args[1:], settings.LoadGateway, run, out, os.Stderr)
 	out.Close()
 	os.Exit(code)
 }
-
-func run(ctx context.Context, s *settingsv1.Gateway, log logr.Logger) error {
-	store := platform.NewStore(s.GetPlatformAddress())
-	wire := gateway.Wire{Source: store, Protocol: platform.Protocol{}, Stages: platform.Protocol{}, Leases: store, Peers: store}
-	return gateway.Run(ctx, s, wire, log)
-}
--- a/cmd/marigoldctl/main.go
+++ b/cmd/marigoldctl/main.go
@@ -158,11 +158,11 @@
 		LongHelp:   "Operates a marigoldwing deployment: apply a file, read the state.\n\n" + exitHelp,
 		FlagSet:    fs,
 		Subcommands: []*ffcli.Command{
-			newValidate(o), newApply(o), newDiff(o), newStatus(o), newExplain(o), newDump(o),
+			newValidate(o), newApply(o), newDiff(o), newStatus(o), newExplain(o), newDump(o), newTrace(o, os.Stdin),
 		},
 		Exec: func(_ context.Context, args []string) error {
 			if len(args) > 0 {
-				return fail(exitUsage, "unknown subcommand %q; allowed: validate, apply, diff, status, explain, dump", args[0])
+				return fail(exitUsage, "unknown subcommand %q; allowed: validate, apply, diff, status, explain, dump, trace", args[0])
 			}
 			return flag.ErrHelp
 		},
--- a/docs/operations_test.go
+++ b/docs/operations_test.go
@@ -26,7 +26,7 @@
 func TestOperationsPageAgreesWithTheSchema(t *testing.T) {
 	text := readPage(t)
 	tables := map[string][]inischema.Section{
-		"settings":        {settings.ProcessSection, settings.EntrySection, settings.AgentSection},
+		"settings":        {settings.ProcessSection, settings.EntrySection, settings.AgentSection, settings.GatewaySection},
 		"deployment file": config.Sections(),
 	}
 	for name, sections := range tables {
@@ -87,7 +87,7 @@
 	text := readPage(t)
 	metric := regexp.MustCompile(`"(marigold_[a-z_]+)"`)
 	event := regexp.MustCompile(`\.(?:Info|Error)\((?:[a-z]+, )?"([^"]+)"`)
-	for _, dir := range []string{"agent", "entry", "ledger", "peer", "process", "spread"} {
+	for _, dir := range []string{"agent", "entry", "gateway", "ledger", "peer", "peers", "process", "registry", "spread"} {
 		for _, source := range sources(t, filepath.Join("..", "internal", dir)) {
 			for _, m := range metric.FindAllStringSubmatch(source, -1) {
 				require.True(t, strings.Contains(text, "`"+m[1]), "metric %s of %s", m[1], dir)
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -151,7 +151,7 @@
 		}
 	}
 	a.paceLedgers(c)
-	a.opts.Log.Info("configuration in force", "revision", c.Revision(), "backendServers", len(a.servers))
+	a.opts.Log.V(1).Info("configuration taken in", "revision", c.Revision(), "backendServers", len(a.servers))
 }
 
 func (a *Agent) setServer(c *catalog.Catalog, b *configv1.BackendServer) {
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -24,7 +24,7 @@
 	defer cancel()
 	start := time.Now()
 	ref := e.attempts(ctx, q, out)
-	log := e.log.V(1).WithValues("requestID", q.id, "attemptID", q.lastAttempt, "service", q.service.GetName(), "client", q.client.GetName(), "took", time.Since(start).String())
+	log := e.log.V(1).WithValues("request_id", q.id, "attempt_id", q.lastAttempt, "service", q.service.GetName(), "client", q.client.GetName(), "took", time.Since(start).String())
 	if ref != nil {
 		e.metrics.refused(ref)
 		out.refuse(ref)
--- a/internal/entry/attempt_run.go
+++ b/internal/entry/attempt_run.go
@@ -337,6 +337,6 @@
 	}
 	name := r.current.server.GetName()
 	r.pool.ended(r.entry.router.now(), name, r.current.id, ref)
-	r.entry.log.V(1).Info("attempt ended", "requestID", r.request.id, "attemptID", r.current.id, "backendServer", name, "whole", ref == nil)
+	r.entry.log.V(1).Info("attempt ended", "request_id", r.request.id, "attempt_id", r.current.id, "backendServer", name, "whole", ref == nil)
 	r.current = attempt{predicted: r.current.predicted}
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -115,7 +115,7 @@
 	case e.configured <- struct{}{}:
 	default:
 	}
-	e.log.Info("configuration in force", "revision", c.Revision())
+	e.log.V(1).Info("configuration taken in", "revision", c.Revision())
 }
 
 // Submit implements peer.Handler; entries run no attempts.
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -143,6 +143,6 @@
 		id = q.id
 	}
 	e.metrics.refused(ref)
-	e.log.V(1).Info("request refused", "requestID", id, "reason", reasonName(ref.reason), "detail", ref.detail)
+	e.log.V(1).Info("request refused", "request_id", id, "reason", reasonName(ref.reason), "detail", ref.detail)
 	ref.write(w, id)
 }
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -35,8 +35,11 @@
 	// check has begun to fail, so that the balancer turns away first.
 	leaveNotice = 2500 * time.Millisecond
 	// stopMargin is left between the end of the drain and the end of the
-	// grace.
-	stopMargin = 700 * time.Millisecond
+	// grace, for twice stopTimeout.
+	stopMargin = 1100 * time.Millisecond
+	// stopTimeout bounds the closing of listeners, and then the release of
+	// the lease.
+	stopTimeout = 400 * time.Millisecond
 	// memoryShare of the allowed memory is the collector's limit.
 	memoryShare = 0.7
 	bytesPerMB  = 1 << 20
@@ -51,6 +54,8 @@
 	Leases lease.Store
 	// Peers is where gateways find each other.
 	Peers peers.Store
+	// LogsDropped returns the log lines dropped so far.
+	LogsDropped func() int64
 }
 
 // Run runs marigold-gateway until it is stopped.
@@ -69,7 +74,7 @@
 	})
 	keepers := newStageKeepers(g, wire, milliseconds(s.GetOrderLeaseMs()))
 	follower := registry.NewFollower(wire.Source, bounds(s), log, g.Update)
-	registerStore(metrics, follower, g)
+	registerGauges(metrics, follower, g, wire.LogsDropped)
 	peerMetrics := peer.NewMetrics(metrics)
 	client := peer.NewClient(peer.ClientOptions{Metrics: peerMetrics})
 	defer client.Close()
@@ -100,6 +105,7 @@
 		Loops:        []func(context.Context){follower.Run, g.ignoreHangup, keepers.run, exchange.Run, g.shareBudgets},
 		Drain:        g.Drain,
 		DrainTimeout: time.Duration(s.GetStopGraceS()*float64(time.Second)) - stopMargin,
+		StopTimeout:  stopTimeout,
 		Tune:         tuneServer,
 	})
 }
@@ -197,8 +203,8 @@
 	}
 }
 
-// registerStore adds the metrics of the store's calls.
-func registerStore(registerer prometheus.Registerer, f *registry.Follower, g *Gateway) {
+// registerGauges adds the metrics that are read when asked for.
+func registerGauges(registerer prometheus.Registerer, f *registry.Follower, g *Gateway, logsDropped func() int64) {
 	counter := func(name, help string, value func() float64) {
 		registerer.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{Name: name, Help: help}, value))
 	}
@@ -210,9 +216,15 @@
 		_, failed := f.Calls()
 		return float64(failed)
 	})
+	counter("marigold_log_lines_dropped_total", "Log lines dropped as the output was slow.", func() float64 {
+		return float64(logsDropped())
+	})
 	counter("marigold_gateway_connections_opened_total", "Connections opened to backend servers.", func() float64 {
 		return float64(g.ConnectionsOpened())
 	})
+	registerer.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "marigold_gateway_live", Help: "Gateways that live, this one included.",
+	}, func() float64 { return float64(g.gateways()) }))
 	registerer.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Name: "marigold_gateway_store_answer_age_seconds", Help: "Time since the store last answered.",
 	}, func() float64 { return f.AnswerAge().Seconds() }))
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -19,8 +19,9 @@
 	"github.com/marigoldwing/marigoldwing/internal/telemetry"
 )
 
-// stopTimeout bounds the closing of listeners after the drain.
-const stopTimeout = 5 * time.Second
+// DefaultStopTimeout bounds the closing of listeners after the drain, and then
+// the end of the loops.
+const DefaultStopTimeout = 5 * time.Second
 
 // Options describe one process.
 type Options struct {
@@ -40,6 +41,9 @@
 	Drain func(ctx context.Context)
 	// DrainTimeout bounds Drain.
 	DrainTimeout time.Duration
+	// StopTimeout bounds the closing of listeners after Drain, and then the
+	// end of the loops; 0 means DefaultStopTimeout.
+	StopTimeout time.Duration
 	// Tune sets limits of the HTTP server, which then serves Handler without
 	// a router of its own; nil keeps the router.
 	Tune func(*kratoshttp.Server)
@@ -49,6 +53,9 @@
 // stop. Its error is one of starting or serving, never of being stopped.
 func Run(ctx context.Context, opts Options) error {
 	telemetry.CaptureKratos(opts.Log)
+	if opts.StopTimeout == 0 {
+		opts.StopTimeout = DefaultStopTimeout
+	}
 	loopCtx, stopLoops := context.WithCancel(ctx)
 	defer stopLoops()
 	var loops sync.WaitGroup
@@ -57,13 +64,13 @@
 		kratos.Context(ctx),
 		kratos.Server(servers(opts)...),
 		kratos.Signal(syscall.SIGTERM, syscall.SIGINT, os.Interrupt),
-		kratos.StopTimeout(stopTimeout),
+		kratos.StopTimeout(opts.StopTimeout),
 		kratos.AfterStart(func(context.Context) error { startLoops(loopCtx, &loops, opts.Loops); return nil }),
 		kratos.BeforeStop(func(context.Context) error { drain(opts); return nil }),
 	)
 	err := app.Run()
 	stopLoops()
-	waitLoops(&loops, opts.Log)
+	waitLoops(&loops, opts)
 	if err != nil {
 		return fmt.Errorf("process: %s: %w", opts.Name, err)
 	}
@@ -92,7 +99,7 @@
 }
 
 // waitLoops gives the loops time to end, for example to give up a lease.
-func waitLoops(running *sync.WaitGroup, log logr.Logger) {
+func waitLoops(running *sync.WaitGroup, opts Options) {
 	ended := make(chan struct{})
 	go func() {
 		running.Wait()
@@ -100,8 +107,8 @@
 	}()
 	select {
 	case <-ended:
-	case <-time.After(stopTimeout):
-		log.Info("loops still running at exit")
+	case <-time.After(opts.StopTimeout):
+		opts.Log.Info("loops still running at exit")
 	}
 }
 
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -29,10 +29,25 @@
 // the process. Verbosity 0 writes level info; each step more writes one
 // level of logr.Logger.V more.
 func NewLogger(w io.Writer, process string, verbosity int) logr.Logger {
-	handler := slog.NewJSONHandler(w, &slog.HandlerOptions{Level: slog.Level(-verbosity)})
+	handler := slog.NewJSONHandler(w, &slog.HandlerOptions{
+		Level:       slog.Level(-verbosity),
+		ReplaceAttr: nameLevel,
+	})
 	return logr.FromSlogHandler(handler).WithValues("process", process)
 }
 
+// nameLevel writes every level below info as DEBUG: slog would name the
+// verbosities between by their distance from a level of its own.
+func nameLevel(groups []string, attr slog.Attr) slog.Attr {
+	if len(groups) > 0 || attr.Key != slog.LevelKey {
+		return attr
+	}
+	if level, ok := attr.Value.Any().(slog.Level); ok && level < slog.LevelInfo {
+		attr.Value = slog.StringValue(slog.LevelDebug.String())
+	}
+	return attr
+}
+
 // CaptureKratos sends the log lines of the kratos library to logger.
 func CaptureKratos(logger logr.Logger) {
 	klog.SetLogger(kratosLogger{logger.WithName("kratos")})
--- a/internal/telemetry/telemetry_test.go
+++ b/internal/telemetry/telemetry_test.go
@@ -27,6 +27,7 @@
 	require.Equal(t, "entry-1", line["process"])
 	require.Equal(t, "request answered", line["msg"])
 	require.Equal(t, "r-1", line["request_id"])
+	require.Equal(t, "DEBUG", line["level"])
 }
 
 func TestMuxServesStateAndReadiness(t *testing.T) {
