Defer requests that can't be in time behind those that can

Change: a request whose first event is predicted after its objective goes four ranks lower at its engines, and the queue before an urgent one counts urgent tokens alone; gateways tell each other both. Log lines of 502 and 504 say unknown, not refused. Found by a test: the end of a send told before its start stopped the process.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -49,7 +49,7 @@
 		go q.g.release(c.Prefill, *handle)
 		return outcome{result: notRun, reason: "no_server", untried: true}, c
 	}
-	d.NewTokens, d.FetchFrom = c.NewTokens, c.FetchFrom
+	d.NewTokens, d.FetchFrom, d.Deferred = c.NewTokens, c.FetchFrom, c.Deferred
 	out = q.send(ctx, d, Attempt{Source: handle}, 1)
 	if out.result == notRun {
 		// The handle is gone or was not used.
@@ -62,7 +62,9 @@
 // nil and what went wrong. A prompt that is prefilled has not run.
 func (q *request) prefill(ctx context.Context, c placement.Choice) (*Handle, outcome) {
 	begun := q.g.now()
-	k := q.service.sent(begun, c.Prefill.ID, c.NewTokens, q.call.Parts, c.FirstEvent)
+	k := q.service.sent(begun, placement.Send{
+		Server: c.Prefill.ID, NewTokens: c.NewTokens, Parts: q.call.Parts, Deferred: c.Deferred, FirstEvent: c.FirstEvent,
+	})
 	defer func() {
 		q.service.ended(k)
 		q.prefilled = q.g.now() - begun
@@ -72,7 +74,7 @@
 		Remaining:   q.left(),
 		PrefillOnly: true,
 		FetchFrom:   c.FetchFrom,
-		Priority:    q.route.Priority,
+		Priority:    q.priority(c),
 	}
 	e, err := q.g.pool.Do(ctx, c.Prefill.Key(), q.upstreamRequest(a), q.isMine)
 	if err != nil {
@@ -123,6 +125,17 @@
 	return outcome{result: notRun, reason: "prefill: " + reason, untried: true}
 }
 
+// deferredRanks is how many ranks later requests go that can't be in time.
+const deferredRanks = 4
+
+// priority returns the rank that a request has at its engines.
+func (q *request) priority(c placement.Choice) int {
+	if c.Deferred {
+		return q.route.Priority + deferredRanks
+	}
+	return q.route.Priority
+}
+
 // over tells whether the request has ended because its caller left or its
 // time is over.
 func (q *request) over(ctx context.Context) (outcome, bool) {
@@ -181,11 +194,12 @@
 	q.sends++
 	q.server = c.Server.ID
 	a.ServerID = c.Server.ID
-	a.Priority = q.route.Priority
+	a.Priority = q.priority(c)
 	a.LastEvent = q.lastEvent
 	a.Remaining = q.left()
-	sentAt := q.g.now()
-	k := q.service.sent(sentAt, c.Server.ID, tokens, q.call.Parts, c.FirstEvent)
+	k := q.service.sent(q.g.now(), placement.Send{
+		Server: c.Server.ID, NewTokens: tokens, Parts: q.call.Parts, Deferred: c.Deferred, FirstEvent: c.FirstEvent,
+	})
 	defer q.service.ended(k)
 	sendCtx, stop := context.WithCancel(ctx)
 	defer stop()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -206,10 +206,10 @@
 
 // sent, started, ended and told pass events on to the table.
 
-func (s *service) sent(now time.Duration, id string, tokens int, parts []placement.Part, predicted time.Duration) *placement.Ticket {
+func (s *service) sent(now time.Duration, send placement.Send) *placement.Ticket {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.table.Sent(now, id, tokens, parts, predicted)
+	return s.table.Sent(now, send)
 }
 
 func (s *service) started(now time.Duration, k *placement.Ticket) {
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -174,10 +174,20 @@
 		OutputTokens: q.call.OutputTokens,
 		BodyBytes:    len(q.body),
 		Exclude:      q.exclude,
+		Objective:    q.objectiveLeft(),
 		DirectOnly:   q.directOnly,
 	}
 }
 
+// objectiveLeft returns the time in which the first event is in time, at least
+// a moment; 0 where the route has no objective.
+func (q *request) objectiveLeft() time.Duration {
+	if q.route.Objective == 0 {
+		return 0
+	}
+	return max(time.Millisecond, q.arrived+q.route.Objective-q.g.now())
+}
+
 // inTime tells whether the first event is predicted before the deadline, and
 // before the caller's patience is over.
 func (q *request) inTime(c placement.Choice) bool {
--- a/internal/gateway/log.go
+++ b/internal/gateway/log.go
@@ -21,6 +21,7 @@
 		"load_age_ms", c.LoadAge.Milliseconds(),
 		"prompt_tokens", q.call.PromptTokens,
 		"new_tokens", c.NewTokens,
+		"deferred", c.Deferred,
 		"result", out.result.String(),
 		"elapsed_ms", (q.g.now() - q.arrived).Milliseconds(),
 	}
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -24,7 +24,9 @@
 	for _, s := range c.g.state.Load().services {
 		for _, l := range s.ownLoads() {
 			h.Loads = append(h.Loads, &peerv1.Load{
-				BackendServer: l.Server, Running: int32(l.Requests), QueuedPromptTokens: int64(l.Tokens),
+				BackendServer: l.Server, Running: int32(l.Requests),
+				QueuedPromptTokens:          int64(l.UrgentTokens + l.DeferredTokens),
+				QueuedPromptTokensByUrgency: []int64{int64(l.UrgentTokens), int64(l.DeferredTokens)},
 			})
 		}
 	}
@@ -35,9 +37,11 @@
 	c.follower.Told(int64(h.GetConfigRevision()), h.GetServersRevision())
 	loads := make([]placement.OwnLoad, 0, len(h.GetLoads()))
 	for _, l := range h.GetLoads() {
-		loads = append(loads, placement.OwnLoad{
-			Server: l.GetBackendServer(), Requests: int(l.GetRunning()), Tokens: int(l.GetQueuedPromptTokens()),
-		})
+		load := placement.OwnLoad{Server: l.GetBackendServer(), Requests: int(l.GetRunning()), UrgentTokens: int(l.GetQueuedPromptTokens())}
+		if parts := l.GetQueuedPromptTokensByUrgency(); len(parts) == 2 {
+			load.UrgentTokens, load.DeferredTokens = int(parts[0]), int(parts[1])
+		}
+		loads = append(loads, load)
 	}
 	now := c.g.now()
 	for _, s := range c.g.state.Load().services {
--- a/internal/gateway/refusal.go
+++ b/internal/gateway/refusal.go
@@ -69,7 +69,11 @@
 	q.w.WriteHeader(r.status)
 	// A caller that has left needs no answer.
 	_, _ = q.w.Write([]byte(body))
-	q.finish("refused", r.reason, r.status)
+	outcome := "unknown"
+	if r.status < http.StatusInternalServerError || promisesNotRun(r.status) {
+		outcome = "refused"
+	}
+	q.finish(outcome, r.reason, r.status)
 }
 
 // retryAfterText spreads returns over half as long again, so that callers that
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -1,31 +1,77 @@
 package placement
 
 import (
+	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/marigoldwing/marigoldwing/internal/fleet"
 )
 
 // Choose returns where a request is best sent: the lowest predicted time of
-// its first event, with what the choice costs others added. The caller tells
-// the table with Sent.
+// its first event, with what the choice costs others added. A request that
+// can't be in time is deferred, so that it holds up none that can; under
+// overload those that come in time then stay as many as the engines can carry.
+// The caller tells the table with Sent.
 func (t *Table) Choose(now time.Duration, r Request) (Choice, error) {
 	if t.engine == nil {
 		return t.choosePlain(now, r)
 	}
-	keys := chain(r.Parts)
-	whole, okWhole := t.chooseWhole(now, r, keys)
+	c, err := t.chooseEngine(now, r, false)
+	if err != nil || r.Objective == 0 || c.FirstEvent <= r.Objective {
+		return c, err
+	}
+	return t.chooseEngine(now, r, true)
+}
+
+// query is one request as the choice of an engine sees it.
+type query struct {
+	Request
+	now      time.Duration
+	keys     []uint64
+	shared   int
+	deferred bool
+	prefills []*server
+	decodes  []*server
+	// homes of the shared parts, for engines of each stage.
+	prefillHome, decodeHome *server
+}
+
+func (t *Table) newQuery(now time.Duration, r Request, deferred bool) query {
+	q := query{
+		Request: r, now: now, deferred: deferred,
+		keys:     chain(r.Parts),
+		shared:   sharedTokens(r.Parts),
+		prefills: t.usable(now, fleet.StagePrefill),
+		decodes:  t.usable(now, fleet.StageDecode),
+	}
+	if len(q.keys) < 2 {
+		return q
+	}
+	q.prefillHome = rendezvous(q.prefills, q.keys[0])
+	q.decodeHome = q.prefillHome
+	if q.shared < leastFetch || q.prefillHome == nil {
+		q.decodeHome = rendezvous(q.decodes, q.keys[0])
+	}
+	return q
+}
+
+// excluded tells whether a server has failed the request.
+func (q *query) excluded(s *server) bool { return slices.Contains(q.Exclude, s.ID) }
+
+func (t *Table) chooseEngine(now time.Duration, r Request, deferred bool) (Choice, error) {
+	q := t.newQuery(now, r, deferred)
+	whole, okWhole := t.chooseWhole(&q)
 	var split option
 	okSplit := false
 	if !r.DirectOnly {
-		split, okSplit = t.chooseSplit(now, r, keys)
+		split, okSplit = t.chooseSplit(&q)
 	}
 	switch {
 	case okWhole && (!okSplit || whole.score <= split.score):
+		whole.Deferred = deferred
 		return whole.Choice, nil
 	case okSplit:
+		split.Deferred = deferred
 		return split.Choice, nil
 	default:
 		return Choice{}, ErrNoServer
@@ -39,36 +85,32 @@
 	score float64
 }
 
-// best returns the option with the lowest score.
-func best(options []option) (option, bool) {
-	if len(options) == 0 {
-		return option{}, false
-	}
-	least := options[0]
-	for _, o := range options[1:] {
-		if o.score < least.score {
-			least = o
-		}
+// better keeps the option with the lower score.
+func better(best *option, found *bool, o option) {
+	if !*found || o.score < best.score {
+		*best, *found = o, true
 	}
-	return least, true
 }
 
 // choosePlain chooses a plain server by its queue, those of the gateway's own
 // failure domain first.
 func (t *Table) choosePlain(now time.Duration, r Request) (Choice, error) {
-	var options []option
-	for _, s := range t.usable(now, fleet.StageWhole, r.Exclude) {
+	var best option
+	found := false
+	for _, s := range t.usable(now, fleet.StageWhole) {
+		if slices.Contains(r.Exclude, s.ID) {
+			continue
+		}
 		first := plainService * s.slowdown * (1 + queueTurns(s, s.load(now)))
-		options = append(options, option{
+		better(&best, &found, option{
 			Choice: t.choice(now, s, first),
 			score:  first/s.weight + t.distance(s, r.BodyBytes),
 		})
 	}
-	o, ok := best(options)
-	if !ok {
+	if !found {
 		return Choice{}, ErrNoServer
 	}
-	return o.Choice, nil
+	return best.Choice, nil
 }
 
 // queueTurns returns how many services a request waits for at a server with
@@ -83,30 +125,32 @@
 }
 
 // chooseWhole chooses one decode engine for prefill and decode.
-func (t *Table) chooseWhole(now time.Duration, r Request, keys []uint64) (option, bool) {
-	var options []option
+func (t *Table) chooseWhole(q *query) (best option, found bool) {
 	rate := t.rate.perSecond * decodePrefillShare
-	for _, s := range t.usable(now, fleet.StageDecode, r.Exclude) {
-		c := t.cachedFor(now, s, r, keys)
-		fresh := float64(max(1, r.PromptTokens-c.tokens))
+	for _, s := range q.decodes {
+		if q.excluded(s) {
+			continue
+		}
+		c := t.cachedFor(q, s, q.decodeHome)
+		fresh := float64(max(1, q.PromptTokens-c.tokens))
 		prefill := fresh / rate
-		first := (firstStep+prefill+s.queued(now)/rate)*s.slowdown + t.moveSeconds(c.fetched) + t.slotWait(s, now)
-		o := option{Choice: t.choice(now, s, first)}
+		first := (firstStep+prefill+s.queued(q.now, q.deferred)/rate)*s.slowdown + t.moveSeconds(c.fetched) + t.slotWait(s, q.now)
+		o := option{Choice: t.choice(q.now, s, first)}
 		o.NewTokens, o.FetchFrom = int(fresh), c.from
-		o.score = first/s.weight + t.distance(s, r.BodyBytes) + t.reread(r, c.tokens) +
-			t.opts.MoveToken*float64(c.fetched) + t.opts.Disturbance*prefill*s.load(now)
-		options = append(options, o)
+		o.score = first/s.weight + t.distance(s, q.BodyBytes) + t.reread(q, c.tokens) +
+			t.opts.MoveToken*float64(c.fetched) + t.opts.Disturbance*prefill*s.load(q.now)
+		better(&best, &found, o)
 	}
-	return best(options)
+	return best, found
 }
 
 // chooseSplit chooses an engine to prefill and another to decode.
-func (t *Table) chooseSplit(now time.Duration, r Request, keys []uint64) (option, bool) {
-	p, ok := t.choosePrefill(now, r, keys)
+func (t *Table) chooseSplit(q *query) (option, bool) {
+	p, ok := t.choosePrefill(q)
 	if !ok {
 		return option{}, false
 	}
-	d, ok := t.chooseDecode(now, r, p.Server)
+	d, ok := t.chooseDecode(q, p.Server)
 	if !ok {
 		return option{}, false
 	}
@@ -119,25 +163,27 @@
 }
 
 // choosePrefill chooses the engine that prefills the prompt.
-func (t *Table) choosePrefill(now time.Duration, r Request, keys []uint64) (option, bool) {
-	var options []option
-	for _, s := range t.usable(now, fleet.StagePrefill, r.Exclude) {
-		c := t.cachedFor(now, s, r, keys)
-		fresh := float64(max(1, r.PromptTokens-c.tokens))
-		queue := s.queued(now)
-		first := (firstStep+(fresh+queue)/t.rate.perSecond)*s.slowdown + t.moveSeconds(c.fetched)
-		o := option{Choice: t.choice(now, s, first)}
+func (t *Table) choosePrefill(q *query) (best option, found bool) {
+	for _, s := range q.prefills {
+		if q.excluded(s) {
+			continue
+		}
+		c := t.cachedFor(q, s, q.prefillHome)
+		fresh := float64(max(1, q.PromptTokens-c.tokens))
+		first := (firstStep+(fresh+s.queued(q.now, q.deferred))/t.rate.perSecond)*s.slowdown + t.moveSeconds(c.fetched)
+		o := option{Choice: t.choice(q.now, s, first)}
 		o.NewTokens, o.FetchFrom = int(fresh), c.from
-		o.score = first/s.weight + t.distance(s, r.BodyBytes) + t.reread(r, c.tokens) + t.opts.MoveToken*float64(c.fetched)
-		options = append(options, o)
+		o.score = first/s.weight + t.distance(s, q.BodyBytes) + t.reread(q, c.tokens) + t.opts.MoveToken*float64(c.fetched)
+		better(&best, &found, o)
 	}
-	return best(options)
+	return best, found
 }
 
 // ChooseDecode chooses where a prompt that has been prefilled is decoded. The
 // engine of the first choice may be leaving by then, or busy.
 func (t *Table) ChooseDecode(now time.Duration, r Request, prefill fleet.Server) (Choice, error) {
-	o, ok := t.chooseDecode(now, r, prefill)
+	q := query{Request: r, now: now, decodes: t.usable(now, fleet.StageDecode)}
+	o, ok := t.chooseDecode(&q, prefill)
 	if !ok {
 		return Choice{}, ErrNoServer
 	}
@@ -147,22 +193,24 @@
 
 // chooseDecode chooses the engine that generates after another one has
 // prefilled.
-func (t *Table) chooseDecode(now time.Duration, r Request, prefill fleet.Server) (option, bool) {
-	var options []option
-	for _, s := range t.usable(now, fleet.StageDecode, r.Exclude) {
-		move := t.moveSeconds(r.PromptTokens)
-		price := t.opts.MoveToken * float64(r.PromptTokens)
+func (t *Table) chooseDecode(q *query, prefill fleet.Server) (best option, found bool) {
+	for _, s := range q.decodes {
+		if q.excluded(s) {
+			continue
+		}
+		move := t.moveSeconds(q.PromptTokens)
+		price := t.opts.MoveToken * float64(q.PromptTokens)
 		if s.FailureDomain != prefill.FailureDomain {
 			move *= 2
 			price *= 2
 		}
-		wait := s.queued(now) / (t.rate.perSecond * decodePrefillShare)
-		first := (firstStep+wait)*s.slowdown + move + t.slotWait(s, now)
-		o := option{Choice: t.choice(now, s, first)}
-		o.score = first/s.weight + price + t.distance(s, r.BodyBytes)
-		options = append(options, o)
+		wait := s.queued(q.now, false) / (t.rate.perSecond * decodePrefillShare)
+		first := (firstStep+wait)*s.slowdown + move + t.slotWait(s, q.now)
+		o := option{Choice: t.choice(q.now, s, first)}
+		o.score = first/s.weight + price + t.distance(s, q.BodyBytes)
+		better(&best, &found, o)
 	}
-	return best(options)
+	return best, found
 }
 
 func (t *Table) choice(now time.Duration, s *server, first float64) Choice {
@@ -183,8 +231,8 @@
 
 // reread prices the shared tokens that are prefilled although others have
 // them.
-func (t *Table) reread(r Request, held int) float64 {
-	return t.opts.RereadToken * float64(max(0, sharedTokens(r.Parts)-held))
+func (t *Table) reread(q *query, held int) float64 {
+	return t.opts.RereadToken * float64(max(0, q.shared-held))
 }
 
 // sharedTokens returns the tokens of all parts but the request's own.
@@ -207,41 +255,31 @@
 
 // cachedFor returns what an engine is thought to have cached of a prompt. The
 // home of a prompt is taken to hold its shared parts, as all gateways send
-// there first; other engines can fetch them from it.
-func (t *Table) cachedFor(now time.Duration, s *server, r Request, keys []uint64) cached {
-	shared := sharedTokens(r.Parts)
-	most := max(0, r.PromptTokens-1)
-	held := s.held(now, r.Parts, keys)
-	home := t.home(now, keys, s.Stage, shared)
+// there first; other engines can fetch them from it once this gateway knows
+// that it has read them.
+func (t *Table) cachedFor(q *query, s, home *server) cached {
+	most := max(0, q.PromptTokens-1)
+	held := s.held(q.now, q.Parts, q.keys)
 	if s == home {
-		return cached{tokens: min(max(held, shared), most)}
+		return cached{tokens: min(max(held, q.shared), most)}
 	}
 	c := cached{tokens: min(held, most)}
-	if home != nil && shared >= leastFetch && home.held(now, r.Parts[:len(r.Parts)-1], keys) > 0 {
+	if home != nil && q.shared >= leastFetch && home.held(q.now, q.Parts[:len(q.Parts)-1], q.keys) > 0 {
 		// A fetch of what is held already costs nothing.
 		c.from = home.Address
-		c.fetched = max(0, shared-held)
-		c.tokens = min(max(held, shared), most)
+		c.fetched = max(0, q.shared-held)
+		c.tokens = min(max(held, q.shared), most)
 	}
 	return c
 }
 
-// home returns the engine with the highest rendezvous weight for the first
-// part of a prompt. All gateways that know the same engines find the same one.
-// Prompts with long shared parts have their home at a prefill engine, if there
-// is one, others at an engine of the stage that is asked for.
-func (t *Table) home(now time.Duration, keys []uint64, stage fleet.Stage, shared int) *server {
-	if len(keys) < 2 {
-		return nil
-	}
-	engines := t.usable(now, stage, nil)
-	if prefills := t.usable(now, fleet.StagePrefill, nil); shared >= leastFetch && len(prefills) > 0 {
-		engines = prefills
-	}
+// rendezvous returns the engine with the highest weight for a key. All
+// gateways that know the same engines find the same one.
+func rendezvous(engines []*server, key uint64) *server {
 	var best *server
 	var highest uint64
 	for _, s := range engines {
-		if weight := mix(keys[0] ^ xxhash.Sum64String(s.ID)); best == nil || weight > highest {
+		if weight := mix(key ^ s.hash); best == nil || weight > highest {
 			best, highest = s, weight
 		}
 	}
--- a/internal/placement/dump.go
+++ b/internal/placement/dump.go
@@ -9,7 +9,8 @@
 	Leaving  bool    `json:"leaving"`
 	Own      int     `json:"own_requests"`
 	Others   float64 `json:"others_requests"`
-	Tokens   float64 `json:"own_prompt_tokens"`
+	Urgent   float64 `json:"own_urgent_tokens"`
+	Deferred float64 `json:"own_deferred_tokens"`
 	Slowdown float64 `json:"slowdown"`
 	Weight   float64 `json:"weight"`
 	Parts    int     `json:"prompt_parts"`
@@ -21,7 +22,7 @@
 	for _, s := range t.servers {
 		dumps = append(dumps, ServerDump{
 			ID: s.ID, Stage: s.Stage.String(), Leaving: s.Leaving,
-			Own: s.own, Others: s.others(now), Tokens: s.ownTokens,
+			Own: s.own, Others: s.others(now), Urgent: s.ownTokens.urgent, Deferred: s.ownTokens.deferred,
 			Slowdown: s.slowdown, Weight: s.weight, Parts: len(s.parts),
 		})
 	}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -35,6 +35,9 @@
 	BodyBytes int
 	// Exclude names servers that have failed this request.
 	Exclude []string
+	// Objective is the time left in which the first event is in time; 0 if
+	// there is none.
+	Objective time.Duration
 	// DirectOnly keeps the request from engines that only prefill.
 	DirectOnly bool
 }
@@ -54,6 +57,9 @@
 	NewTokens int
 	// FirstEvent is predicted from now.
 	FirstEvent time.Duration
+	// Deferred is set when the first event can't be in time: the request is to
+	// go behind those that can.
+	Deferred bool
 	// LoadAge is the age of the newest load that the choice rests on, negative
 	// if the server has told none.
 	LoadAge time.Duration
--- /dev/null
+++ b/internal/placement/placement_test.go
@@ -0,0 +1,289 @@
+package placement
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/marigoldwing/marigoldwing/internal/fleet"
+)
+
+var spec = &fleet.EngineSpec{Slots: 16, KVTokens: 400_000, BytesPerToken: 100_000, LinkMbps: 740_000}
+
+func engine(id string, stage fleet.Stage, domain string) fleet.Server {
+	return fleet.Server{ID: id, Address: "10.0.0.1:1", Stage: stage, FailureDomain: domain, Slots: 16}
+}
+
+// engines returns so many engines of each stage in one failure domain.
+func engines(prefills, decodes int) []fleet.Server {
+	var list []fleet.Server
+	for i := range prefills {
+		list = append(list, engine(fmt.Sprintf("p%d", i), fleet.StagePrefill, "here"))
+	}
+	for i := range decodes {
+		list = append(list, engine(fmt.Sprintf("d%d", i), fleet.StageDecode, "here"))
+	}
+	return list
+}
+
+func newTable(servers []fleet.Server) *Table {
+	t := NewTable(DefaultOptions("here"), spec)
+	t.SetServers(spec, servers)
+	return t
+}
+
+// long is a prompt of which most is shared.
+func long(part, own int) Request {
+	return Request{
+		Parts:        []Part{{ID: fmt.Sprintf("part%d", part), Tokens: 13_000}, {ID: fmt.Sprintf("own%d", own), Tokens: 4000}},
+		PromptTokens: 17_000, OutputTokens: 100, BodyBytes: 34_000, Objective: 600 * time.Millisecond,
+	}
+}
+
+func short(own int) Request {
+	return Request{
+		Parts:        []Part{{ID: "s", Tokens: 50}, {ID: fmt.Sprintf("own%d", own), Tokens: 300}},
+		PromptTokens: 350, OutputTokens: 40, BodyBytes: 800, Objective: 300 * time.Millisecond,
+	}
+}
+
+func sentTo(t *Table, now time.Duration, c Choice, r Request) *Ticket {
+	id := c.Server.ID
+	if c.Split {
+		id = c.Prefill.ID
+	}
+	return t.Sent(now, Send{Server: id, NewTokens: c.NewTokens, Parts: r.Parts, Deferred: c.Deferred, FirstEvent: c.FirstEvent})
+}
+
+func TestLongPromptsAreSplitAndShortOnesAreNot(t *testing.T) {
+	table := newTable(engines(3, 6))
+	c, err := table.Choose(0, long(1, 1))
+	require.NoError(t, err)
+	require.True(t, c.Split)
+	require.Equal(t, fleet.StagePrefill, c.Prefill.Stage)
+	require.Equal(t, fleet.StageDecode, c.Server.Stage)
+	c, err = table.Choose(0, short(1))
+	require.NoError(t, err)
+	require.False(t, c.Split)
+}
+
+func TestGatewaysAgreeOnAPromptsHome(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		servers := engines(5, 7)
+		a, b := newTable(servers), newTable(rapid.Permutation(servers).Draw(t, "order"))
+		part := rapid.IntRange(0, 1000).Draw(t, "part")
+		ca, errA := a.Choose(0, long(part, 1))
+		cb, errB := b.Choose(0, long(part, 2))
+		if errA != nil || errB != nil || ca.Prefill.ID != cb.Prefill.ID {
+			t.Fatalf("prompts with part %d go to %s and %s", part, ca.Prefill.ID, cb.Prefill.ID)
+		}
+	})
+}
+
+func TestHomesMoveOnlyWithTheirEngine(t *testing.T) {
+	all, fewer := newTable(engines(5, 7)), newTable(engines(5, 7)[1:])
+	for part := range 200 {
+		before, err := all.Choose(0, long(part, 1))
+		require.NoError(t, err)
+		after, err := fewer.Choose(0, long(part, 1))
+		require.NoError(t, err)
+		if before.Prefill.ID != "p0" {
+			require.Equal(t, before.Prefill.ID, after.Prefill.ID)
+		}
+	}
+}
+
+// An engine fetches only what its source is known to have read.
+func TestFetchNeedsAKnownSource(t *testing.T) {
+	table := newTable(engines(2, 2))
+	home, err := table.Choose(0, long(1, 1))
+	require.NoError(t, err)
+	require.Empty(t, home.FetchFrom)
+	elsewhere := long(1, 2)
+	elsewhere.Exclude = []string{home.Prefill.ID}
+	c, err := table.Choose(0, elsewhere)
+	require.NoError(t, err)
+	require.Empty(t, c.FetchFrom)
+	require.Equal(t, 17_000, c.NewTokens)
+	k := sentTo(table, 0, home, long(1, 1))
+	table.Started(100*time.Millisecond, k)
+	table.Ended(k)
+	c, err = table.Choose(time.Second, elsewhere)
+	require.NoError(t, err)
+	require.NotEmpty(t, c.FetchFrom)
+	require.Equal(t, 4000, c.NewTokens)
+	c, err = table.Choose(time.Second+2*partLife, elsewhere)
+	require.NoError(t, err)
+	require.Empty(t, c.FetchFrom, "parts do not stay in a cache for ever")
+}
+
+func TestOtherGatewaysLoadsCount(t *testing.T) {
+	table := newTable(engines(0, 2))
+	first, err := table.Choose(0, short(1))
+	require.NoError(t, err)
+	busy := []OwnLoad{{Server: first.Server.ID, Requests: 12, UrgentTokens: 30_000}}
+	table.PeerLoads(0, "gateway-2", busy)
+	c, err := table.Choose(0, short(2))
+	require.NoError(t, err)
+	require.NotEqual(t, first.Server.ID, c.Server.ID)
+	table.PeerLoads(time.Millisecond, "gateway-2", nil)
+	c, err = table.Choose(time.Millisecond, short(1))
+	require.NoError(t, err)
+	require.Equal(t, first.Server.ID, c.Server.ID, "a gateway that names no load has none")
+	table.PeerLoads(time.Second, "gateway-2", busy)
+	c, err = table.Choose(time.Second+2*peerLife, short(1))
+	require.NoError(t, err)
+	require.Equal(t, first.Server.ID, c.Server.ID, "old loads count no more")
+}
+
+func TestServersThatRefuseAreLeftAloneForAWhile(t *testing.T) {
+	table := newTable(engines(0, 2))
+	first, err := table.Choose(0, short(1))
+	require.NoError(t, err)
+	table.Refused(0, first.Server.ID)
+	c, err := table.Choose(time.Millisecond, short(1))
+	require.NoError(t, err)
+	require.NotEqual(t, first.Server.ID, c.Server.ID)
+	c, err = table.Choose(leastRefusedPause, short(1))
+	require.NoError(t, err)
+	require.Equal(t, first.Server.ID, c.Server.ID)
+}
+
+func TestNoServer(t *testing.T) {
+	leaving := engine("d", fleet.StageDecode, "here")
+	leaving.Leaving = true
+	// A server of engines without a stage is no engine.
+	for _, servers := range [][]fleet.Server{nil, {leaving}, {engine("w", fleet.StageWhole, "here")}, engines(3, 0)} {
+		_, err := newTable(servers).Choose(0, short(1))
+		require.ErrorIs(t, err, ErrNoServer)
+	}
+}
+
+func TestPlainServersOfTheOwnDomainFirst(t *testing.T) {
+	table := NewTable(DefaultOptions("here"), nil)
+	near, far := engine("near", fleet.StageWhole, "here"), engine("far", fleet.StageWhole, "there")
+	near.Slots, far.Slots = 4, 4
+	table.SetServers(nil, []fleet.Server{far, near})
+	c, err := table.Choose(0, Request{})
+	require.NoError(t, err)
+	require.Equal(t, "near", c.Server.ID)
+	for range 16 {
+		table.Sent(0, Send{Server: "near"})
+	}
+	c, err = table.Choose(0, Request{})
+	require.NoError(t, err)
+	require.Equal(t, "far", c.Server.ID)
+}
+
+func TestALaterIncarnationKnowsNothing(t *testing.T) {
+	servers := engines(1, 1)
+	table := newTable(servers)
+	sentTo(table, 0, Choice{Server: servers[1]}, short(1))
+	require.Equal(t, 1, table.find("d0").own)
+	servers[1].Started = 5
+	table.SetServers(spec, servers)
+	require.Zero(t, table.find("d0").own)
+	require.Empty(t, table.find("d0").parts)
+}
+
+// Tickets of an incarnation that is gone must not count at the next one.
+func TestEndsAreCountedOnce(t *testing.T) {
+	table := newTable(engines(0, 1))
+	k := sentTo(table, 0, Choice{Server: engine("d0", fleet.StageDecode, "here"), NewTokens: 500}, short(1))
+	table.Ended(k)
+	table.Ended(k)
+	table.Started(0, k)
+	require.Zero(t, table.find("d0").own)
+	require.Zero(t, table.find("d0").ownTokens.urgent)
+	table.Ended(nil)
+}
+
+// playOverload sends three times as many long prompts as two engines can
+// prefill, and returns how many come in time. Engines take urgent prompts
+// first, and among these the oldest, as the platform's do.
+func playOverload(deferring bool) (inTime int) {
+	const (
+		rate     = 60.0 // prompt tokens in a millisecond
+		objectMS = 600
+		endMS    = 10_000
+	)
+	type job struct {
+		ticket   *Ticket
+		sentAt   int
+		left     float64
+		deferred bool
+	}
+	opts := DefaultOptions("here")
+	// Decode engines are busy, so that long prompts are prefilled apart.
+	opts.Disturbance = 1000
+	table := NewTable(opts, spec)
+	table.SetServers(spec, engines(2, 8))
+	queues := map[string][]*job{}
+	for ms := range endMS {
+		now := time.Duration(ms) * time.Millisecond
+		if ms%1000 == 0 {
+			for _, s := range table.servers[2:] {
+				table.PeerLoads(now, "gateway-"+s.ID, []OwnLoad{{Server: s.ID, Requests: 8}})
+			}
+		}
+		if ms%11 == 0 {
+			r := long(ms%37, ms)
+			r.Parts = nil
+			r.PromptTokens, r.DirectOnly = 4000, false
+			if !deferring {
+				r.Objective = 0
+			}
+			c, err := table.Choose(now, r)
+			if err == nil && c.Split {
+				j := &job{ticket: sentTo(table, now, c, r), sentAt: ms, left: float64(c.NewTokens), deferred: c.Deferred}
+				queues[c.Prefill.ID] = append(queues[c.Prefill.ID], j)
+			}
+		}
+		for id, queue := range queues {
+			next := -1
+			for i, j := range queue {
+				if next < 0 || queue[next].deferred && !j.deferred {
+					next = i
+				}
+			}
+			if next < 0 {
+				continue
+			}
+			if queue[next].left -= rate; queue[next].left > 0 {
+				continue
+			}
+			done := queue[next]
+			table.Started(now, done.ticket)
+			table.Ended(done.ticket)
+			if ms-done.sentAt <= objectMS {
+				inTime++
+			}
+			queues[id] = append(queue[:next:next], queue[next+1:]...)
+		}
+	}
+	return inTime
+}
+
+// Load: long prompts at three times what the prefill engines can carry.
+// Callers get answers in time from what they carry; without deferring, the
+// queue makes nearly all late.
+func TestOverloadStillServesInTimeWhatFits(t *testing.T) {
+	const carried = 2 * 10_000 * 60 / 4000
+	with, without := playOverload(true), playOverload(false)
+	t.Logf("in time with deferring %d, without %d, of %d that two engines carry", with, without, carried)
+	require.Greater(t, with, carried/2)
+	require.Less(t, without, carried/2)
+}
+
+func BenchmarkChoose40(b *testing.B) {
+	table := newTable(engines(18, 22))
+	r := long(1, 1)
+	for i := 0; b.Loop(); i++ {
+		if _, err := table.Choose(time.Duration(i), r); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- a/internal/placement/table.go
+++ b/internal/placement/table.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -22,9 +21,11 @@
 // server is one backend server with what the gateway knows of it.
 type server struct {
 	fleet.Server
+	// hash of the ID, for rendezvous.
+	hash uint64
 	// own sends under way, and their prompt tokens not yet prefilled.
 	own       int
-	ownTokens float64
+	ownTokens queue
 	// told is the load of the newest answer, with the own sends at that time.
 	told    int
 	toldOwn int
@@ -44,6 +45,30 @@
 	parts map[uint64]time.Duration
 }
 
+// queue is prompt tokens that are to be prefilled.
+type queue struct {
+	// urgent tokens go first; deferred ones are of requests that come late
+	// anyway.
+	urgent, deferred float64
+}
+
+// add counts tokens in, or out if negative.
+func (q *queue) add(tokens float64, deferred bool) {
+	if deferred {
+		q.deferred = max(0, q.deferred+tokens)
+		return
+	}
+	q.urgent = max(0, q.urgent+tokens)
+}
+
+// before returns the tokens that go before a new request.
+func (q queue) before(deferred bool) float64 {
+	if deferred {
+		return q.urgent + q.deferred
+	}
+	return q.urgent
+}
+
 // NewTable returns a table without servers. The engine is nil for plain
 // services.
 func NewTable(opts Options, engine *fleet.EngineSpec) *Table {
@@ -70,7 +95,7 @@
 		}
 	}
 	return &server{
-		Server: now, slowdown: 1, weight: 1,
+		Server: now, hash: xxhash.Sum64String(now.ID), slowdown: 1, weight: 1,
 		parts: make(map[uint64]time.Duration), peers: make(map[string]peerLoad),
 	}
 }
@@ -94,25 +119,41 @@
 
 // Ticket is a send under way. It is ended once by Table.Ended.
 type Ticket struct {
-	server *server
-	tokens float64
-	sentAt time.Duration
+	server   *server
+	tokens   float64
+	deferred bool
+	sentAt   time.Duration
 	// predicted time of the first event, in seconds.
 	predicted float64
 	started   bool
 }
 
-// Sent takes in that a request is on its way to a server with so many prompt
-// tokens to prefill there, and the prompt parts that it will have read then.
-func (t *Table) Sent(now time.Duration, id string, newTokens int, parts []Part, predicted time.Duration) *Ticket {
-	s := t.find(id)
+// Send is a request on its way to a server.
+type Send struct {
+	Server string
+	// NewTokens of the prompt are to be prefilled there.
+	NewTokens int
+	// Parts of the prompt that the server will have read then.
+	Parts []Part
+	// Deferred requests go behind those that can still be in time.
+	Deferred bool
+	// FirstEvent is when the first event is predicted.
+	FirstEvent time.Duration
+}
+
+// Sent takes in that a request is on its way.
+func (t *Table) Sent(now time.Duration, send Send) *Ticket {
+	s := t.find(send.Server)
 	if s == nil {
 		return nil
 	}
-	k := &Ticket{server: s, tokens: float64(newTokens), sentAt: now, predicted: predicted.Seconds()}
+	k := &Ticket{
+		server: s, tokens: float64(send.NewTokens), deferred: send.Deferred,
+		sentAt: now, predicted: send.FirstEvent.Seconds(),
+	}
 	s.own++
-	s.ownTokens += k.tokens
-	for _, key := range chain(parts) {
+	s.ownTokens.add(k.tokens, k.deferred)
+	for _, key := range chain(send.Parts) {
 		s.parts[key] = now
 	}
 	t.sweep(now)
@@ -121,11 +162,11 @@
 
 // Started takes in that the prompt of a send has been prefilled.
 func (t *Table) Started(now time.Duration, k *Ticket) {
-	if k == nil || k.started {
+	if k == nil || k.started || k.server == nil {
 		return
 	}
 	k.started = true
-	k.server.ownTokens = max(0, k.server.ownTokens-k.tokens)
+	k.server.ownTokens.add(-k.tokens, k.deferred)
 	took := (now - k.sentAt).Seconds()
 	k.server.observe(took, k.predicted)
 	if k.server.Stage == fleet.StagePrefill {
@@ -139,7 +180,7 @@
 		return
 	}
 	if !k.started {
-		k.server.ownTokens = max(0, k.server.ownTokens-k.tokens)
+		k.server.ownTokens.add(-k.tokens, k.deferred)
 	}
 	k.server.own--
 	k.server = nil
@@ -213,7 +254,7 @@
 // peerLoad is what another gateway has at a server.
 type peerLoad struct {
 	requests int
-	tokens   float64
+	tokens   queue
 	at       time.Duration
 }
 
@@ -224,8 +265,8 @@
 type OwnLoad struct {
 	Server   string
 	Requests int
-	// Tokens of prompts that are not prefilled yet.
-	Tokens int
+	// UrgentTokens and DeferredTokens of prompts are not prefilled yet.
+	UrgentTokens, DeferredTokens int
 }
 
 // OwnLoads returns what this gateway has at each server, to be told to
@@ -234,7 +275,10 @@
 	var loads []OwnLoad
 	for _, s := range t.servers {
 		if s.own > 0 {
-			loads = append(loads, OwnLoad{Server: s.ID, Requests: s.own, Tokens: int(s.ownTokens)})
+			loads = append(loads, OwnLoad{
+				Server: s.ID, Requests: s.own,
+				UrgentTokens: int(s.ownTokens.urgent), DeferredTokens: int(s.ownTokens.deferred),
+			})
 		}
 	}
 	return loads
@@ -248,28 +292,28 @@
 	}
 	for _, l := range loads {
 		if s := t.find(l.Server); s != nil {
-			s.peers[peer] = peerLoad{requests: l.Requests, tokens: float64(l.Tokens), at: now}
+			tokens := queue{urgent: float64(l.UrgentTokens), deferred: float64(l.DeferredTokens)}
+			s.peers[peer] = peerLoad{requests: l.Requests, tokens: tokens, at: now}
 		}
 	}
 }
 
-// fromPeers returns the requests and the prompt tokens that other gateways
-// have told of.
-func (s *server) fromPeers(now time.Duration) (requests, tokens float64) {
+// fromPeers returns the requests that other gateways have told of.
+func (s *server) fromPeers(now time.Duration) float64 {
+	requests := 0
 	for _, l := range s.peers {
 		if now-l.at < peerLife {
-			requests += float64(l.requests)
-			tokens += l.tokens
+			requests += l.requests
 		}
 	}
-	return requests, tokens
+	return float64(requests)
 }
 
 // others returns the requests that other gateways are thought to have at the
 // server: what they told, or what the server told beyond the own sends, less
 // the older it is.
 func (s *server) others(now time.Duration) float64 {
-	requests, _ := s.fromPeers(now)
+	requests := s.fromPeers(now)
 	if !s.hasTold {
 		return requests
 	}
@@ -279,9 +323,14 @@
 
 // queued returns the prompt tokens that are to be prefilled at the server
 // before a new request.
-func (s *server) queued(now time.Duration) float64 {
-	_, tokens := s.fromPeers(now)
-	return s.ownTokens + tokens
+func (s *server) queued(now time.Duration, deferred bool) float64 {
+	tokens := s.ownTokens.before(deferred)
+	for _, l := range s.peers {
+		if now-l.at < peerLife {
+			tokens += l.tokens.before(deferred)
+		}
+	}
+	return tokens
 }
 
 // load returns the requests at the server now.
@@ -356,10 +405,10 @@
 }
 
 // usable returns the servers of a stage that may take a request.
-func (t *Table) usable(now time.Duration, stage fleet.Stage, exclude []string) []*server {
-	var list []*server
+func (t *Table) usable(now time.Duration, stage fleet.Stage) []*server {
+	list := make([]*server, 0, len(t.servers))
 	for _, s := range t.servers {
-		if s.Stage == stage && !s.Leaving && s.weight > 0 && now >= s.refusedUntil && !slices.Contains(exclude, s.ID) {
+		if s.Stage == stage && !s.Leaving && s.weight > 0 && now >= s.refusedUntil {
 			list = append(list, s)
 		}
 	}
