Coalesce changes of the store, and rank waiting holders by who lives

Cause: calls to the store are the largest price with 24 gateways: each change of a registration ended 24 watches, and a quarter of the gateways read the lease every two seconds. Change: 150 ms pass between a watch that brought something and the next; ranks of the lease come from the gateways that live.

--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -56,6 +56,9 @@
 	Peers peers.Store
 	// LogsDropped returns the log lines dropped so far.
 	LogsDropped func() int64
+
+	// members returns the gateways that live.
+	members func() []string
 }
 
 // Run runs marigold-gateway until it is stopped.
@@ -72,7 +75,6 @@
 		Registerer:    metrics,
 		Retries:       retryBudget(s),
 	})
-	keepers := newStageKeepers(g, wire, milliseconds(s.GetOrderLeaseMs()))
 	follower := registry.NewFollower(wire.Source, bounds(s), log, g.Update)
 	registerGauges(metrics, follower, g, wire.LogsDropped)
 	peerMetrics := peer.NewMetrics(metrics)
@@ -84,6 +86,8 @@
 		Store: wire.Peers, Client: client, Log: log, Fill: c.fill, Heard: c.heard,
 	})
 	g.live = exchange.Live
+	wire.members = exchange.Names
+	keepers := newStageKeepers(g, wire, milliseconds(s.GetOrderLeaseMs()))
 	follower.SetCompanions(exchange.Live)
 	follower.SetNews(exchange.News)
 	mux := telemetry.NewMux(telemetry.MuxOptions{
--- a/internal/gateway/stages.go
+++ b/internal/gateway/stages.go
@@ -72,6 +72,8 @@
 	service  string
 	protocol StageProtocol
 	keeper   *lease.Keeper
+	// members returns the gateways that may hold the lease.
+	members func() []string
 	// quiet is how long a new holder gives no order after it has got the
 	// lease, so that it takes no turns with the one before.
 	quiet time.Duration
@@ -122,15 +124,17 @@
 	return &stageKeeper{
 		g: ks.g, log: ks.g.log, service: service, protocol: ks.wire.Stages,
 		keeper: lease.NewKeeper(ks.wire.Leases, service, lease.Options{
-			Self: self, TTL: leasesPerTerm * ks.lease, Rank: int(xxhash.Sum64String(self.Name) % leaseRanks),
+			Self: self, TTL: leasesPerTerm * ks.lease, Rank: int(xxhash.Sum64String(self.Name) % firstRanks),
 		}),
+		members: ks.wire.members,
 		quiet:   ks.lease + ks.lease/4,
 		pending: make(map[string]time.Duration),
 	}
 }
 
-// leaseRanks spreads the reads of those that wait for the lease.
-const leaseRanks = 4
+// firstRanks spreads the reads of the lease until the gateways know each
+// other.
+const firstRanks = 4
 
 // run decides until ctx ends.
 func (k *stageKeeper) run(ctx context.Context) {
@@ -151,6 +155,9 @@
 
 // tick makes one decision if this process holds the lease.
 func (k *stageKeeper) tick(ctx context.Context) {
+	if k.members != nil {
+		k.keeper.SetRank(lease.Rank(k.service, k.g.opts.Name, k.members()))
+	}
 	authority, ok := k.keeper.Authority()
 	if !ok {
 		if k.term != 0 {
--- a/internal/peers/exchange.go
+++ b/internal/peers/exchange.go
@@ -72,6 +72,13 @@
 // Live returns the number of gateways that live, this one included.
 func (x *Exchange) Live() int { return int(x.live.Load()) }
 
+// Names returns the names of the gateways that live, this one included.
+func (x *Exchange) Names() []string {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.table.Names(x.now())
+}
+
 // News has what is in force told to some peers at once.
 func (x *Exchange) News() {
 	select {
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -97,6 +97,17 @@
 	return n
 }
 
+// Names returns the names of the gateways that live, this one included.
+func (t *Table) Names(now time.Duration) []string {
+	names := []string{t.self}
+	for name, p := range t.peers {
+		if p.live(now) {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
 // Partners returns the peers to exchange heartbeats with in the next round:
 // those that live in turn, each round others, and a silent one.
 func (t *Table) Partners(now time.Duration) []Peer {
--- a/internal/registry/follow.go
+++ b/internal/registry/follow.go
@@ -30,6 +30,8 @@
 	// fleet.MissingGrace.
 	minPause = 50 * time.Millisecond
 	maxPause = 300 * time.Millisecond
+	// eventPause lets changes that follow each other come with one call.
+	eventPause = 150 * time.Millisecond
 	// expireInterval is how often missing servers are looked at.
 	expireInterval = 100 * time.Millisecond
 )
@@ -177,6 +179,9 @@
 			if lost {
 				f.log.Info("store answers again", "kind", kind, "revision", next)
 			}
+			if revision != 0 && next != revision {
+				sleep(ctx, eventPause)
+			}
 			revision, pause, lost = next, minPause, false
 			continue
 		case errors.Is(err, errNews):
