--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -56,9 +56,6 @@
 	Peers peers.Store
 	// LogsDropped returns the log lines dropped so far.
 	LogsDropped func() int64
-
-	// members returns the gateways that live.
-	members func() []string
 }
 
 // Run runs marigold-gateway until it is stopped.
@@ -86,8 +83,9 @@
 		Store: wire.Peers, Client: client, Log: log, Fill: c.fill, Heard: c.heard,
 	})
 	g.live = exchange.Live
-	wire.members = exchange.Names
-	keepers := newStageKeepers(g, wire, milliseconds(s.GetOrderLeaseMs()))
+	stageOptions := StageOptions{
+		Protocol: wire.Stages, Leases: wire.Leases, Lease: milliseconds(s.GetOrderLeaseMs()), Members: exchange.Names,
+	}
 	follower.SetCompanions(exchange.Live)
 	follower.SetNews(exchange.News)
 	mux := telemetry.NewMux(telemetry.MuxOptions{
@@ -106,7 +104,10 @@
 			sideServer(s.GetMetricsAddress(), mux),
 			peer.NewServer(s.GetPeerAddress(), exchange, peerMetrics, log),
 		},
-		Loops:        []func(context.Context){follower.Run, g.ignoreHangup, keepers.run, exchange.Run, g.shareBudgets},
+		Loops: []func(context.Context){
+			follower.Run, exchange.Run, g.shareBudgets, g.ignoreHangup,
+			func(ctx context.Context) { g.RunStages(ctx, stageOptions) },
+		},
 		Drain:        g.Drain,
 		DrainTimeout: time.Duration(s.GetStopGraceS()*float64(time.Second)) - stopMargin,
 		StopTimeout:  stopTimeout,
--- a/internal/gateway/stages.go
+++ b/internal/gateway/stages.go
@@ -85,15 +85,28 @@
 	pending map[string]time.Duration
 }
 
+// StageOptions say how engines are had to change their stages.
+type StageOptions struct {
+	Protocol StageProtocol
+	Leases   lease.Store
+	// Lease is the time within which two holders must not take turns.
+	Lease time.Duration
+	// Members returns the gateways that may hold the lease; nil if they are
+	// not known.
+	Members func() []string
+}
+
 // stageKeepers runs a keeper for each service of engines.
 type stageKeepers struct {
-	g     *Gateway
-	wire  Wire
-	lease time.Duration
+	g    *Gateway
+	opts StageOptions
 }
 
-func newStageKeepers(g *Gateway, wire Wire, leaseTime time.Duration) *stageKeepers {
-	return &stageKeepers{g: g, wire: wire, lease: leaseTime}
+// RunStages has engines change their stages while this gateway holds the lease
+// for their service, until ctx ends.
+func (g *Gateway) RunStages(ctx context.Context, opts StageOptions) {
+	ks := &stageKeepers{g: g, opts: opts}
+	ks.run(ctx)
 }
 
 // run starts a keeper when a service of engines is first seen.
@@ -122,12 +135,12 @@
 func (ks *stageKeepers) keeper(service string) *stageKeeper {
 	self := lease.Identity{Name: ks.g.opts.Name, Incarnation: uint64(time.Now().UnixNano())}
 	return &stageKeeper{
-		g: ks.g, log: ks.g.log, service: service, protocol: ks.wire.Stages,
-		keeper: lease.NewKeeper(ks.wire.Leases, service, lease.Options{
-			Self: self, TTL: leasesPerTerm * ks.lease, Rank: int(xxhash.Sum64String(self.Name) % firstRanks),
+		g: ks.g, log: ks.g.log, service: service, protocol: ks.opts.Protocol,
+		keeper: lease.NewKeeper(ks.opts.Leases, service, lease.Options{
+			Self: self, TTL: leasesPerTerm * ks.opts.Lease, Rank: int(xxhash.Sum64String(self.Name) % firstRanks),
 		}),
-		members: ks.wire.members,
-		quiet:   ks.lease + ks.lease/4,
+		members: ks.opts.Members,
+		quiet:   ks.opts.Lease + ks.opts.Lease/4,
 		pending: make(map[string]time.Duration),
 	}
 }
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -6,20 +6,25 @@
 package peers
 
 import (
-	"hash/fnv"
+	"cmp"
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 const (
 	// Interval is the time between heartbeats.
 	Interval = 400 * time.Millisecond
-	// liveFor is how long a peer counts as live after it was heard: with many
-	// peers, each is heard directly every few intervals.
-	liveFor = 4 * time.Second
-	// forgetAfter is how long a silent peer is still tried.
-	forgetAfter = 30 * time.Second
+	// leastLiveFor is how long a peer counts as live at least after it was
+	// heard.
+	leastLiveFor = 4 * time.Second
+	// missedTurns is after how many turns without a heartbeat a peer of a
+	// large fleet does not count as live any more.
+	missedTurns = 2
+	// forgetTimes is how many times as long a silent peer is still tried.
+	forgetTimes = 8
 	// partnersPerRound bounds the heartbeats that one process sends at once,
 	// so that control traffic does not grow with the fleet.
 	partnersPerRound = 4
@@ -58,7 +63,7 @@
 		return
 	}
 	p := t.peers[name]
-	if p == nil || p.Address != address && !p.live(now) {
+	if p == nil || p.Address != address && !t.live(now, p) {
 		t.peers[name] = &Peer{Name: name, Address: address, learntAt: now}
 	}
 }
@@ -82,15 +87,24 @@
 	return true
 }
 
-func (p *Peer) live(now time.Duration) bool {
-	return p.heard && !p.leaving && now-p.heardAt < liveFor
+// turn is the time in which every peer has been sent a heartbeat.
+func (t *Table) turn() time.Duration {
+	rounds := (len(t.peers) + partnersPerRound - 1) / partnersPerRound
+	return time.Duration(rounds) * Interval
+}
+
+// liveFor is how long a peer counts as live after it was heard.
+func (t *Table) liveFor() time.Duration { return max(leastLiveFor, missedTurns*t.turn()) }
+
+func (t *Table) live(now time.Duration, p *Peer) bool {
+	return p.heard && !p.leaving && now-p.heardAt < t.liveFor()
 }
 
 // Live returns the number of gateways that live, this one included.
 func (t *Table) Live(now time.Duration) int {
 	n := 1
 	for _, p := range t.peers {
-		if p.live(now) {
+		if t.live(now, p) {
 			n++
 		}
 	}
@@ -101,7 +115,7 @@
 func (t *Table) Names(now time.Duration) []string {
 	names := []string{t.self}
 	for name, p := range t.peers {
-		if p.live(now) {
+		if t.live(now, p) {
 			names = append(names, name)
 		}
 	}
@@ -109,59 +123,52 @@
 }
 
 // Partners returns the peers to exchange heartbeats with in the next round:
-// those that live in turn, each round others, and a silent one.
+// those that live in turn, and a silent one.
 func (t *Table) Partners(now time.Duration) []Peer {
 	t.round++
 	var live, silent []Peer
 	for name, p := range t.peers {
 		last := max(p.learntAt, p.heardAt)
 		switch {
-		case p.live(now):
+		case t.live(now, p):
 			live = append(live, *p)
-		case now-last > forgetAfter:
+		case now-last > forgetTimes*t.liveFor():
 			delete(t.peers, name)
 		case !p.leaving:
 			silent = append(silent, *p)
 		}
 	}
-	return append(t.pick(live, partnersPerRound), t.pick(silent, silentPerRound)...)
+	return append(t.next(live, partnersPerRound), t.next(silent, silentPerRound)...)
 }
 
 // All returns the live peers, at most so many, for news that can't wait.
 func (t *Table) All(now time.Duration, most int) []Peer {
 	var live []Peer
 	for _, p := range t.peers {
-		if p.live(now) {
+		if t.live(now, p) {
 			live = append(live, *p)
 		}
 	}
-	return t.pick(live, most)
+	t.round++
+	return t.next(live, most)
 }
 
-// pick returns at most n of the peers, in an order that differs from round to
-// round and from process to process.
-func (t *Table) pick(list []Peer, n int) []Peer {
+// next returns the n peers whose turn it is, in an order that differs from
+// process to process.
+func (t *Table) next(list []Peer, n int) []Peer {
+	if len(list) <= n {
+		return list
+	}
 	slices.SortFunc(list, func(a, b Peer) int {
-		if d := int64(t.weight(a.Name)) - int64(t.weight(b.Name)); d != 0 {
-			return int(min(max(d, -1), 1))
-		}
-		return strings.Compare(a.Name, b.Name)
+		return cmp.Or(cmp.Compare(t.weight(a.Name), t.weight(b.Name)), strings.Compare(a.Name, b.Name))
 	})
-	return list[:min(n, len(list))]
+	turn := make([]Peer, 0, n)
+	for i := range n {
+		turn = append(turn, list[(int(t.round)*n+i)%len(list)])
+	}
+	return turn
 }
 
-func (t *Table) weight(name string) uint32 {
-	h := fnv.New32a()
-	var round [8]byte
-	for i := range round {
-		round[i] = byte(t.round >> (8 * i))
-	}
-	_, _ = h.Write(round[:])
-	_, _ = h.Write([]byte(t.self))
-	_, _ = h.Write([]byte(name))
-	// The last bytes alone would order names that are alike the same way.
-	x := h.Sum32()
-	x ^= x >> 15
-	x *= 0x2c1b3c6d
-	return x ^ x>>12
+func (t *Table) weight(name string) uint64 {
+	return xxhash.Sum64String(t.self + "\x00" + name)
 }
--- /dev/null
+++ b/internal/peers/peers_test.go
@@ -0,0 +1,121 @@
+package peers
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/stretchr/testify/require"
+
+	peerv1 "github.com/marigoldwing/marigoldwing/api/peer/v1"
+	"github.com/marigoldwing/marigoldwing/internal/peer"
+	"github.com/marigoldwing/marigoldwing/internal/platform/fake"
+)
+
+func TestPeersLiveAsLongAsTheyAreHeard(t *testing.T) {
+	table := NewTable("a")
+	table.Learn(0, "b", "10.0.0.2:1")
+	require.Equal(t, 1, table.Live(0))
+	require.True(t, table.Heard(time.Second, "b", "10.0.0.2:1", 5, false))
+	require.Equal(t, 2, table.Live(time.Second))
+	require.False(t, table.Heard(time.Second, "b", "10.0.0.9:1", 4, false), "an earlier incarnation")
+	require.False(t, table.Heard(time.Second, "a", "10.0.0.1:1", 9, false), "itself")
+	require.Equal(t, 1, table.Live(time.Second+leastLiveFor))
+	table.Heard(2*time.Second, "b", "10.0.0.2:1", 5, true)
+	require.Equal(t, 1, table.Live(2*time.Second), "a gateway that leaves")
+}
+
+func TestSilentPeersAreTriedAndThenForgotten(t *testing.T) {
+	table := NewTable("a")
+	table.Learn(0, "b", "10.0.0.2:1")
+	require.Len(t, table.Partners(time.Second), 1)
+	forgotten := forgetTimes*leastLiveFor + time.Second
+	require.Empty(t, table.Partners(forgotten))
+	table.Learn(forgotten, "b", "10.0.0.2:1")
+	require.Len(t, table.Partners(forgotten), 1)
+}
+
+// What one gateway sends does not grow with the fleet, and every peer has its
+// turn before it would count as lost, at the target's size too.
+func TestRoundsReachEveryone(t *testing.T) {
+	for _, gateways := range []int{3, 24, 350} {
+		table := NewTable("a")
+		for i := range gateways {
+			table.Heard(0, fmt.Sprintf("front-zone-%d", i), "10.0.0.2:1", 1, false)
+		}
+		last := map[string]int{}
+		longest := 0
+		for round := range 400 {
+			partners := table.Partners(0)
+			require.LessOrEqual(t, len(partners), partnersPerRound+silentPerRound)
+			for _, p := range partners {
+				longest = max(longest, round-last[p.Name])
+				last[p.Name] = round
+			}
+		}
+		require.Len(t, last, gateways)
+		require.Less(t, time.Duration(longest)*Interval, table.liveFor())
+	}
+}
+
+// node is one gateway's exchange on loopback.
+type node struct {
+	*Exchange
+	mu    sync.Mutex
+	heard map[string]uint64
+}
+
+func (n *node) version(peer string) uint64 {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.heard[peer]
+}
+
+func start(t *testing.T, name string, store Store, version uint64) *node {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	address := listener.Addr().String()
+	require.NoError(t, listener.Close())
+	metrics := peer.NewMetrics(prometheus.NewRegistry())
+	client := peer.NewClient(peer.ClientOptions{Metrics: metrics})
+	n := &node{heard: make(map[string]uint64)}
+	n.Exchange = NewExchange(Options{
+		Name: name, Address: address, Incarnation: uint64(time.Now().UnixNano()), Store: store, Client: client, Log: logr.Discard(),
+		Fill: func(h *peerv1.Heartbeat) { h.ConfigRevision = version },
+		Heard: func(h *peerv1.Heartbeat) {
+			n.mu.Lock()
+			defer n.mu.Unlock()
+			n.heard[h.GetSender()] = h.GetConfigRevision()
+		},
+	})
+	server := peer.NewServer(address, n.Exchange, metrics, logr.Discard())
+	require.NoError(t, server.Listen())
+	ctx, cancel := context.WithCancel(t.Context())
+	var running sync.WaitGroup
+	running.Go(func() { _ = server.Start(ctx) })
+	running.Go(func() { n.Run(ctx) })
+	t.Cleanup(func() {
+		cancel()
+		_ = server.Stop(ctx)
+		client.Close()
+		running.Wait()
+	})
+	return n
+}
+
+func TestGatewaysFindEachOtherThroughTheStore(t *testing.T) {
+	store := fake.New(fake.Options{})
+	nodes := []*node{start(t, "a", store, 1), start(t, "b", store, 2), start(t, "c", store, 3)}
+	// A predecessor's entry is replaced.
+	nodes = append(nodes, start(t, "d", store, 4))
+	for _, n := range nodes {
+		require.Eventually(t, func() bool { return n.Live() == len(nodes) }, 20*time.Second, 5*time.Millisecond)
+	}
+	require.Eventually(t, func() bool { return nodes[0].version("d") == 4 }, 20*time.Second, 5*time.Millisecond)
+}
