Soak gateways as processes under drawn faults

Three gateways before stand-ins, with a proxy before each server and the store: connections slow, reset, deaf one way or silent; processes paused, killed, stopped; a store that refuses, loses answers or hears nothing; servers that refuse, fail, cut, reset, stay silent or answer for others; configurations meanwhile. Checked: answers are their own and whole, told not run is not run, nothing that must not repeats, versions never go back, one holder a fencing number, recovery, leaving servers, graceful stops.

--- /dev/null
+++ b/test/soak/soak_test.go
@@ -0,0 +1,225 @@
+package soak
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/marigoldwing/marigoldwing/platform/standin"
+)
+
+var (
+	seeds  = flag.Int("seeds", 2, "number of `seeds` to run")
+	first  = flag.Uint64("first", 1, "first `seed`")
+	length = flag.Duration("length", 6*time.Second, "`time` of faults in each run")
+)
+
+// regressions are seeds that have failed, each with its cause.
+var regressions = []struct {
+	seed  uint64
+	cause string
+}{}
+
+// TestSoak runs drawn faults, in series and overlapping, under callers that
+// keep their connections, and checks what callers are promised.
+func TestSoak(t *testing.T) {
+	for _, r := range regressions {
+		t.Run(fmt.Sprintf("regression-%d", r.seed), func(t *testing.T) { soak(t, r.seed) })
+	}
+	for i := range *seeds {
+		seed := *first + uint64(i)
+		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) { soak(t, seed) })
+	}
+}
+
+func soak(t *testing.T, seed uint64) {
+	r := rand.New(rand.NewPCG(seed, 0))
+	f := newFleet(t)
+	for _, g := range f.gateways {
+		require.Eventually(t, g.ready, soon, tick, "%s is not ready", g.name)
+	}
+	var version atomic.Int64
+	version.Store(int64(f.version))
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	callers, wait := startCallers(ctx, f, r, func() int { return int(version.Load()) })
+	f.injectFaults(r, &version)
+	f.expectRecovery(t)
+	cancel()
+	wait()
+	f.expectOrders(t)
+	total, answered := 0, 0
+	for _, c := range callers {
+		require.Empty(t, c.check(), "seed %d", seed)
+		for _, a := range c.answers {
+			total++
+			if a.status == http.StatusOK && a.whole {
+				answered++
+			}
+		}
+	}
+	t.Logf("seed %d: %d requests, %d answered whole", seed, total, answered)
+	require.Positive(t, answered)
+	f.expectNoWorkWhenLeaving(t)
+	f.expectGracefulStop(t)
+}
+
+// callersPerGateway keep their connections to it as long as it lives.
+const callersPerGateway = 6
+
+func startCallers(ctx context.Context, f *fleet, r *rand.Rand, version func() int) ([]*caller, func()) {
+	var callers []*caller
+	var running sync.WaitGroup
+	for i, g := range f.gateways {
+		for j := range callersPerGateway {
+			c := &caller{
+				f: f, gateway: g, name: fmt.Sprintf("c%d-%d", i, j),
+				client: &http.Client{Transport: &http.Transport{}, Timeout: 10 * time.Second},
+				rand:   rand.New(rand.NewPCG(r.Uint64(), 0)),
+			}
+			callers = append(callers, c)
+			running.Go(func() { c.run(ctx, version) })
+		}
+	}
+	return callers, running.Wait
+}
+
+// injectFaults begins and ends faults, up to three at a time, and applies
+// configurations meanwhile.
+func (f *fleet) injectFaults(r *rand.Rand, version *atomic.Int64) {
+	var open []fault
+	for begin := time.Now(); time.Since(begin) < *length; {
+		time.Sleep(time.Duration(100+r.IntN(500)) * time.Millisecond)
+		if len(open) == 3 || len(open) > 0 && r.IntN(3) == 0 {
+			open[0].end()
+			f.t.Logf("%6.2f s: end of %s", time.Since(begin).Seconds(), open[0].name)
+			open = open[1:]
+			continue
+		}
+		if r.IntN(4) == 0 {
+			version.Store(int64(f.apply()))
+			continue
+		}
+		begun := f.drawFault(r)
+		f.t.Logf("%6.2f s: %s", time.Since(begin).Seconds(), begun.name)
+		open = append(open, begun)
+	}
+	for _, o := range open {
+		o.end()
+	}
+	// What a later fault of the same kind left behind.
+	for _, p := range append(f.links, f.stores...) {
+		p.set(pass)
+	}
+	for _, s := range f.servers {
+		s.Behave(standin.Healthy)
+	}
+	f.store.SetFaults(standin.StoreFaults{})
+	for _, g := range f.gateways {
+		g.signal(syscall.SIGCONT)
+		select {
+		case <-g.wait():
+			g.start()
+		default:
+		}
+	}
+}
+
+// expectRecovery waits until every gateway serves every kind of request, on
+// the newest configuration.
+func (f *fleet) expectRecovery(t *testing.T) {
+	paths := []string{"/write/1", "/read/1", "/stream/1", "/resume/1", fmt.Sprintf("/v%d/1", f.version)}
+	for i, g := range f.gateways {
+		c := &caller{f: f, gateway: g, name: fmt.Sprintf("after%d", i), client: &http.Client{Timeout: 5 * time.Second}, rand: rand.New(rand.NewPCG(1, 1))}
+		n := 0
+		require.Eventually(t, func() bool {
+			for _, path := range paths {
+				n++
+				if a := c.send(t.Context(), path, fmt.Sprintf("%s-%d", c.name, n)); a.status != http.StatusOK || !a.whole {
+					return false
+				}
+			}
+			return true
+		}, soon, 100*time.Millisecond, "%s does not serve again", g.name)
+		require.Empty(t, c.check())
+	}
+}
+
+// expectOrders checks that no two holders gave orders with one fencing number.
+func (f *fleet) expectOrders(t *testing.T) {
+	holders := make(map[int]string)
+	for _, s := range f.servers {
+		for _, text := range s.Orders() {
+			var order struct {
+				Holder string `json:"holder"`
+				Fence  int    `json:"fence"`
+			}
+			require.NoError(t, json.Unmarshal([]byte(text), &order))
+			if before, ok := holders[order.Fence]; ok {
+				require.Equal(t, before, order.Holder, "fencing number %d", order.Fence)
+			}
+			holders[order.Fence] = order.Holder
+		}
+	}
+}
+
+// expectNoWorkWhenLeaving has a server leave and checks that it gets nothing
+// after the time of notice.
+func (f *fleet) expectNoWorkWhenLeaving(t *testing.T) {
+	leaving := f.servers[0]
+	f.register(leaving, "draining")
+	time.Sleep(1200 * time.Millisecond)
+	for i, g := range f.gateways {
+		c := &caller{f: f, gateway: g, client: http.DefaultClient, rand: rand.New(rand.NewPCG(2, 2))}
+		for n := range 20 {
+			id := fmt.Sprintf("leave%d-%d", i, n)
+			c.send(t.Context(), "/read/1", id)
+			require.Zero(t, leaving.Runs(id), "%s got work after it had said that it leaves", leaving.ID)
+		}
+	}
+}
+
+// expectGracefulStop stops all gateways under requests: each one that has been
+// taken is answered, and each process ends with code 0.
+func (f *fleet) expectGracefulStop(t *testing.T) {
+	var running sync.WaitGroup
+	for i, g := range f.gateways {
+		c := &caller{f: f, gateway: g, client: &http.Client{Timeout: 10 * time.Second}, rand: rand.New(rand.NewPCG(3, 3))}
+		running.Go(func() {
+			for n := range 20 {
+				path := []string{"/write/1", "/stream/1"}[n%2]
+				a := c.send(t.Context(), path, fmt.Sprintf("stop%d-%d", i, n))
+				if a.status != http.StatusOK || !a.whole {
+					c.report("%s: status %d, whole %v while stopping", a.id, a.status, a.whole)
+				}
+				time.Sleep(20 * time.Millisecond)
+			}
+			for _, wrong := range c.check() {
+				t.Error(wrong)
+			}
+		})
+	}
+	time.Sleep(100 * time.Millisecond)
+	for _, g := range f.gateways {
+		g.signal(syscall.SIGTERM)
+	}
+	running.Wait()
+	for _, g := range f.gateways {
+		select {
+		case err := <-g.wait():
+			require.NoError(t, err, "%s", g.name)
+		case <-time.After(soon):
+			t.Fatalf("%s does not end", g.name)
+		}
+	}
+}
