Close the listener and idle connections once the balancer has had its notice

Listener and idle connections stayed open as long as anything ran. Change: the drain is the balancer's notice alone (2.5 s); the server then closes both and waits for what runs until a second before the end of the grace. Test: the soak keeps idle connections and holds a request while it stops; with the change taken out they are still open after 4 s.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -49,9 +49,7 @@
 	origin  time.Time
 	state   atomic.Pointer[state]
 	leaving atomic.Bool
-	// inflight counts requests that have been read and not answered.
-	inflight sync.WaitGroup
-	seed     atomic.Uint64
+	seed    atomic.Uint64
 	// live returns the number of gateways that live; nil if this is alone.
 	live func() int
 }
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -57,12 +57,8 @@
 
 // ServeHTTP implements http.Handler for callers.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	g.inflight.Add(1)
 	g.metrics.inflight.Inc()
-	defer func() {
-		g.metrics.inflight.Dec()
-		g.inflight.Done()
-	}()
+	defer g.metrics.inflight.Dec()
 	if g.leaving.Load() {
 		w.Header().Set("Connection", "close")
 	}
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -32,14 +32,13 @@
 	// maxHeaderBytes bounds a request's head.
 	maxHeaderBytes = 64 << 10
 	// leaveNotice is how long callers are still taken after the readiness
-	// check has begun to fail, so that the balancer turns away first.
+	// check has begun to fail, so that the balancer turns away first. Then the
+	// listener and idle connections are closed, and what runs may end.
 	leaveNotice = 2500 * time.Millisecond
-	// stopMargin is left between the end of the drain and the end of the
-	// grace, for twice stopTimeout.
-	stopMargin = 1100 * time.Millisecond
-	// stopTimeout bounds the closing of listeners, and then the release of
-	// the lease.
-	stopTimeout = 400 * time.Millisecond
+	// stopMargin is left of the grace when what runs has had its time.
+	stopMargin = time.Second
+	// releaseTime bounds the release of the lease at the end.
+	releaseTime = 500 * time.Millisecond
 	// memoryShare of the allowed memory is the collector's limit.
 	memoryShare = 0.7
 	bytesPerMB  = 1 << 20
@@ -109,8 +108,9 @@
 			func(ctx context.Context) { g.RunStages(ctx, stageOptions) },
 		},
 		Drain:        g.Drain,
-		DrainTimeout: time.Duration(s.GetStopGraceS()*float64(time.Second)) - stopMargin,
-		StopTimeout:  stopTimeout,
+		DrainTimeout: leaveNotice,
+		StopTimeout:  max(leastStopTime, seconds(s.GetStopGraceS())-leaveNotice-stopMargin),
+		LoopTimeout:  releaseTime,
 		Tune:         tuneServer,
 	})
 }
@@ -147,6 +147,11 @@
 	return server
 }
 
+// leastStopTime is what running requests get however short the grace is.
+const leastStopTime = time.Second
+
+func seconds(n float64) time.Duration { return time.Duration(n * float64(time.Second)) }
+
 // Why a gateway is not ready.
 var (
 	errLeaving       = errors.New("leaving")
@@ -174,23 +179,11 @@
 	})
 }
 
-// Drain turns callers away and returns when the requests in flight have their
-// answers, or when ctx is over.
+// Drain turns callers away and returns when the balancer has had the time to
+// do so too. The listener is closed then.
 func (g *Gateway) Drain(ctx context.Context) {
 	g.leaving.Store(true)
-	select {
-	case <-time.After(leaveNotice):
-	case <-ctx.Done():
-	}
-	ended := make(chan struct{})
-	go func() {
-		g.inflight.Wait()
-		close(ended)
-	}()
-	select {
-	case <-ended:
-	case <-ctx.Done():
-	}
+	<-ctx.Done()
 }
 
 // ignoreHangup keeps the process alive when its settings have changed.
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -20,7 +20,7 @@
 )
 
 // DefaultStopTimeout bounds the closing of listeners after the drain, and then
-// the end of the loops.
+// the end of the loops, where the options say nothing else.
 const DefaultStopTimeout = 5 * time.Second
 
 // Options describe one process.
@@ -41,9 +41,12 @@
 	Drain func(ctx context.Context)
 	// DrainTimeout bounds Drain.
 	DrainTimeout time.Duration
-	// StopTimeout bounds the closing of listeners after Drain, and then the
-	// end of the loops; 0 means DefaultStopTimeout.
+	// StopTimeout bounds the closing of listeners after Drain, for which
+	// requests in flight have their answers; 0 means DefaultStopTimeout.
 	StopTimeout time.Duration
+	// LoopTimeout bounds the end of the loops after that; 0 means
+	// DefaultStopTimeout.
+	LoopTimeout time.Duration
 	// Tune sets limits of the HTTP server, which then serves Handler without
 	// a router of its own; nil keeps the router.
 	Tune func(*kratoshttp.Server)
@@ -56,6 +59,9 @@
 	if opts.StopTimeout == 0 {
 		opts.StopTimeout = DefaultStopTimeout
 	}
+	if opts.LoopTimeout == 0 {
+		opts.LoopTimeout = DefaultStopTimeout
+	}
 	loopCtx, stopLoops := context.WithCancel(ctx)
 	defer stopLoops()
 	var loops sync.WaitGroup
@@ -107,7 +113,7 @@
 	}()
 	select {
 	case <-ended:
-	case <-time.After(opts.StopTimeout):
+	case <-time.After(opts.LoopTimeout):
 		opts.Log.Info("loops still running at exit")
 	}
 }
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -1,11 +1,14 @@
 package soak
 
 import (
+	"bufio"
 	"context"
 	"encoding/json"
 	"flag"
 	"fmt"
+	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -189,6 +192,40 @@
 	}
 }
 
+// idleClosedAfter is the time after SIGTERM by which idle connections are
+// closed: the balancer's notice, and half of the rest of the grace.
+const idleClosedAfter = 4 * time.Second
+
+// beforeClose is a time after SIGTERM at which gateways still take requests.
+const beforeClose = 2 * time.Second
+
+// holdRequests has each gateway wait for a silent server from a moment on, so
+// that it has something to end for while idle connections are to be closed.
+func (f *fleet) holdRequests(at time.Time, running *sync.WaitGroup) {
+	time.Sleep(time.Until(at))
+	for _, s := range f.servers {
+		s.Behave(standin.Silent)
+	}
+	for i, g := range f.gateways {
+		c := &caller{f: f, gateway: g, client: &http.Client{Timeout: 10 * time.Second}, rand: rand.New(rand.NewPCG(4, 4))}
+		running.Go(func() { c.send(f.t.Context(), "/write/1", fmt.Sprintf("held%d", i)) })
+	}
+}
+
+// idleConnection returns a connection that a caller has used and keeps.
+func (p *process) idleConnection() net.Conn {
+	conn, err := net.Dial("tcp", p.callers)
+	require.NoError(p.t, err)
+	p.t.Cleanup(func() { _ = conn.Close() })
+	_, err = io.WriteString(conn, "GET /nowhere/ HTTP/1.1\r\nHost: h\r\n\r\n")
+	require.NoError(p.t, err)
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	require.NoError(p.t, err)
+	_, err = io.Copy(io.Discard, resp.Body)
+	require.NoError(p.t, err)
+	return conn
+}
+
 // expectGracefulStop stops all gateways under requests: each one that has been
 // taken is answered, and each process ends with code 0.
 func (f *fleet) expectGracefulStop(t *testing.T) {
@@ -209,10 +246,23 @@
 			}
 		})
 	}
+	var idle []net.Conn
+	for _, g := range f.gateways {
+		idle = append(idle, g.idleConnection())
+	}
 	time.Sleep(100 * time.Millisecond)
 	for _, g := range f.gateways {
 		g.signal(syscall.SIGTERM)
 	}
+	stoppedAt := time.Now()
+	running.Wait()
+	f.holdRequests(stoppedAt.Add(beforeClose), &running)
+	for i, conn := range idle {
+		// A request on it late in the grace would be taken and cut.
+		require.NoError(t, conn.SetReadDeadline(stoppedAt.Add(idleClosedAfter)))
+		_, err := conn.Read(make([]byte, 1))
+		require.ErrorIs(t, err, io.EOF, "%s keeps an idle connection while it stops", f.gateways[i].name)
+	}
 	running.Wait()
 	for _, g := range f.gateways {
 		select {
