--- a/internal/gateway/stages.go
+++ b/internal/gateway/stages.go
@@ -21,6 +21,9 @@
 	// reportInterval is the time between reads of the engines' reports, which
 	// only the holder of the lease makes.
 	reportInterval = 500 * time.Millisecond
+	// maxReports is about how many engines are asked at a time, so that the
+	// reads do not grow with the fleet.
+	maxReports = 24
 	// engineCallTimeout bounds a report or an order.
 	engineCallTimeout = 800 * time.Millisecond
 	// leasesPerTerm is the time to live of the stored lease in lease times, so
@@ -78,6 +81,9 @@
 	// lease, so that it takes no turns with the one before.
 	quiet time.Duration
 
+	// turn says which engines are asked next.
+	turn int
+
 	state stages.State
 	term  uint64
 	since time.Duration
@@ -205,34 +211,43 @@
 	}
 }
 
-// reports reads the reports of all engines at once. Engines that do not answer
-// count for nothing.
+// reports reads the reports of the engines whose turn it is, at once. Engines
+// that do not answer count for nothing.
 func (k *stageKeeper) reports(ctx context.Context, servers []fleet.Server) ([]stages.Engine, map[string]Report) {
 	var mu sync.Mutex
-	var engines []stages.Engine
-	reports := make(map[string]Report, len(servers))
+	var known []stages.Engine
+	reports := make(map[string]Report, maxReports)
 	var reads sync.WaitGroup
-	for _, server := range servers {
+	turns := (len(servers) + maxReports - 1) / maxReports
+	k.turn++
+	for i, server := range servers {
 		if server.Leaving || server.Stage == fleet.StageWhole {
 			continue
 		}
+		engine := stages.Engine{ID: server.ID, Stage: server.Stage, Changing: k.isPending(server.ID), Slots: server.Slots}
+		if i%turns != k.turn%turns {
+			mu.Lock()
+			known = append(known, engine)
+			mu.Unlock()
+			continue
+		}
 		reads.Go(func() {
 			report, err := k.report(ctx, server)
 			if err != nil {
 				k.log.V(1).Info("engine gave no report", "server", server.ID, "error", err.Error())
 				return
 			}
+			engine.Asked, engine.Stage = true, report.Stage
+			engine.Changing = engine.Changing || report.Changing
+			engine.Running, engine.Queued = report.Running, report.Queued
 			mu.Lock()
 			defer mu.Unlock()
 			reports[server.ID] = report
-			engines = append(engines, stages.Engine{
-				ID: server.ID, Stage: report.Stage, Changing: report.Changing || k.isPending(server.ID),
-				Running: report.Running, Queued: report.Queued, Slots: server.Slots,
-			})
+			known = append(known, engine)
 		})
 	}
 	reads.Wait()
-	return engines, reports
+	return known, reports
 }
 
 // isPending tells whether an order without an answer may still be carried out.
--- a/internal/stages/stages.go
+++ b/internal/stages/stages.go
@@ -24,6 +24,9 @@
 	Leaving bool
 	// Changing engines are carrying out an order.
 	Changing bool
+	// Asked engines have reported their load; others count by their stage
+	// alone, so that not each engine of a large fleet need be asked each time.
+	Asked bool
 	// Running and Queued requests, and how many can run at once.
 	Running, Queued, Slots int
 }
@@ -85,7 +88,9 @@
 // sums are the engines and the load of each stage.
 type sums struct {
 	prefills, decodes, changing int
-	prompts, used, slots        float64
+	// askedPrefills of the prefill engines have told prompts.
+	askedPrefills        int
+	prompts, used, slots float64
 }
 
 func sum(engines []Engine) sums {
@@ -97,11 +102,16 @@
 			s.changing++
 		case e.Stage == fleet.StagePrefill:
 			s.prefills++
-			s.prompts += float64(e.Running + e.Queued)
+			if e.Asked {
+				s.askedPrefills++
+				s.prompts += float64(e.Running + e.Queued)
+			}
 		case e.Stage == fleet.StageDecode:
 			s.decodes++
-			s.used += float64(e.Running + e.Queued)
-			s.slots += float64(e.Slots)
+			if e.Asked {
+				s.used += float64(e.Running + e.Queued)
+				s.slots += float64(e.Slots)
+			}
 		}
 	}
 	return s
@@ -130,7 +140,7 @@
 
 // observe smooths the load.
 func (st State) observe(o Options, now time.Duration, s sums) State {
-	queue := s.prompts / float64(max(1, s.prefills))
+	queue := s.prompts / float64(max(1, s.askedPrefills))
 	use := s.used / max(1, s.slots)
 	if !st.seen {
 		st.prefillQueue, st.decodeUse = queue, use
@@ -173,7 +183,7 @@
 	}
 	var candidates []Engine
 	for _, e := range engines {
-		if e.Stage == from && !e.Leaving && !e.Changing {
+		if e.Stage == from && e.Asked && !e.Leaving && !e.Changing {
 			candidates = append(candidates, e)
 		}
 	}
--- a/internal/stages/stages_test.go
+++ b/internal/stages/stages_test.go
@@ -16,10 +16,10 @@
 func engines(prefills, prompts, decodes, running int) []Engine {
 	var list []Engine
 	for i := range prefills {
-		list = append(list, Engine{ID: fmt.Sprintf("p%d", i), Stage: fleet.StagePrefill, Queued: prompts, Slots: 16})
+		list = append(list, Engine{ID: fmt.Sprintf("p%d", i), Stage: fleet.StagePrefill, Queued: prompts, Slots: 16, Asked: true})
 	}
 	for i := range decodes {
-		list = append(list, Engine{ID: fmt.Sprintf("d%d", i), Stage: fleet.StageDecode, Running: running + i, Slots: 16})
+		list = append(list, Engine{ID: fmt.Sprintf("d%d", i), Stage: fleet.StageDecode, Running: running + i, Slots: 16, Asked: true})
 	}
 	return list
 }
@@ -80,6 +80,26 @@
 	require.Equal(t, fleet.StagePrefill, settle(engines(0, 0, 4, 100), 1)[0].To)
 }
 
+// In a large fleet some engines are asked each time: the means are theirs, the
+// counts are of all, and only an engine whose load is known changes.
+func TestSomeEnginesStandForAll(t *testing.T) {
+	list := engines(45, 20, 55, 2)
+	for i := range list {
+		list[i].Asked = i%9 == 0
+		list[i].Running = min(list[i].Running, 2)
+	}
+	orders := settle(list, 3)
+	require.Len(t, orders, 1)
+	require.Equal(t, fleet.StagePrefill, orders[0].To)
+	require.InDelta(t, 20, orders[0].PrefillQueue, 1)
+	for _, e := range list {
+		if e.ID == orders[0].Engine {
+			require.True(t, e.Asked)
+		}
+	}
+	require.Empty(t, settle(list[1:9], 3), "nothing is known of any load")
+}
+
 func TestLeavingEnginesCountForNothing(t *testing.T) {
 	list := engines(5, 0, 7, 0)
 	for i := range list {
--- a/test/soak/fleet_test.go
+++ b/test/soak/fleet_test.go
@@ -62,6 +62,10 @@
 	readiness string
 	log       *os.File
 
+	// faulty is set while a fault of the process is open, so that the ends of
+	// two do not start it twice.
+	faulty bool
+
 	mu    sync.Mutex
 	cmd   *exec.Cmd
 	ended chan error
@@ -218,7 +222,11 @@
 // drawFault begins a fault.
 func (f *fleet) drawFault(r *rand.Rand) fault {
 	g := f.gateways[r.IntN(len(f.gateways))]
-	switch r.IntN(7) {
+	kind := r.IntN(7)
+	if kind >= 4 && g.faulty {
+		kind = 0
+	}
+	switch kind {
 	case 0:
 		i, m := r.IntN(len(f.links)), mode(1+r.IntN(int(modes)-1))
 		f.links[i].set(m)
@@ -239,19 +247,26 @@
 			f.store.SetFaults(standin.StoreFaults{})
 		}}
 	case 4:
+		g.faulty = true
 		g.signal(syscall.SIGSTOP)
-		return fault{g.name + " paused", func() { g.signal(syscall.SIGCONT) }}
+		return fault{g.name + " paused", func() {
+			g.signal(syscall.SIGCONT)
+			g.faulty = false
+		}}
 	case 5:
-		g.signal(syscall.SIGCONT)
-		g.signal(syscall.SIGKILL)
-		<-g.wait()
-		return fault{g.name + " killed", g.start}
+		return g.restarted("killed", syscall.SIGKILL)
 	default:
-		g.signal(syscall.SIGCONT)
-		g.signal(syscall.SIGTERM)
-		return fault{g.name + " stopped", func() {
-			<-g.wait()
-			g.start()
-		}}
+		return g.restarted("stopped", syscall.SIGTERM)
 	}
 }
+
+// restarted ends a process by a signal; the fault's end starts it again.
+func (p *process) restarted(how string, by syscall.Signal) fault {
+	p.faulty = true
+	p.signal(by)
+	return fault{p.name + " " + how, func() {
+		<-p.wait()
+		p.start()
+		p.faulty = false
+	}}
+}
