One client for the store; reload settings; drain until callers are quiet

One client: platform.Store carries the product's own objects too; the product's client of its former object API and that API are gone, and its stand-in of the platform serves the published protocol. Reload: retry budget and bounds follow the settings at SIGHUP and when the file changes without one; settings that are wrong change nothing. Prefill answers must name their request, as a handle may be another's (test: red without the check, by reading; not run with it taken out). Traced by the code: a stream that began before the entry was leaving is answered without Connection: close; when it ended last, the drain ended and idle connections were closed while the caller wrote. The drain now ends when nothing has been in flight for 200 ms (test in virtual time).

--- a/cmd/marigold-gateway/main.go
+++ b/cmd/marigold-gateway/main.go
@@ -19,13 +19,14 @@
 func main() {
 	out := telemetry.NewWriter(os.Stdout, telemetry.DefaultLogBuffer)
 	run := func(ctx context.Context, s *settingsv1.Gateway, log logr.Logger) error {
-		store := platform.NewStore(s.GetPlatformAddress())
+		store := platform.NewStore("http://" + s.GetPlatformAddress())
 		return gateway.Run(ctx, s, gateway.Wire{
 			Source:      store,
 			Protocol:    platform.Protocol{},
 			Stages:      platform.Protocol{},
 			Leases:      store,
 			Peers:       store,
+			Reload:      reload,
 			LogsDropped: out.Dropped,
 		}, log)
 	}
@@ -33,3 +34,9 @@
 	out.Close()
 	os.Exit(code)
 }
+
+// reload reads the settings of this process anew.
+func reload() (*settingsv1.Gateway, error) {
+	s, _, err := settings.LoadGateway(os.Args[1:])
+	return s, err
+}
--- a/internal/agent/run.go
+++ b/internal/agent/run.go
@@ -14,9 +14,9 @@
 	"github.com/marigoldwing/marigoldwing/internal/ledger"
 	"github.com/marigoldwing/marigoldwing/internal/order"
 	"github.com/marigoldwing/marigoldwing/internal/peer"
-	"github.com/marigoldwing/marigoldwing/internal/platform"
 	"github.com/marigoldwing/marigoldwing/internal/process"
 	"github.com/marigoldwing/marigoldwing/internal/telemetry"
+	client "github.com/marigoldwing/marigoldwing/platform"
 )
 
 // exclusiveRetry is the time between attempts to take the exclusive address.
@@ -42,7 +42,7 @@
 		Address:       p.GetPeerAddress(),
 		Incarnation:   uint64(time.Now().UnixNano()),
 		Seeds:         p.GetPeers(),
-		Store:         platform.NewHTTP(p.GetPlatformUrl(), platform.Options{}),
+		Store:         client.NewStore(p.GetPlatformUrl()),
 		Peers:         peers,
 		Dial:          engine.NewHTTP,
 		LedgerMetrics: ledger.NewMetrics(registry),
--- a/internal/entry/inflight.go
+++ b/internal/entry/inflight.go
@@ -3,19 +3,23 @@
 import (
 	"context"
 	"sync"
+	"time"
 )
 
 // inflight counts the requests in flight.
 type inflight struct {
-	mu   sync.Mutex
-	n    int
-	idle chan struct{}
+	mu sync.Mutex
+	n  int
+	// begun counts all requests that have begun.
+	begun uint64
+	idle  chan struct{}
 }
 
 func (f *inflight) begin() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.n++
+	f.begun++
 }
 
 func (f *inflight) end() {
@@ -51,3 +55,25 @@
 	case <-ctx.Done():
 	}
 }
+
+// waitQuiet returns when no request has been in flight for a time, or when ctx
+// is over.
+func (f *inflight) waitQuiet(ctx context.Context, quiet time.Duration) {
+	for ctx.Err() == nil {
+		f.wait(ctx)
+		before := f.total()
+		select {
+		case <-time.After(quiet):
+		case <-ctx.Done():
+		}
+		if f.count() == 0 && f.total() == before {
+			return
+		}
+	}
+}
+
+func (f *inflight) total() uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.begun
+}
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -13,9 +13,9 @@
 	"github.com/marigoldwing/marigoldwing/internal/apply"
 	"github.com/marigoldwing/marigoldwing/internal/operator"
 	"github.com/marigoldwing/marigoldwing/internal/peer"
-	"github.com/marigoldwing/marigoldwing/internal/platform"
 	"github.com/marigoldwing/marigoldwing/internal/process"
 	"github.com/marigoldwing/marigoldwing/internal/telemetry"
+	client "github.com/marigoldwing/marigoldwing/platform"
 )
 
 // Run runs marigold-entry until it is stopped.
@@ -28,7 +28,7 @@
 		Metrics:         peerMetrics,
 	})
 	defer peers.Close()
-	store := platform.NewHTTP(p.GetPlatformUrl(), platform.Options{})
+	store := client.NewStore(p.GetPlatformUrl())
 	e := New(Options{
 		Name:          p.GetName(),
 		FailureDomain: p.GetFailureDomain(),
@@ -103,5 +103,10 @@
 	case <-time.After(leaveNotice):
 	case <-ctx.Done():
 	}
-	e.inflight.wait(ctx)
+	e.inflight.waitQuiet(ctx, quietTime)
 }
+
+// quietTime is how long no request is in flight before the listener closes. A
+// caller whose stream began before the entry was leaving has not been told that
+// its connection closes; the answer to its next request tells it.
+const quietTime = 200 * time.Millisecond
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -91,6 +91,9 @@
 		q.service.refused(q.g.now(), c.Prefill.ID)
 		return nil, q.prefillFailed(ctx, c, fmt.Sprintf("refused with status %d", e.Answer.StatusCode))
 	}
+	if answer.RequestID != q.call.ID {
+		return nil, q.prefillBroke(ctx, c, "answer names no request")
+	}
 	if e.Answer.StatusCode != http.StatusOK {
 		return nil, q.prefillBroke(ctx, c, fmt.Sprintf("status %d", e.Answer.StatusCode))
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -50,6 +50,7 @@
 	state   atomic.Pointer[state]
 	leaving atomic.Bool
 	seed    atomic.Uint64
+	retries atomic.Pointer[RetryOptions]
 	// live returns the number of gateways that live; nil if this is alone.
 	live func() int
 }
@@ -81,6 +82,7 @@
 		metrics: newMetrics(opts.Registerer),
 		origin:  time.Now(),
 	}
+	g.setRetries(opts.Retries)
 	g.state.Store(&state{services: map[string]*service{}})
 	return g
 }
@@ -89,6 +91,9 @@
 // servers.
 func (g *Gateway) ConnectionsOpened() int64 { return g.pool.Opened() }
 
+// setRetries replaces the retry budget that all gateways share.
+func (g *Gateway) setRetries(o RetryOptions) { g.retries.Store(&o) }
+
 // now returns the monotonic time since the gateway was made.
 func (g *Gateway) now() time.Duration { return time.Since(g.origin) }
 
@@ -134,8 +139,9 @@
 
 // retryOptions returns this gateway's share of the retry budget.
 func (g *Gateway) retryOptions() retry.Options {
-	options := retry.DefaultOptions(g.opts.Retries.Ratio)
-	options.BudgetReserve = g.opts.Retries.Reserve / float64(max(g.gateways(), leastGateways))
+	budget := g.retries.Load()
+	options := retry.DefaultOptions(budget.Ratio)
+	options.BudgetReserve = budget.Reserve / float64(max(g.gateways(), leastGateways))
 	return options
 }
 
--- /dev/null
+++ b/internal/gateway/reload.go
@@ -0,0 +1,65 @@
+package gateway
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	settingsv1 "github.com/marigoldwing/marigoldwing/api/settings/v1"
+	"github.com/marigoldwing/marigoldwing/internal/registry"
+)
+
+// reloadInterval is the time between looks at the settings, which may change
+// without a signal.
+const reloadInterval = 5 * time.Second
+
+// reloader takes in settings that change while the process runs.
+type reloader struct {
+	g        *Gateway
+	follower *registry.Follower
+	// load reads the settings anew.
+	load    func() (*settingsv1.Gateway, error)
+	current *settingsv1.Gateway
+}
+
+// run looks at the settings at each SIGHUP and from time to time.
+func (r *reloader) run(ctx context.Context) {
+	hangup := make(chan os.Signal, 1)
+	signal.Notify(hangup, syscall.SIGHUP)
+	defer signal.Stop(hangup)
+	ticker := time.NewTicker(reloadInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hangup:
+			r.reload("signal")
+		case <-ticker.C:
+			r.reload("file")
+		}
+	}
+}
+
+// reload puts changed settings in force. Settings that are wrong change
+// nothing; addresses take effect at the next start.
+func (r *reloader) reload(cause string) {
+	next, err := r.load()
+	if err != nil {
+		r.g.log.Error(err, "settings not reloaded, those in use stay", "cause", cause)
+		return
+	}
+	if proto.Equal(next, r.current) {
+		return
+	}
+	r.current = next
+	r.g.setRetries(retryBudget(next))
+	r.follower.SetBounds(bounds(next))
+	r.g.log.Info("settings reloaded, addresses take effect at the next start", "cause", cause,
+		"retry_budget_ratio", next.GetRetryBudgetRatio(), "retry_budget_reserve", next.GetRetryBudgetReserve(),
+		"config_apply_ms", next.GetConfigApplyMs(), "drain_notice_ms", next.GetDrainNoticeMs())
+}
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -4,10 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
-	"os"
-	"os/signal"
 	"runtime/debug"
-	"syscall"
 	"time"
 
 	"github.com/go-kratos/kratos/v2/transport"
@@ -53,6 +50,8 @@
 	Leases lease.Store
 	// Peers is where gateways find each other.
 	Peers peers.Store
+	// Reload reads the settings anew.
+	Reload func() (*settingsv1.Gateway, error)
 	// LogsDropped returns the log lines dropped so far.
 	LogsDropped func() int64
 }
@@ -93,6 +92,7 @@
 		Ready:   func() error { return g.ready(follower) },
 	})
 	log.Info("starting", "failure_domain", s.GetFailureDomain(), "callers_address", s.GetCallersAddress())
+	reloads := &reloader{g: g, follower: follower, load: wire.Reload, current: s}
 	return process.Run(ctx, process.Options{
 		Name:        s.GetName(),
 		Log:         log,
@@ -104,7 +104,7 @@
 			peer.NewServer(s.GetPeerAddress(), exchange, peerMetrics, log),
 		},
 		Loops: []func(context.Context){
-			follower.Run, exchange.Run, g.shareBudgets, g.ignoreHangup,
+			follower.Run, exchange.Run, g.shareBudgets, reloads.run,
 			func(ctx context.Context) { g.RunStages(ctx, stageOptions) },
 		},
 		Drain:        g.Drain,
@@ -186,21 +186,6 @@
 	<-ctx.Done()
 }
 
-// ignoreHangup keeps the process alive when its settings have changed.
-func (g *Gateway) ignoreHangup(ctx context.Context) {
-	hangup := make(chan os.Signal, 1)
-	signal.Notify(hangup, syscall.SIGHUP)
-	defer signal.Stop(hangup)
-	for {
-		select {
-		case <-hangup:
-			g.log.Info("reload asked for, settings that are in use take effect at the next start")
-		case <-ctx.Done():
-			return
-		}
-	}
-}
-
 // registerGauges adds the metrics that are read when asked for.
 func registerGauges(registerer prometheus.Registerer, f *registry.Follower, g *Gateway, logsDropped func() int64) {
 	counter := func(name, help string, value func() float64) {
--- a/internal/registry/follow.go
+++ b/internal/registry/follow.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"errors"
-	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -45,7 +43,6 @@
 // Follower keeps the configuration and the servers in force up to date.
 type Follower struct {
 	source Source
-	bounds Bounds
 	log    logr.Logger
 	origin time.Time
 	// changed is told of each new state.
@@ -59,6 +56,7 @@
 	relist map[string]chan struct{}
 
 	mu     sync.Mutex
+	bounds Bounds
 	view   *fleet.View
 	config *fleet.Config
 	listed bool
@@ -91,53 +89,19 @@
 	kindServers = "servers"
 )
 
-// SetCompanions has the follower wait longer for watches, as others tell it
-// of news. It is called before Run.
-func (f *Follower) SetCompanions(count func() int) { f.companions = count }
-
-// SetNews has a function called after each change, to tell others. It is
-// called before Run.
-func (f *Follower) SetNews(news func()) { f.news = news }
-
-// News returns the configuration version in force and the revision of the
-// newest change of the registrations.
-func (f *Follower) News() (version int64, changedAt uint64) {
+// SetBounds replaces the times within which news must take effect, from the
+// next watch on.
+func (f *Follower) SetBounds(b Bounds) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.config != nil {
-		version = f.config.Version
-	}
-	return version, f.changedAt
+	f.bounds = b
 }
 
-// Told takes in what another gateway knows. News that has not come through
-// the own watch is read from the store.
-func (f *Follower) Told(version int64, changedAt uint64) {
+// boundsNow returns the bounds in force.
+func (f *Follower) boundsNow() Bounds {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.toldVersion = max(f.toldVersion, version)
-	f.toldChange = max(f.toldChange, changedAt)
-	if f.behind(kindConfig) {
-		wake(f.relist[kindConfig])
-	}
-	if f.behind(kindServers) {
-		wake(f.relist[kindServers])
-	}
-}
-
-// behind tells whether another gateway knows news; f.mu is held.
-func (f *Follower) behind(kind string) bool {
-	if kind == kindConfig {
-		return f.config != nil && f.toldVersion > f.config.Version
-	}
-	return f.toldChange > f.known
-}
-
-func wake(c chan struct{}) {
-	select {
-	case c <- struct{}{}:
-	default:
-	}
+	return f.bounds
 }
 
 // Ready reports whether a configuration and the servers are known.
@@ -157,101 +121,6 @@
 
 func (f *Follower) now() time.Duration { return time.Since(f.origin) }
 
-// Run follows until ctx ends.
-func (f *Follower) Run(ctx context.Context) {
-	var loops sync.WaitGroup
-	loops.Go(func() { f.follow(ctx, kindConfig, f.listConfig, f.watchConfig) })
-	loops.Go(func() { f.follow(ctx, kindServers, f.listServers, f.watchServers) })
-	loops.Go(func() { f.expire(ctx) })
-	loops.Wait()
-}
-
-// follow lists once and then watches; it lists again when history is gone or
-// a call has failed.
-func (f *Follower) follow(ctx context.Context, kind string, list func(context.Context) (uint64, error), watch func(context.Context, uint64) (uint64, error)) {
-	var revision uint64
-	pause := minPause
-	lost := false
-	for ctx.Err() == nil {
-		next, err := f.step(ctx, kind, revision, list, watch)
-		switch {
-		case err == nil:
-			if lost {
-				f.log.Info("store answers again", "kind", kind, "revision", next)
-			}
-			if revision != 0 && next != revision {
-				sleep(ctx, eventPause)
-			}
-			revision, pause, lost = next, minPause, false
-			continue
-		case errors.Is(err, errNews):
-			f.log.Info("another gateway knows news, listing anew", "kind", kind, "revision", revision)
-			revision = 0
-			continue
-		case errors.Is(err, ErrHistoryGone):
-			f.log.Info("history of the store is gone, listing anew", "kind", kind, "revision", revision)
-			revision = 0
-			continue
-		case ctx.Err() != nil:
-			return
-		}
-		f.failed(err, kind, revision, &lost)
-		revision = 0
-		sleep(ctx, pause/2+rand.N(pause/2))
-		pause = min(2*pause, maxPause)
-	}
-}
-
-// errNews says that a watch was ended since another gateway knows news.
-var errNews = errors.New("another gateway knows news")
-
-// newsDelay is how long the own watch has to tell news by itself.
-const newsDelay = 150 * time.Millisecond
-
-func (f *Follower) step(ctx context.Context, kind string, revision uint64, list func(context.Context) (uint64, error), watch func(context.Context, uint64) (uint64, error)) (uint64, error) {
-	f.storeCalls.Add(1)
-	if revision == 0 {
-		return list(ctx)
-	}
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	done := make(chan struct{})
-	defer close(done)
-	go func() {
-		select {
-		case <-f.relist[kind]:
-			sleep(ctx, newsDelay)
-			f.mu.Lock()
-			behind := f.behind(kind)
-			f.mu.Unlock()
-			if behind {
-				cancel(errNews)
-			}
-		case <-done:
-		}
-	}()
-	next, err := watch(ctx, revision)
-	if err != nil && errors.Is(context.Cause(ctx), errNews) {
-		return 0, errNews
-	}
-	return next, err
-}
-
-func (f *Follower) failed(err error, kind string, revision uint64, lost *bool) {
-	f.storeFailed.Add(1)
-	f.source.Reconnect()
-	if errors.Is(err, ErrNoConfig) {
-		return
-	}
-	f.mu.Lock()
-	f.view.Lost()
-	f.mu.Unlock()
-	if !*lost {
-		f.log.Info("store does not answer, what is known stays in force", "kind", kind, "revision", revision, "error", err.Error())
-	}
-	*lost = true
-}
-
 // answered notes that the store has answered; f.mu is held.
 func (f *Follower) answered() {
 	now := f.now()
@@ -269,7 +138,7 @@
 }
 
 func (f *Follower) watchConfig(ctx context.Context, since uint64) (uint64, error) {
-	config, revision, err := f.source.ConfigChanges(ctx, since, f.wait(f.bounds.Config))
+	config, revision, err := f.source.ConfigChanges(ctx, since, f.wait(f.boundsNow().Config))
 	if err != nil {
 		return 0, err
 	}
@@ -318,7 +187,7 @@
 }
 
 func (f *Follower) watchServers(ctx context.Context, since uint64) (uint64, error) {
-	changes, revision, err := f.source.ServerChanges(ctx, since, f.wait(f.bounds.Leaving))
+	changes, revision, err := f.source.ServerChanges(ctx, since, f.wait(f.boundsNow().Leaving))
 	if err != nil {
 		return 0, err
 	}
@@ -363,22 +232,3 @@
 		f.mu.Unlock()
 	}
 }
-
-// wait returns how long a watch may wait under a bound. Where many gateways
-// tell each other of news, one whose watch has just ended finds what the
-// others' watches do not hear.
-func (f *Follower) wait(bound time.Duration) time.Duration {
-	alone := waitShare * float64(bound)
-	together := togetherShare * float64(bound) * float64(f.companions())
-	wait := min(max(alone, together), float64(longestWait))
-	return time.Duration(wait * (1 - waitSpread*rand.Float64()))
-}
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- /dev/null
+++ b/internal/registry/loop.go
@@ -0,0 +1,123 @@
+package registry
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"sync"
+	"time"
+)
+
+// Run follows until ctx ends.
+func (f *Follower) Run(ctx context.Context) {
+	var loops sync.WaitGroup
+	loops.Go(func() { f.follow(ctx, kindConfig, f.listConfig, f.watchConfig) })
+	loops.Go(func() { f.follow(ctx, kindServers, f.listServers, f.watchServers) })
+	loops.Go(func() { f.expire(ctx) })
+	loops.Wait()
+}
+
+// follow lists once and then watches; it lists again when history is gone or
+// a call has failed.
+func (f *Follower) follow(ctx context.Context, kind string, list func(context.Context) (uint64, error), watch func(context.Context, uint64) (uint64, error)) {
+	var revision uint64
+	pause := minPause
+	lost := false
+	for ctx.Err() == nil {
+		next, err := f.step(ctx, kind, revision, list, watch)
+		switch {
+		case err == nil:
+			if lost {
+				f.log.Info("store answers again", "kind", kind, "revision", next)
+			}
+			if revision != 0 && next != revision {
+				sleep(ctx, eventPause)
+			}
+			revision, pause, lost = next, minPause, false
+			continue
+		case errors.Is(err, errNews):
+			f.log.Info("another gateway knows news, listing anew", "kind", kind, "revision", revision)
+			revision = 0
+			continue
+		case errors.Is(err, ErrHistoryGone):
+			f.log.Info("history of the store is gone, listing anew", "kind", kind, "revision", revision)
+			revision = 0
+			continue
+		case ctx.Err() != nil:
+			return
+		}
+		f.failed(err, kind, revision, &lost)
+		revision = 0
+		sleep(ctx, pause/2+rand.N(pause/2))
+		pause = min(2*pause, maxPause)
+	}
+}
+
+// errNews says that a watch was ended since another gateway knows news.
+var errNews = errors.New("another gateway knows news")
+
+// newsDelay is how long the own watch has to tell news by itself.
+const newsDelay = 150 * time.Millisecond
+
+func (f *Follower) step(ctx context.Context, kind string, revision uint64, list func(context.Context) (uint64, error), watch func(context.Context, uint64) (uint64, error)) (uint64, error) {
+	f.storeCalls.Add(1)
+	if revision == 0 {
+		return list(ctx)
+	}
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	done := make(chan struct{})
+	defer close(done)
+	go func() {
+		select {
+		case <-f.relist[kind]:
+			sleep(ctx, newsDelay)
+			f.mu.Lock()
+			behind := f.behind(kind)
+			f.mu.Unlock()
+			if behind {
+				cancel(errNews)
+			}
+		case <-done:
+		}
+	}()
+	next, err := watch(ctx, revision)
+	if err != nil && errors.Is(context.Cause(ctx), errNews) {
+		return 0, errNews
+	}
+	return next, err
+}
+
+func (f *Follower) failed(err error, kind string, revision uint64, lost *bool) {
+	f.storeFailed.Add(1)
+	f.source.Reconnect()
+	if errors.Is(err, ErrNoConfig) {
+		return
+	}
+	f.mu.Lock()
+	f.view.Lost()
+	f.mu.Unlock()
+	if !*lost {
+		f.log.Info("store does not answer, what is known stays in force", "kind", kind, "revision", revision, "error", err.Error())
+	}
+	*lost = true
+}
+
+// wait returns how long a watch may wait under a bound. Where many gateways
+// tell each other of news, one whose watch has just ended finds what the
+// others' watches do not hear.
+func (f *Follower) wait(bound time.Duration) time.Duration {
+	alone := waitShare * float64(bound)
+	together := togetherShare * float64(bound) * float64(f.companions())
+	wait := min(max(alone, together), float64(longestWait))
+	return time.Duration(wait * (1 - waitSpread*rand.Float64()))
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- a/internal/standin/platform/server.go
+++ b/internal/standin/platform/server.go
@@ -7,7 +7,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -28,6 +27,50 @@
 	PathCounts = "/admin/v1/counts"
 )
 
+// pathObjects is followed by "kind" or "kind/name".
+const pathObjects = "/-/objects/"
+
+// maxBodyBytes bounds an object as it is sent: its value in base64, and names.
+const maxBodyBytes = 2 * platform.MaxValueBytes
+
+// wireObject is the JSON form of an object.
+type wireObject struct {
+	Metadata struct {
+		Name     string `json:"name"`
+		Revision uint64 `json:"revision"`
+	} `json:"metadata"`
+	Spec struct {
+		Value []byte `json:"value"`
+	} `json:"spec"`
+}
+
+type wireList struct {
+	Items     []wireObject `json:"items"`
+	Truncated bool         `json:"truncated"`
+	AsOf      uint64       `json:"asOf"`
+}
+
+type wireEvent struct {
+	Object  wireObject `json:"object"`
+	Removed bool       `json:"removed"`
+}
+
+type wireEvents struct {
+	Events []wireEvent `json:"events"`
+	AsOf   uint64      `json:"asOf"`
+}
+
+type wireError struct {
+	Error string `json:"error"`
+}
+
+func toWire(obj platform.Object) wireObject {
+	var w wireObject
+	w.Metadata.Name, w.Metadata.Revision = obj.Key.Name, obj.Version
+	w.Spec.Value = obj.Value
+	return w
+}
+
 // Faults is the JSON form of the fault switches.
 type Faults struct {
 	Down          bool  `json:"down"`
@@ -42,11 +85,11 @@
 func NewHandler(store *fake.Store) http.Handler {
 	h := &handler{store: store}
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET "+platform.PathObjects+"{kind}", h.list)
-	mux.HandleFunc("GET "+platform.PathObjects+"{kind}/{name}", h.get)
-	mux.HandleFunc("PUT "+platform.PathObjects+"{kind}/{name}", h.put)
-	mux.HandleFunc("DELETE "+platform.PathObjects+"{kind}/{name}", h.delete)
-	mux.HandleFunc("GET "+platform.PathWatch+"{kind}", h.watch)
+	mux.HandleFunc("GET "+pathObjects+"{kind}", h.listOrWatch)
+	mux.HandleFunc("POST "+pathObjects+"{kind}", h.create)
+	mux.HandleFunc("GET "+pathObjects+"{kind}/{name}", h.get)
+	mux.HandleFunc("PUT "+pathObjects+"{kind}/{name}", h.replace)
+	mux.HandleFunc("DELETE "+pathObjects+"{kind}/{name}", h.delete)
 	mux.HandleFunc("GET "+PathFaults, h.getFaults)
 	mux.HandleFunc("PUT "+PathFaults, h.putFaults)
 	mux.HandleFunc("POST "+PathSnapshot, h.snapshot)
@@ -59,51 +102,66 @@
 
 func (h *handler) get(w http.ResponseWriter, r *http.Request) {
 	obj, err := h.store.Get(r.Context(), keyOf(r))
-	answer(w, platform.ToWire(obj), err)
+	answer(w, toWire(obj), err)
 }
 
-func (h *handler) list(w http.ResponseWriter, r *http.Request) {
+func (h *handler) listOrWatch(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Query().Has("watch") {
+		h.watch(w, r)
+		return
+	}
 	objects, err := h.store.List(r.Context(), r.PathValue("kind"))
-	list := platform.WireList{Objects: make([]platform.WireObject, 0, len(objects))}
+	list := wireList{Items: make([]wireObject, 0, len(objects))}
 	for _, obj := range objects {
-		list.Objects = append(list.Objects, platform.ToWire(obj))
+		list.Items = append(list.Items, toWire(obj))
 	}
 	answer(w, list, err)
 }
 
-func (h *handler) put(w http.ResponseWriter, r *http.Request) {
-	want, err := queryNumber(r, platform.QueryVersion)
-	if err != nil {
-		refuse(w, http.StatusBadRequest, err)
-		return
+func (h *handler) create(w http.ResponseWriter, r *http.Request) {
+	if in, ok := readObject(w, r); ok {
+		h.put(w, r, platform.Key{Kind: r.PathValue("kind"), Name: in.Metadata.Name}, in, 0)
 	}
-	value, err := io.ReadAll(http.MaxBytesReader(w, r.Body, platform.MaxValueBytes))
-	if err != nil {
-		refuse(w, http.StatusRequestEntityTooLarge, err)
-		return
+}
+
+func (h *handler) replace(w http.ResponseWriter, r *http.Request) {
+	if in, ok := readObject(w, r); ok {
+		h.put(w, r, keyOf(r), in, in.Metadata.Revision)
 	}
-	obj, err := h.store.Put(context.WithoutCancel(r.Context()), keyOf(r), value, want)
+}
+
+func readObject(w http.ResponseWriter, r *http.Request) (wireObject, bool) {
+	var in wireObject
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBodyBytes)).Decode(&in); err != nil {
+		refuse(w, http.StatusBadRequest, err)
+		return in, false
+	}
+	return in, true
+}
+
+func (h *handler) put(w http.ResponseWriter, r *http.Request, key platform.Key, in wireObject, want uint64) {
+	obj, err := h.store.Put(context.WithoutCancel(r.Context()), key, in.Spec.Value, want)
 	obj.Value = nil
-	answer(w, platform.ToWire(obj), err)
+	answer(w, toWire(obj), err)
 }
 
 func (h *handler) delete(w http.ResponseWriter, r *http.Request) {
-	want, err := queryNumber(r, platform.QueryVersion)
+	want, err := queryNumber(r, "revision")
 	if err != nil {
 		refuse(w, http.StatusBadRequest, err)
 		return
 	}
 	err = h.store.Delete(context.WithoutCancel(r.Context()), keyOf(r), want)
-	answer(w, platform.WireObject{}, err)
+	answer(w, wireObject{}, err)
 }
 
 func (h *handler) watch(w http.ResponseWriter, r *http.Request) {
-	since, err := queryNumber(r, platform.QuerySince)
+	since, err := queryNumber(r, "watch")
 	if err != nil {
 		refuse(w, http.StatusBadRequest, err)
 		return
 	}
-	wait, err := queryNumber(r, platform.QueryWait)
+	wait, err := queryNumber(r, "waitMs")
 	if err != nil {
 		refuse(w, http.StatusBadRequest, err)
 		return
@@ -111,11 +169,9 @@
 	ctx, cancel := context.WithTimeout(r.Context(), time.Duration(wait)*time.Millisecond)
 	defer cancel()
 	events, err := h.store.Watch(ctx, r.PathValue("kind"), since)
-	out := platform.WireEvents{Next: events.Next, Events: make([]platform.WireObject, 0, len(events.Events))}
+	out := wireEvents{AsOf: events.Next, Events: make([]wireEvent, 0, len(events.Events))}
 	for _, ev := range events.Events {
-		obj := platform.ToWire(ev.Object)
-		obj.Deleted = ev.Deleted
-		out.Events = append(out.Events, obj)
+		out.Events = append(out.Events, wireEvent{Object: toWire(ev.Object), Removed: ev.Deleted})
 	}
 	answer(w, out, err)
 }
@@ -172,7 +228,7 @@
 	case err == nil:
 		writeJSON(w, http.StatusOK, v)
 	case errors.As(err, &conflict):
-		writeJSON(w, http.StatusConflict, platform.WireError{Error: err.Error(), Have: conflict.Have})
+		writeJSON(w, http.StatusConflict, toWire(platform.Object{Key: conflict.Key, Version: conflict.Have}))
 	case errors.Is(err, platform.ErrNotFound):
 		refuse(w, http.StatusNotFound, err)
 	case errors.Is(err, platform.ErrUnavailable):
@@ -187,7 +243,7 @@
 }
 
 func refuse(w http.ResponseWriter, status int, err error) {
-	writeJSON(w, status, platform.WireError{Error: err.Error()})
+	writeJSON(w, status, wireError{Error: err.Error()})
 }
 
 func writeJSON(w http.ResponseWriter, status int, v any) {
--- a/internal/standin/platform/server_test.go
+++ b/internal/standin/platform/server_test.go
@@ -13,6 +13,7 @@
 	"github.com/marigoldwing/marigoldwing/internal/platform"
 	"github.com/marigoldwing/marigoldwing/internal/platform/fake"
 	standin "github.com/marigoldwing/marigoldwing/internal/standin/platform"
+	client "github.com/marigoldwing/marigoldwing/platform"
 )
 
 var key = platform.Key{Kind: "ledger", Name: "agent-1/segment 2"}
@@ -27,7 +28,7 @@
 		f := fake.New(opts)
 		srv := httptest.NewServer(standin.NewHandler(f))
 		defer srv.Close()
-		test(t, f, platform.NewHTTP(srv.URL, platform.Options{}))
+		test(t, f, client.NewStore(srv.URL))
 	})
 }
 
@@ -182,7 +183,7 @@
 	srv := httptest.NewServer(http.NotFoundHandler())
 	srv.Close()
 	for _, url := range []string{srv.URL, "::bad"} {
-		s := platform.NewHTTP(url, platform.Options{})
+		s := client.NewStore(url)
 		_, err := s.Put(t.Context(), key, nil, 0)
 		require.ErrorIs(t, err, platform.ErrUnavailable, "nothing was sent")
 		_, err = s.List(t.Context(), "ledger")
--- a/test/e2e/fleet_test.go
+++ b/test/e2e/fleet_test.go
@@ -17,6 +17,7 @@
 	"github.com/marigoldwing/marigoldwing/internal/ledger"
 	"github.com/marigoldwing/marigoldwing/internal/operator"
 	"github.com/marigoldwing/marigoldwing/internal/platform"
+	client "github.com/marigoldwing/marigoldwing/platform"
 )
 
 // Ports of the processes; each process has an IP of its own.
@@ -76,7 +77,7 @@
 	f.platformURL = "http://" + address
 	f.platform = start(t, "platform", "marigold-standin", "platform", "-address", address)
 	waitListening(t, address)
-	f.store = platform.NewHTTP(f.platformURL, platform.Options{})
+	f.store = client.NewStore(f.platformURL)
 	return f
 }
 
--- a/test/path/path_test.go
+++ b/test/path/path_test.go
@@ -22,6 +22,7 @@
 	configv1 "github.com/marigoldwing/marigoldwing/api/config/v1"
 	"github.com/marigoldwing/marigoldwing/internal/engine"
 	"github.com/marigoldwing/marigoldwing/internal/platform"
+	client "github.com/marigoldwing/marigoldwing/platform"
 )
 
 const (
@@ -84,7 +85,7 @@
 	start(tb, "marigold-standin", "platform", "-address", platformAt)
 	start(tb, "marigold-standin", "engine", "-address", engineAt, "-model", modelName, "-model-version", "v1",
 		"-prefill-rate", "1e9", "-decode-step", "1us", "-decode-step-per-sequence", "0s")
-	putDeployment(tb, platform.NewHTTP("http://"+platformAt, platform.Options{}), agentPeer, "http://"+engineAt)
+	putDeployment(tb, client.NewStore("http://"+platformAt), agentPeer, "http://"+engineAt)
 	common := []string{"-failure-domain", "fd-1", "-region", "r-1", "-platform-url", "http://" + platformAt, "-peers", agentPeer + "," + entryPeer}
 	start(tb, "marigold-agent", append(common, "-name", "agent", "-http-address", freeAddress(tb), "-peer-address", agentPeer, "-exclusive-address", freeAddress(tb))...)
 	start(tb, "marigold-entry", append(common, "-name", "entry", "-http-address", entryHTTP, "-peer-address", entryPeer)...)
