--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -54,17 +54,24 @@
 
 // shareBudgets follows the number of gateways that share the retry budget.
 func (g *Gateway) shareBudgets(ctx context.Context) {
-	ticker := time.NewTicker(shareInterval)
+	every(ctx, shareInterval, func() {
+		options := g.retryOptions()
+		for _, s := range g.state.Load().services {
+			s.setRetryOptions(options)
+		}
+	})
+}
+
+// every calls f each interval until ctx ends.
+func every(ctx context.Context, interval time.Duration, f func()) {
+	ticker := time.NewTicker(interval)
 	defer ticker.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-		}
-		options := g.retryOptions()
-		for _, s := range g.state.Load().services {
-			s.setRetryOptions(options)
+			f()
 		}
 	}
 }
--- a/internal/gateway/stages.go
+++ b/internal/gateway/stages.go
@@ -120,14 +120,7 @@
 	started := make(map[string]bool)
 	var running sync.WaitGroup
 	defer running.Wait()
-	ticker := time.NewTicker(reportInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
+	every(ctx, reportInterval, func() {
 		for name, s := range ks.g.state.Load().services {
 			if s.engine == nil || started[name] {
 				continue
@@ -135,7 +128,7 @@
 			started[name] = true
 			running.Go(func() { ks.keeper(name).run(ctx) })
 		}
-	}
+	})
 }
 
 func (ks *stageKeepers) keeper(service string) *stageKeeper {
@@ -143,7 +136,7 @@
 	return &stageKeeper{
 		g: ks.g, log: ks.g.log, service: service, protocol: ks.opts.Protocol,
 		keeper: lease.NewKeeper(ks.opts.Leases, service, lease.Options{
-			Self: self, TTL: leasesPerTerm * ks.opts.Lease, Rank: int(xxhash.Sum64String(self.Name) % firstRanks),
+			Self: self, TTL: leasesPerTerm * ks.opts.Lease, Clock: lease.BootTime, Rank: int(xxhash.Sum64String(self.Name) % firstRanks),
 		}),
 		members: ks.opts.Members,
 		quiet:   ks.opts.Lease + ks.opts.Lease/4,
@@ -160,16 +153,7 @@
 	var loop sync.WaitGroup
 	loop.Go(func() { k.keeper.Run(ctx) })
 	defer loop.Wait()
-	ticker := time.NewTicker(reportInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			k.tick(ctx)
-		}
-	}
+	every(ctx, reportInterval, func() { k.tick(ctx) })
 }
 
 // tick makes one decision if this process holds the lease.
--- a/internal/lease/keeper.go
+++ b/internal/lease/keeper.go
@@ -69,7 +69,12 @@
 	}
 }
 
-func (k *Keeper) now() time.Duration { return time.Since(k.start) }
+func (k *Keeper) now() time.Duration {
+	if k.options.Clock != nil {
+		return k.options.Clock()
+	}
+	return time.Since(k.start)
+}
 
 func (k *Keeper) step(ev Event) Action {
 	k.mu.Lock()
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -49,6 +49,9 @@
 	Self Identity
 	// TTL of the records written; 0 means DefaultTTL.
 	TTL time.Duration
+	// Clock is the monotonic time that the right is counted by; nil means Go's
+	// clock since the start. BootTime counts suspension too.
+	Clock func() time.Duration
 	// Rank is this process's place among those that may plan for the
 	// service. A process of rank r reads the lease r+1 times as seldom as
 	// the first, so that the reads of n processes grow as log n.
--- a/internal/registry/loop.go
+++ b/internal/registry/loop.go
@@ -8,27 +8,40 @@
 	"time"
 )
 
+// feed is one kind of object that is followed. Both functions take in what
+// they read and return the revision that it shows.
+type feed struct {
+	kind  string
+	list  func(ctx context.Context) (uint64, error)
+	watch func(ctx context.Context, since uint64) (uint64, error)
+}
+
 // Run follows until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
+	feeds := []feed{
+		{kindConfig, f.listConfig, f.watchConfig},
+		{kindServers, f.listServers, f.watchServers},
+	}
 	var loops sync.WaitGroup
-	loops.Go(func() { f.follow(ctx, kindConfig, f.listConfig, f.watchConfig) })
-	loops.Go(func() { f.follow(ctx, kindServers, f.listServers, f.watchServers) })
+	for _, one := range feeds {
+		loops.Go(func() { f.follow(ctx, one) })
+	}
 	loops.Go(func() { f.expire(ctx) })
 	loops.Wait()
 }
 
 // follow lists once and then watches; it lists again when history is gone or
 // a call has failed.
-func (f *Follower) follow(ctx context.Context, kind string, list func(context.Context) (uint64, error), watch func(context.Context, uint64) (uint64, error)) {
+func (f *Follower) follow(ctx context.Context, from feed) {
 	var revision uint64
 	pause := minPause
 	lost := false
 	for ctx.Err() == nil {
-		next, err := f.step(ctx, kind, revision, list, watch)
+		next, err := f.step(ctx, from, revision)
 		switch {
 		case err == nil:
 			if lost {
-				f.log.Info("store answers again", "kind", kind, "revision", next)
+				f.log.Info("store answers again", "kind", from.kind, "revision", next)
 			}
 			if revision != 0 && next != revision {
 				sleep(ctx, eventPause)
@@ -36,17 +49,17 @@
 			revision, pause, lost = next, minPause, false
 			continue
 		case errors.Is(err, errNews):
-			f.log.Info("another gateway knows news, listing anew", "kind", kind, "revision", revision)
+			f.log.Info("another gateway knows news, listing anew", "kind", from.kind, "revision", revision)
 			revision = 0
 			continue
 		case errors.Is(err, ErrHistoryGone):
-			f.log.Info("history of the store is gone, listing anew", "kind", kind, "revision", revision)
+			f.log.Info("history of the store is gone, listing anew", "kind", from.kind, "revision", revision)
 			revision = 0
 			continue
 		case ctx.Err() != nil:
 			return
 		}
-		f.failed(err, kind, revision, &lost)
+		f.failed(err, from.kind, revision, &lost)
 		revision = 0
 		sleep(ctx, pause/2+rand.N(pause/2))
 		pause = min(2*pause, maxPause)
@@ -59,35 +72,40 @@
 // newsDelay is how long the own watch has to tell news by itself.
 const newsDelay = 150 * time.Millisecond
 
-func (f *Follower) step(ctx context.Context, kind string, revision uint64, list func(context.Context) (uint64, error), watch func(context.Context, uint64) (uint64, error)) (uint64, error) {
+// step makes one call: a list without a revision to go on from, else a watch.
+func (f *Follower) step(ctx context.Context, from feed, revision uint64) (uint64, error) {
 	f.storeCalls.Add(1)
 	if revision == 0 {
-		return list(ctx)
+		return from.list(ctx)
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	done := make(chan struct{})
-	defer close(done)
-	go func() {
-		select {
-		case <-f.relist[kind]:
-			sleep(ctx, newsDelay)
-			f.mu.Lock()
-			behind := f.behind(kind)
-			f.mu.Unlock()
-			if behind {
-				cancel(errNews)
-			}
-		case <-done:
-		}
-	}()
-	next, err := watch(ctx, revision)
+	go f.endOnNews(ctx, cancel, from.kind)
+	next, err := from.watch(ctx, revision)
 	if err != nil && errors.Is(context.Cause(ctx), errNews) {
 		return 0, errNews
 	}
 	return next, err
 }
 
+// endOnNews ends a watch when another gateway knows news that does not come
+// through it. It returns when ctx ends.
+func (f *Follower) endOnNews(ctx context.Context, end context.CancelCauseFunc, kind string) {
+	select {
+	case <-f.relist[kind]:
+	case <-ctx.Done():
+		return
+	}
+	sleep(ctx, newsDelay)
+	f.mu.Lock()
+	behind := f.behind(kind)
+	f.mu.Unlock()
+	if behind {
+		end(errNews)
+	}
+}
+
+// failed notes a call that failed. What is known stays in force.
 func (f *Follower) failed(err error, kind string, revision uint64, lost *bool) {
 	f.storeFailed.Add(1)
 	f.source.Reconnect()
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -10,11 +10,11 @@
 	"fmt"
 	"net"
 	"sync"
-	"syscall"
 	"time"
 
 	"golang.org/x/sys/unix"
 
+	"github.com/marigoldwing/marigoldwing/internal/dial"
 	"github.com/marigoldwing/marigoldwing/internal/fleet"
 )
 
@@ -41,7 +41,7 @@
 
 // Pool keeps idle connections to backend servers.
 type Pool struct {
-	dialer net.Dialer
+	dialer *net.Dialer
 
 	mu      sync.Mutex
 	servers map[fleet.Key]*idle
@@ -59,11 +59,7 @@
 // NewPool returns an empty pool.
 func NewPool() *Pool {
 	return &Pool{
-		dialer: net.Dialer{
-			Timeout:         dialTimeout,
-			KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2},
-			Control:         setUserTimeout,
-		},
+		dialer:  dial.Dialer(dialTimeout, silentTimeout),
 		servers: make(map[fleet.Key]*idle),
 	}
 }
@@ -210,11 +206,3 @@
 	})
 	return err == nil && open
 }
-
-func setUserTimeout(_, _ string, c syscall.RawConn) error {
-	var failed error
-	err := c.Control(func(fd uintptr) {
-		failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(silentTimeout.Milliseconds()))
-	})
-	return errors.Join(err, failed)
-}
