Keep the last attempt's outcome where no other server can be tried

Cause: found by a test that traces three failed requests from the log: after an attempt, 'no_server' hid its reason, and a server's whole failure was replaced by 502 where no other server was left. Change: the last attempt's outcome stands. Tests: a failure with its seal is passed on (502 before), and refusal, stream ended midway and unknown outcome are found in the log by their ID.

--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -145,23 +145,36 @@
 		return
 	}
 	q.service.attempted()
+	// last is the outcome of the last attempt, which stands if no other can
+	// follow.
+	var last *outcome
 	for {
 		choice, err := q.service.choose(q.g.now(), q.wanted())
 		if err != nil {
-			q.giveUp(outcome{result: notRun, reason: "no_server"}, noServerPause)
+			q.giveUp(orElse(last, "no_server"), noServerPause)
 			return
 		}
 		if !q.inTime(choice) {
-			q.giveUp(outcome{result: notRun, reason: "overloaded"}, overloadPause(choice, q.route))
+			q.giveUp(orElse(last, "overloaded"), overloadPause(choice, q.route))
 			return
 		}
 		out, choice := q.attempt(ctx, choice)
+		last = &out
 		if q.settled(ctx, out, choice) {
 			return
 		}
 	}
 }
 
+// orElse returns the outcome of the last attempt, or that of a request that
+// was not sent at all for a reason.
+func orElse(last *outcome, reason string) outcome {
+	if last != nil {
+		return *last
+	}
+	return outcome{result: notRun, reason: reason}
+}
+
 // wanted describes the request to the placement.
 func (q *request) wanted() placement.Request {
 	return placement.Request{
