--- a/internal/fleet/config.go
+++ b/internal/fleet/config.go
@@ -55,8 +55,6 @@
 	// Objective is the time within which an answer earns its full value, to
 	// the first event for streams.
 	Objective time.Duration
-	// GapObjective is the longest pause between events that is in time.
-	GapObjective time.Duration
 	// Patience is the longest pause, also before the first event, after which
 	// callers leave a stream; 0 if they wait for their deadline.
 	Patience time.Duration
@@ -65,9 +63,7 @@
 	Attempts int
 	// Priority is the request's rank; 0 is the most urgent.
 	Priority int
-	// HasPrompt is set when requests tell the parts of their prompt.
-	HasPrompt bool
-	Targets   []Target
+	Targets  []Target
 }
 
 // Repeatable tells whether a request may be sent again although it may have
@@ -101,16 +97,10 @@
 type EngineSpec struct {
 	// Slots is the number of requests that an engine runs at once.
 	Slots int
-	// KVTokens is the number of tokens that an engine's memory holds.
-	KVTokens int
 	// BytesPerToken of KV cache.
 	BytesPerToken int
 	// LinkMbps is the bandwidth of KV transfers, in megabits per second.
 	LinkMbps float64
-	// TokensPerEvent is the usual number of tokens in one event.
-	TokensPerEvent int
-	// HandleHold is how long an engine keeps a prefilled KV cache.
-	HandleHold time.Duration
 	// StageChange is how long an engine is away when it changes its stage.
 	StageChange time.Duration
 }
@@ -118,8 +108,6 @@
 // Service is a set of backend servers that are alike.
 type Service struct {
 	Name string
-	// MaxConnections that one backend server accepts from all callers.
-	MaxConnections int
 	// Engine is nil for plain services.
 	Engine *EngineSpec
 }
--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -43,8 +43,6 @@
 	// Leaving servers get no new work.
 	Leaving bool
 	Stage   Stage
-	// Orders is the number of orders that the engine has accepted.
-	Orders int64
 }
 
 // Key tells incarnations of a server apart.
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -254,7 +254,10 @@
 	if errors.Is(err, upstream.ErrNotSent) {
 		return outcome{result: notRun, reason: err.Error(), serverFault: true}
 	}
-	return outcome{result: noAnswer, reason: err.Error(), serverFault: true, patienceOver: hurried}
+	if hurried {
+		return outcome{result: noAnswer, reason: "no answer within patience", serverFault: true}
+	}
+	return outcome{result: noAnswer, reason: err.Error(), serverFault: true}
 }
 
 // take passes an answer on, or says why it is not the caller's answer.
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -180,7 +180,6 @@
 	return placement.Request{
 		Parts:        q.call.Parts,
 		PromptTokens: q.call.PromptTokens,
-		OutputTokens: q.call.OutputTokens,
 		BodyBytes:    len(q.body),
 		Exclude:      q.exclude,
 		Objective:    q.objectiveLeft(),
--- a/internal/gateway/outcome.go
+++ b/internal/gateway/outcome.go
@@ -43,8 +43,6 @@
 	answer *wholeAnswer
 	// serverFault tells whether the server or the way to it is to blame.
 	serverFault bool
-	// patienceOver tells that the attempt was given up for another one.
-	patienceOver bool
 	// untried tells that the request was not sent to the chosen server.
 	untried bool
 }
--- a/internal/gateway/protocol.go
+++ b/internal/gateway/protocol.go
@@ -15,8 +15,8 @@
 	Wait time.Duration
 	// Parts of the prompt in order, none for plain services.
 	Parts []placement.Part
-	// PromptTokens in all, and the most tokens that the answer may have.
-	PromptTokens, OutputTokens int
+	// PromptTokens in all.
+	PromptTokens int
 	// LastEvent is the ID of the last event that the caller has; empty for a
 	// stream from its start.
 	LastEvent string
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -29,8 +29,8 @@
 type Request struct {
 	// Parts of the prompt in order; the last is the request's or session's own.
 	Parts []Part
-	// PromptTokens in all, and the most tokens that the answer may have.
-	PromptTokens, OutputTokens int
+	// PromptTokens in all.
+	PromptTokens int
 	// BodyBytes that are sent to the chosen server.
 	BodyBytes int
 	// Exclude names servers that have failed this request.
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -11,7 +11,7 @@
 	"github.com/marigoldwing/marigoldwing/internal/fleet"
 )
 
-var spec = &fleet.EngineSpec{Slots: 16, KVTokens: 400_000, BytesPerToken: 100_000, LinkMbps: 740_000}
+var spec = &fleet.EngineSpec{Slots: 16, BytesPerToken: 100_000, LinkMbps: 740_000}
 
 func engine(id string, stage fleet.Stage, domain string) fleet.Server {
 	return fleet.Server{ID: id, Address: "10.0.0.1:1", Stage: stage, FailureDomain: domain, Slots: 16}
@@ -39,14 +39,14 @@
 func long(part, own int) Request {
 	return Request{
 		Parts:        []Part{{ID: fmt.Sprintf("part%d", part), Tokens: 13_000}, {ID: fmt.Sprintf("own%d", own), Tokens: 4000}},
-		PromptTokens: 17_000, OutputTokens: 100, BodyBytes: 34_000, Objective: 600 * time.Millisecond,
+		PromptTokens: 17_000, BodyBytes: 34_000, Objective: 600 * time.Millisecond,
 	}
 }
 
 func short(own int) Request {
 	return Request{
 		Parts:        []Part{{ID: "s", Tokens: 50}, {ID: fmt.Sprintf("own%d", own), Tokens: 300}},
-		PromptTokens: 350, OutputTokens: 40, BodyBytes: 800, Objective: 300 * time.Millisecond,
+		PromptTokens: 350, BodyBytes: 800, Objective: 300 * time.Millisecond,
 	}
 }
 
--- a/internal/placement/table.go
+++ b/internal/placement/table.go
@@ -202,15 +202,6 @@
 	}
 }
 
-// Forget takes in that an engine does not hold the parts it was taken to.
-func (t *Table) Forget(id string, parts []Part) {
-	if s := t.find(id); s != nil {
-		for _, key := range chain(parts) {
-			delete(s.parts, key)
-		}
-	}
-}
-
 // sweep drops parts that have not been used for long.
 func (t *Table) sweep(now time.Duration) {
 	if now-t.swept < partLife {
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -73,13 +73,9 @@
 	// idleUntil is when the connection must not be used any more.
 	idleUntil time.Time
 	// keep is the idle time that the server has named.
-	keep   time.Duration
-	reused bool
+	keep time.Duration
 }
 
-// Reused tells whether the connection has carried an exchange before.
-func (c *Conn) Reused() bool { return c.reused }
-
 // Get returns a connection to a server, an idle one if there is one that
 // works. Failures wrap ErrNotSent.
 func (p *Pool) Get(ctx context.Context, server fleet.Key) (*Conn, error) {
@@ -138,7 +134,6 @@
 // put keeps a connection for the next exchange.
 func (p *Pool) put(server fleet.Key, c *Conn) {
 	s := p.idleOf(server)
-	c.reused = true
 	c.idleUntil = time.Now().Add(c.keep)
 	s.mu.Lock()
 	defer s.mu.Unlock()
