Have the test's callers come back as often as a busy machine refuses

Ruled out: wrong or mixed answers (0). The bound on tries made the verdict depend on the machine. Change: callers come back after every refusal; 20 lost answers still end one. The checks and their bounds stay.

--- a/internal/entry/fault_test.go
+++ b/internal/entry/fault_test.go
@@ -349,14 +349,20 @@
 	require.Eventually(t, func() bool { return s.plain(0) == "whole" }, 10*time.Second, 50*time.Millisecond)
 }
 
-// until asks again, as a caller does that was refused, and returns the last
-// verdict, or the first wrong one.
+// until asks again, as a caller does that was refused or lost its answer, and
+// returns the last verdict, or the first wrong one. It comes back after each
+// refusal, however often a busy machine refuses, so that the verdict does not
+// depend on the machine; answers that are lost are asked for again 20 times.
 func until(ask func() string) string {
 	verdict := ""
-	for range 20 {
+	for lost := 0; lost < 20; {
 		verdict = ask()
-		if verdict == "whole" || verdict == "WRONG" {
+		switch verdict {
+		case "whole", "WRONG":
 			return verdict
+		case "refused":
+		default:
+			lost++
 		}
 		time.Sleep(300 * time.Millisecond)
 	}
