--- a/cmd/marigold-gateway/main.go
+++ b/cmd/marigold-gateway/main.go
@@ -6,8 +6,6 @@
 	"context"
 	"os"
 
-	"github.com/go-logr/logr"
-
 	settingsv1 "github.com/marigoldwing/marigoldwing/api/settings/v1"
 	"github.com/marigoldwing/marigoldwing/internal/gateway"
 	"github.com/marigoldwing/marigoldwing/internal/process"
@@ -17,22 +15,18 @@
 )
 
 func main() {
-	out := telemetry.NewWriter(os.Stdout, telemetry.DefaultLogBuffer)
-	run := func(ctx context.Context, s *settingsv1.Gateway, log logr.Logger) error {
+	run := func(ctx context.Context, s *settingsv1.Gateway, logs telemetry.Logs) error {
 		store := platform.NewStore("http://" + s.GetPlatformAddress())
 		return gateway.Run(ctx, s, gateway.Wire{
-			Source:      store,
-			Protocol:    platform.Protocol{},
-			Stages:      platform.Protocol{},
-			Leases:      store,
-			Peers:       store,
-			Reload:      reload,
-			LogsDropped: out.Dropped,
-		}, log)
+			Source:   store,
+			Protocol: platform.Protocol{},
+			Stages:   platform.Protocol{},
+			Leases:   store,
+			Peers:    store,
+			Reload:   reload,
+		}, logs)
 	}
-	code := process.Main(os.Args[1:], settings.LoadGateway, run, out, os.Stderr)
-	out.Close()
-	os.Exit(code)
+	process.Exit(settings.LoadGateway, run)
 }
 
 // reload reads the settings of this process anew.
--- a/cmd/marigoldctl/main_test.go
+++ b/cmd/marigoldctl/main_test.go
@@ -69,7 +69,7 @@
 	t.Helper()
 	p, store := &process{}, fake.New(fake.Options{})
 	mux := telemetry.NewMux(telemetry.MuxOptions{
-		Metrics: telemetry.NewRegistry(),
+		Metrics: telemetry.NewRegistry(func() int64 { return 0 }),
 		State:   func(context.Context) any { return map[string]int{"sessions": 3} },
 		Ready:   func() error { return nil },
 	})
--- a/docs/operations_test.go
+++ b/docs/operations_test.go
@@ -81,24 +81,50 @@
 	}
 }
 
-// TestOperationsPageNamesEveryMetricAndEvent checks the page against the
-// names in the code.
-func TestOperationsPageNamesEveryMetricAndEvent(t *testing.T) {
+// TestOperationsPageNamesEveryMetric checks the page against the names in the
+// code.
+func TestOperationsPageNamesEveryMetric(t *testing.T) {
 	text := readPage(t)
 	metric := regexp.MustCompile(`"(marigold_[a-z_]+)"`)
-	event := regexp.MustCompile(`\.(?:Info|Error)\((?:[a-z]+, )?"([^"]+)"`)
-	for _, dir := range []string{"agent", "entry", "gateway", "ledger", "peer", "peers", "process", "registry", "spread"} {
+	for _, dir := range processDirs {
 		for _, source := range sources(t, filepath.Join("..", "internal", dir)) {
 			for _, m := range metric.FindAllStringSubmatch(source, -1) {
 				require.True(t, strings.Contains(text, "`"+m[1]), "metric %s of %s", m[1], dir)
 			}
-			for _, m := range event.FindAllStringSubmatch(source, -1) {
-				require.True(t, strings.Contains(text, "`"+m[1]+"`"), "log event %q of %s", m[1], dir)
-			}
 		}
 	}
 }
 
+// TestOperationsPageNamesEveryEvent checks that each log event is described
+// with its fields, and that no package writes lines beside package event.
+func TestOperationsPageNamesEveryEvent(t *testing.T) {
+	text := readPage(t)
+	message := regexp.MustCompile(`(?:info|detail|failure|event|message:)[( ]"([^"]+)"`)
+	field := regexp.MustCompile(`(?:slog\.[A-Z][A-Za-z0-9]+\(|milliseconds\(|withText\(|[kK]ey[A-Za-z]+ += )"([a-z_]+)"`)
+	events, fields := 0, 0
+	for _, source := range sources(t, filepath.Join("..", "internal", "event")) {
+		for _, m := range message.FindAllStringSubmatch(source, -1) {
+			events++
+			require.True(t, strings.Contains(text, "`"+m[1]+"`"), "log event %q", m[1])
+		}
+		for _, m := range field.FindAllStringSubmatch(source, -1) {
+			fields++
+			require.True(t, strings.Contains(text, "`"+m[1]+"`"), "field %q", m[1])
+		}
+	}
+	require.Greater(t, events, 40, "events are found in the source")
+	require.Greater(t, fields, 50, "fields are found in the source")
+	line := regexp.MustCompile(`\.(?:Info|Error)\((?:[a-z]+, )?"([^"]+)"`)
+	for _, dir := range processDirs {
+		for _, source := range sources(t, filepath.Join("..", "internal", dir)) {
+			require.Nil(t, line.FindStringSubmatch(source), "%s writes a line that package event does not know", dir)
+		}
+	}
+}
+
+// processDirs are the packages whose logs and metrics operators read.
+var processDirs = []string{"agent", "entry", "gateway", "ledger", "peer", "peers", "process", "registry", "spread", "telemetry"}
+
 // sources returns the texts of a package's files but for its tests.
 func sources(t *testing.T, dir string) []string {
 	t.Helper()
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -5,12 +5,11 @@
 	"sync"
 	"time"
 
-	"github.com/go-logr/logr"
-
 	configv1 "github.com/marigoldwing/marigoldwing/api/config/v1"
 	peerv1 "github.com/marigoldwing/marigoldwing/api/peer/v1"
 	"github.com/marigoldwing/marigoldwing/internal/catalog"
 	"github.com/marigoldwing/marigoldwing/internal/engine"
+	"github.com/marigoldwing/marigoldwing/internal/event"
 	"github.com/marigoldwing/marigoldwing/internal/ledger"
 	"github.com/marigoldwing/marigoldwing/internal/membership"
 	"github.com/marigoldwing/marigoldwing/internal/peer"
@@ -44,7 +43,7 @@
 	// Dial returns the engine at a base URL.
 	Dial          func(baseURL string) engine.Engine
 	LedgerMetrics *ledger.Metrics
-	Log           logr.Logger
+	Log           event.Log
 }
 
 // Agent answers peers for the backend servers behind it. It implements
@@ -151,7 +150,7 @@
 		}
 	}
 	a.paceLedgers(c)
-	a.opts.Log.V(1).Info("configuration taken in", "revision", c.Revision(), "backendServers", len(a.servers))
+	a.opts.Log.Write(event.ConfigTakenIn(c.Revision()))
 }
 
 func (a *Agent) setServer(c *catalog.Catalog, b *configv1.BackendServer) {
--- a/internal/agent/announce.go
+++ b/internal/agent/announce.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"golang.org/x/sync/errgroup"
+
+	"github.com/marigoldwing/marigoldwing/internal/event"
 )
 
 const (
@@ -52,7 +54,7 @@
 	for _, address := range a.entries.addresses() {
 		group.Go(func() error {
 			if _, err := a.opts.Peers.Heartbeat(ctx, address, heartbeat); err != nil {
-				a.opts.Log.V(1).Info("entry not told", "entry", address, "error", err.Error())
+				a.opts.Log.Write(event.EntryNotTold(address, err))
 			}
 			return nil
 		})
--- a/internal/agent/ledger.go
+++ b/internal/agent/ledger.go
@@ -8,6 +8,7 @@
 	ledgerv1 "github.com/marigoldwing/marigoldwing/api/ledger/v1"
 	peerv1 "github.com/marigoldwing/marigoldwing/api/peer/v1"
 	"github.com/marigoldwing/marigoldwing/internal/catalog"
+	"github.com/marigoldwing/marigoldwing/internal/event"
 	"github.com/marigoldwing/marigoldwing/internal/ledger"
 )
 
@@ -36,7 +37,7 @@
 	a.writers[server] = w
 	a.ledgers.Go(func() {
 		if err := w.Run(a.ledgerCtx); err != nil && !errors.Is(err, context.Canceled) {
-			a.opts.Log.Error(err, "ledger ended", "backendServer", server)
+			a.opts.Log.Write(event.LedgerEnded(server, err))
 		}
 	})
 	return w
--- a/internal/agent/orders.go
+++ b/internal/agent/orders.go
@@ -7,6 +7,7 @@
 
 	peerv1 "github.com/marigoldwing/marigoldwing/api/peer/v1"
 	"github.com/marigoldwing/marigoldwing/internal/engine"
+	"github.com/marigoldwing/marigoldwing/internal/event"
 	"github.com/marigoldwing/marigoldwing/internal/order"
 )
 
@@ -95,7 +96,7 @@
 		Options:       order.Options{ChecksFencing: s.checksFencing()},
 		OnAction: func(action order.Action) {
 			if action.Kind != order.ReadState {
-				a.opts.Log.Info("order step", "backendServer", s.name, "step", action.Kind.String(), "version", action.Order.Version, "role", action.Order.Role.String())
+				a.opts.Log.Write(event.OrderStep(s.name, action.Kind.String(), action.Order.Role.String(), action.Order.Version))
 			}
 		},
 	})
--- a/internal/agent/run.go
+++ b/internal/agent/run.go
@@ -7,10 +7,10 @@
 	"time"
 
 	"github.com/go-kratos/kratos/v2/transport"
-	"github.com/go-logr/logr"
 
 	settingsv1 "github.com/marigoldwing/marigoldwing/api/settings/v1"
 	"github.com/marigoldwing/marigoldwing/internal/engine"
+	"github.com/marigoldwing/marigoldwing/internal/event"
 	"github.com/marigoldwing/marigoldwing/internal/ledger"
 	"github.com/marigoldwing/marigoldwing/internal/order"
 	"github.com/marigoldwing/marigoldwing/internal/peer"
@@ -25,14 +25,14 @@
 // Run runs marigold-agent until it is stopped. It waits until no other agent
 // of the instance holds the exclusive address, so that a paused predecessor
 // and its successor never both run.
-func Run(ctx context.Context, s *settingsv1.Agent, log logr.Logger) error {
+func Run(ctx context.Context, s *settingsv1.Agent, logs telemetry.Logs) error {
 	p := s.GetProcess()
-	exclusive, err := holdExclusive(ctx, s.GetExclusiveAddress(), log)
+	exclusive, err := holdExclusive(ctx, s.GetExclusiveAddress(), logs.Events)
 	if err != nil {
 		return err
 	}
 	defer exclusive.Close()
-	registry := telemetry.NewRegistry()
+	registry := telemetry.NewRegistry(logs.Dropped)
 	peerMetrics := peer.NewMetrics(registry)
 	peers := peer.NewClient(peer.ClientOptions{Metrics: peerMetrics})
 	defer peers.Close()
@@ -46,19 +46,20 @@
 		Peers:         peers,
 		Dial:          engine.NewHTTP,
 		LedgerMetrics: ledger.NewMetrics(registry),
-		Log:           log,
+		Log:           logs.Events,
 
 		LoadInterval:      time.Duration(s.GetLoadIntervalMs()) * time.Millisecond,
 		HeartbeatInterval: time.Duration(p.GetHeartbeatIntervalMs()) * time.Millisecond,
 	})
 	registry.MustRegister(a.spread)
-	server := peer.NewServer(p.GetPeerAddress(), a, peerMetrics, log)
+	server := peer.NewServer(p.GetPeerAddress(), a, peerMetrics, logs.Events)
 	if err := server.Listen(); err != nil {
 		return err
 	}
+	logs.Events.Write(event.Starting(p.GetFailureDomain(), p.GetHttpAddress()))
 	return process.Run(ctx, process.Options{
 		Name:         p.GetName(),
-		Log:          log,
+		Logs:         logs,
 		HTTPAddress:  p.GetHttpAddress(),
 		Handler:      telemetry.NewMux(telemetry.MuxOptions{Metrics: registry, State: a.State, Ready: a.Ready}),
 		Servers:      []transport.Server{server},
@@ -70,13 +71,13 @@
 
 // holdExclusive takes the exclusive address, waiting while another process
 // holds it.
-func holdExclusive(ctx context.Context, address string, log logr.Logger) (*order.Exclusive, error) {
+func holdExclusive(ctx context.Context, address string, log event.Log) (*order.Exclusive, error) {
 	for {
 		exclusive, err := order.Listen(address)
 		if !errors.Is(err, order.ErrHeld) {
 			return exclusive, err
 		}
-		log.Info("waiting for the exclusive address", "address", address, "error", err.Error())
+		log.Write(event.ExclusiveAddressHeld(address, err))
 		select {
 		case <-time.After(exclusiveRetry):
 		case <-ctx.Done():
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -6,6 +6,7 @@
 
 	configv1 "github.com/marigoldwing/marigoldwing/api/config/v1"
 	peerv1 "github.com/marigoldwing/marigoldwing/api/peer/v1"
+	"github.com/marigoldwing/marigoldwing/internal/event"
 	outcome "github.com/marigoldwing/marigoldwing/internal/request"
 )
 
@@ -24,15 +25,18 @@
 	defer cancel()
 	start := time.Now()
 	ref := e.attempts(ctx, q, out)
-	log := e.log.V(1).WithValues("request_id", q.id, "attempt_id", q.lastAttempt, "service", q.service.GetName(), "client", q.client.GetName(), "took", time.Since(start).String())
+	ended := event.EntryRequest{
+		RequestID: q.id, AttemptID: q.lastAttempt,
+		Service: q.service.GetName(), Client: q.client.GetName(), Elapsed: time.Since(start),
+	}
 	if ref != nil {
 		e.metrics.refused(ref)
 		out.refuse(ref)
-		log.Info("request refused", "reason", reasonName(ref.reason), "notRun", ref.notRun(), "detail", ref.detail)
+		e.log.Write(event.RequestRefused(ended, reasonName(ref.reason), ref.notRun(), ref.detail))
 		return
 	}
 	e.metrics.answers.WithLabelValues(q.service.GetName()).Inc()
-	log.Info("request answered")
+	e.log.Write(event.RequestAnswered(ended))
 }
 
 // attempts sends the request until its outcome is decided, and passes its
--- a/internal/entry/attempt_run.go
+++ b/internal/entry/attempt_run.go
@@ -9,6 +9,7 @@
 
 	configv1 "github.com/marigoldwing/marigoldwing/api/config/v1"
 	peerv1 "github.com/marigoldwing/marigoldwing/api/peer/v1"
+	"github.com/marigoldwing/marigoldwing/internal/event"
 	"github.com/marigoldwing/marigoldwing/internal/ledger"
 	"github.com/marigoldwing/marigoldwing/internal/peer"
 	outcome "github.com/marigoldwing/marigoldwing/internal/request"
@@ -337,6 +338,6 @@
 	}
 	name := r.current.server.GetName()
 	r.pool.ended(r.entry.router.now(), name, r.current.id, ref)
-	r.entry.log.V(1).Info("attempt ended", "request_id", r.request.id, "attempt_id", r.current.id, "backendServer", name, "whole", ref == nil)
+	r.entry.log.Write(event.AttemptEnded(r.request.id, r.current.id, name, ref == nil))
 	r.current = attempt{predicted: r.current.predicted}
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -4,12 +4,12 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/go-logr/logr"
 	"github.com/prometheus/client_golang/prometheus"
 
 	configv1 "github.com/marigoldwing/marigoldwing/api/config/v1"
 	peerv1 "github.com/marigoldwing/marigoldwing/api/peer/v1"
 	"github.com/marigoldwing/marigoldwing/internal/catalog"
+	"github.com/marigoldwing/marigoldwing/internal/event"
 	"github.com/marigoldwing/marigoldwing/internal/membership"
 	"github.com/marigoldwing/marigoldwing/internal/peer"
 	"github.com/marigoldwing/marigoldwing/internal/platform"
@@ -36,14 +36,14 @@
 	Seeds      []string
 	Store      platform.Store
 	Peers      *peer.Client
-	Log        logr.Logger
+	Log        event.Log
 	Registerer prometheus.Registerer
 }
 
 // Entry serves callers. It is safe for concurrent use.
 type Entry struct {
 	opts    Options
-	log     logr.Logger
+	log     event.Log
 	metrics *metrics
 	catalog atomic.Pointer[catalog.Catalog]
 	leaving atomic.Bool
@@ -115,7 +115,7 @@
 	case e.configured <- struct{}{}:
 	default:
 	}
-	e.log.V(1).Info("configuration taken in", "revision", c.Revision())
+	e.log.Write(event.ConfigTakenIn(c.Revision()))
 }
 
 // Submit implements peer.Handler; entries run no attempts.
--- a/internal/entry/fault_test.go
+++ b/internal/entry/fault_test.go
@@ -16,7 +16,6 @@
 	"testing"
 	"time"
 
-	"github.com/go-logr/logr"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/stretchr/testify/require"
 	"google.golang.org/protobuf/proto"
@@ -27,6 +26,7 @@
 	"github.com/marigoldwing/marigoldwing/internal/agent"
 	"github.com/marigoldwing/marigoldwing/internal/catalog"
 	"github.com/marigoldwing/marigoldwing/internal/engine"
+	"github.com/marigoldwing/marigoldwing/internal/event"
 	"github.com/marigoldwing/marigoldwing/internal/ledger"
 	"github.com/marigoldwing/marigoldwing/internal/peer"
 	"github.com/marigoldwing/marigoldwing/internal/platform"
@@ -205,7 +205,7 @@
 	e := New(Options{
 		Name: "entry", FailureDomain: "fd", Region: "r", Address: "127.0.0.1:1", Incarnation: 1,
 		HeartbeatInterval: 2 * time.Second, Store: fake.New(fake.Options{}), Peers: peers,
-		Log: logr.Discard(), Registerer: metrics,
+		Registerer: metrics,
 	})
 	config := &configv1.AcceptedDeployment{Revision: 1, Deployment: d, KeyHomes: ledger.NextKeyHomes(nil, d, time.Now())}
 	value, err := proto.Marshal(config)
@@ -227,13 +227,13 @@
 // startAgent starts a noisy agent with a plain server and an engine.
 func startAgent(t *testing.T, oneIn, n int, d *configv1.Deployment, backend string, r *relay, store platform.Store) *agent.Agent {
 	noisy := &noisyAgent{oneIn: oneIn}
-	server := peer.NewServer("127.0.0.1:0", noisy, peer.NewMetrics(prometheus.NewRegistry()), logr.Discard())
+	server := peer.NewServer("127.0.0.1:0", noisy, peer.NewMetrics(prometheus.NewRegistry()), event.Log{})
 	require.NoError(t, server.Listen())
 	address := r.listener.Addr().String()
 	go r.serve(server.Address())
 	noisy.Agent = agent.New(agent.Options{
 		Name: fmt.Sprintf("agent-%d", n), FailureDomain: "fd", Address: address, Incarnation: uint64(n + 1),
-		HeartbeatInterval: 2 * time.Second, Store: store, Log: logr.Discard(),
+		HeartbeatInterval: 2 * time.Second, Store: store,
 		Dial: func(string) engine.Engine { return &noisyEngine{oneIn: oneIn} },
 	})
 	go func() { _ = server.Start(context.Background()) }()
--- a/internal/entry/operator.go
+++ b/internal/entry/operator.go
@@ -8,6 +8,7 @@
 
 	configv1 "github.com/marigoldwing/marigoldwing/api/config/v1"
 	peerv1 "github.com/marigoldwing/marigoldwing/api/peer/v1"
+	"github.com/marigoldwing/marigoldwing/internal/event"
 	"github.com/marigoldwing/marigoldwing/internal/platform"
 )
 
@@ -28,7 +29,7 @@
 	}
 	plan := &peerv1.Plan{}
 	if err := proto.Unmarshal(object.Value, plan); err != nil {
-		e.log.Error(err, "stored plan is malformed", "service", service)
+		e.log.Write(event.PlanMalformed(service, err))
 		return e.spread.Plan(service)
 	}
 	plan.Service = service
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -7,10 +7,10 @@
 	"time"
 
 	"github.com/go-kratos/kratos/v2/transport"
-	"github.com/go-logr/logr"
 
 	settingsv1 "github.com/marigoldwing/marigoldwing/api/settings/v1"
 	"github.com/marigoldwing/marigoldwing/internal/apply"
+	"github.com/marigoldwing/marigoldwing/internal/event"
 	"github.com/marigoldwing/marigoldwing/internal/operator"
 	"github.com/marigoldwing/marigoldwing/internal/peer"
 	"github.com/marigoldwing/marigoldwing/internal/process"
@@ -19,9 +19,9 @@
 )
 
 // Run runs marigold-entry until it is stopped.
-func Run(ctx context.Context, s *settingsv1.Entry, log logr.Logger) error {
+func Run(ctx context.Context, s *settingsv1.Entry, logs telemetry.Logs) error {
 	p := s.GetProcess()
-	registry := telemetry.NewRegistry()
+	registry := telemetry.NewRegistry(logs.Dropped)
 	peerMetrics := peer.NewMetrics(registry)
 	peers := peer.NewClient(peer.ClientOptions{
 		DataConnections: int(s.GetConnectionsPerAgent()),
@@ -41,11 +41,11 @@
 		Planner:       s.GetPlanner(),
 
 		HeartbeatInterval: time.Duration(p.GetHeartbeatIntervalMs()) * time.Millisecond,
-		Log:               log,
+		Log:               logs.Events,
 		Registerer:        registry,
 	})
 	registry.MustRegister(e.spread)
-	server := peer.NewServer(p.GetPeerAddress(), e, peerMetrics, log)
+	server := peer.NewServer(p.GetPeerAddress(), e, peerMetrics, logs.Events)
 	if err := server.Listen(); err != nil {
 		return err
 	}
@@ -53,9 +53,10 @@
 	mux.Handle("/", e.Handler())
 	applier := &apply.Applier{Store: store, InForce: e.InForce, Accepted: e.spread.Accepted}
 	mux.Handle(operator.PathPrefix, operator.NewHandler(applier, e))
+	logs.Events.Write(event.Starting(p.GetFailureDomain(), p.GetHttpAddress()))
 	return process.Run(ctx, process.Options{
 		Name:        p.GetName(),
-		Log:         log,
+		Logs:        logs,
 		HTTPAddress: p.GetHttpAddress(),
 		Handler:     http.Handler(mux),
 		Servers:     []transport.Server{server},
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"time"
 
+	"github.com/marigoldwing/marigoldwing/internal/event"
 	"github.com/marigoldwing/marigoldwing/internal/fleet"
 	"github.com/marigoldwing/marigoldwing/internal/placement"
 	"github.com/marigoldwing/marigoldwing/internal/upstream"
@@ -62,6 +63,7 @@
 // nil and what went wrong. A prompt that is prefilled has not run.
 func (q *request) prefill(ctx context.Context, c placement.Choice) (*Handle, outcome) {
 	begun := q.g.now()
+	q.prefillPredicted = c.FirstEvent
 	k := q.service.sent(begun, placement.Send{
 		Server: c.Prefill.ID, NewTokens: c.NewTokens, Parts: q.call.Parts, Deferred: c.Deferred, FirstEvent: c.FirstEvent,
 	})
@@ -163,7 +165,7 @@
 	}
 	e, err := g.pool.Do(ctx, server.Key(), request, func(http.Header) bool { return true })
 	if err != nil {
-		g.log.V(1).Info("handle was not released, it expires", "server", server.ID, "error", err.Error())
+		g.log.Write(event.HandleNotReleased(server.ID, err))
 		return
 	}
 	defer e.Release()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -12,9 +12,9 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/go-logr/logr"
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/marigoldwing/marigoldwing/internal/event"
 	"github.com/marigoldwing/marigoldwing/internal/fleet"
 	"github.com/marigoldwing/marigoldwing/internal/placement"
 	"github.com/marigoldwing/marigoldwing/internal/retry"
@@ -26,7 +26,7 @@
 	Name          string
 	FailureDomain string
 	Protocol      Protocol
-	Log           logr.Logger
+	Log           event.Log
 	Registerer    prometheus.Registerer
 	// Retries bounds repeated sends to each service.
 	Retries RetryOptions
@@ -43,7 +43,7 @@
 // Gateway serves callers.
 type Gateway struct {
 	opts    Options
-	log     logr.Logger
+	log     event.Log
 	pool    *upstream.Pool
 	metrics *metrics
 	origin  time.Time
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"github.com/marigoldwing/marigoldwing/internal/event"
 	"github.com/marigoldwing/marigoldwing/internal/fleet"
 	"github.com/marigoldwing/marigoldwing/internal/placement"
 	"github.com/marigoldwing/marigoldwing/internal/retry"
@@ -31,8 +32,9 @@
 	sends, runs int
 	// exclude names servers that have failed the request.
 	exclude []string
-	// prefilled is the time that the last prefill at a prefill engine took.
-	prefilled time.Duration
+	// prefilled is the time that the last prefill at a prefill engine took, and
+	// prefillPredicted what it was expected to take.
+	prefilled, prefillPredicted time.Duration
 	// directOnly keeps the request from engines that only prefill.
 	directOnly bool
 	// lastEvent is the ID of the last event that the caller has.
@@ -267,7 +269,7 @@
 	switch {
 	case out.serverFault:
 		if q.service.failed(q.g.now(), choice.Server.ID) {
-			q.g.log.Info("backend server ejected", "server", choice.Server.ID, "service", q.service.name, "reason", out.reason, "request_id", q.call.ID)
+			q.g.log.Write(event.ServerEjected(q.call.ID, q.service.name, choice.Server.ID, out.reason))
 		}
 	case out.result == delivered || out.result == failedAnswer:
 		q.service.succeeded(choice.Server.ID)
--- a/internal/gateway/reload.go
+++ b/internal/gateway/reload.go
@@ -10,6 +10,7 @@
 	"google.golang.org/protobuf/proto"
 
 	settingsv1 "github.com/marigoldwing/marigoldwing/api/settings/v1"
+	"github.com/marigoldwing/marigoldwing/internal/event"
 	"github.com/marigoldwing/marigoldwing/internal/registry"
 )
 
@@ -50,7 +51,7 @@
 func (r *reloader) reload(cause string) {
 	next, err := r.load()
 	if err != nil {
-		r.g.log.Error(err, "settings not reloaded, those in use stay", "cause", cause)
+		r.g.log.Write(event.SettingsRejected(cause, err))
 		return
 	}
 	if proto.Equal(next, r.current) {
@@ -59,7 +60,10 @@
 	r.current = next
 	r.g.setRetries(retryBudget(next))
 	r.follower.SetBounds(bounds(next))
-	r.g.log.Info("settings reloaded, addresses take effect at the next start", "cause", cause,
-		"retry_budget_ratio", next.GetRetryBudgetRatio(), "retry_budget_reserve", next.GetRetryBudgetReserve(),
-		"config_apply_ms", next.GetConfigApplyMs(), "drain_notice_ms", next.GetDrainNoticeMs())
+	r.g.log.Write(event.SettingsReloaded(cause, event.Settings{
+		RetryBudgetRatio:   next.GetRetryBudgetRatio(),
+		RetryBudgetReserve: next.GetRetryBudgetReserve(),
+		ConfigApply:        bounds(next).Config,
+		DrainNotice:        bounds(next).Leaving,
+	}))
 }
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -9,10 +9,10 @@
 
 	"github.com/go-kratos/kratos/v2/transport"
 	kratoshttp "github.com/go-kratos/kratos/v2/transport/http"
-	"github.com/go-logr/logr"
 	"github.com/prometheus/client_golang/prometheus"
 
 	settingsv1 "github.com/marigoldwing/marigoldwing/api/settings/v1"
+	"github.com/marigoldwing/marigoldwing/internal/event"
 	"github.com/marigoldwing/marigoldwing/internal/lease"
 	"github.com/marigoldwing/marigoldwing/internal/peer"
 	"github.com/marigoldwing/marigoldwing/internal/peers"
@@ -52,16 +52,15 @@
 	Peers peers.Store
 	// Reload reads the settings anew.
 	Reload func() (*settingsv1.Gateway, error)
-	// LogsDropped returns the log lines dropped so far.
-	LogsDropped func() int64
 }
 
 // Run runs marigold-gateway until it is stopped.
-func Run(ctx context.Context, s *settingsv1.Gateway, wire Wire, log logr.Logger) error {
+func Run(ctx context.Context, s *settingsv1.Gateway, wire Wire, logs telemetry.Logs) error {
 	if s.GetMemoryMb() > 0 {
 		debug.SetMemoryLimit(int64(memoryShare * s.GetMemoryMb() * bytesPerMB))
 	}
-	metrics := telemetry.NewRegistry()
+	log := logs.Events
+	metrics := telemetry.NewRegistry(logs.Dropped)
 	g := New(Options{
 		Name:          s.GetName(),
 		FailureDomain: s.GetFailureDomain(),
@@ -71,7 +70,7 @@
 		Retries:       retryBudget(s),
 	})
 	follower := registry.NewFollower(wire.Source, bounds(s), log, g.Update)
-	registerGauges(metrics, follower, g, wire.LogsDropped)
+	registerGauges(metrics, follower, g)
 	peerMetrics := peer.NewMetrics(metrics)
 	client := peer.NewClient(peer.ClientOptions{Metrics: peerMetrics})
 	defer client.Close()
@@ -91,11 +90,11 @@
 		State:   func(context.Context) any { return g.State() },
 		Ready:   func() error { return g.ready(follower) },
 	})
-	log.Info("starting", "failure_domain", s.GetFailureDomain(), "callers_address", s.GetCallersAddress())
+	log.Write(event.Starting(s.GetFailureDomain(), s.GetCallersAddress()))
 	reloads := &reloader{g: g, follower: follower, load: wire.Reload, current: s}
 	return process.Run(ctx, process.Options{
 		Name:        s.GetName(),
-		Log:         log,
+		Logs:        logs,
 		HTTPAddress: s.GetCallersAddress(),
 		Handler:     g,
 		Servers: []transport.Server{
@@ -187,7 +186,7 @@
 }
 
 // registerGauges adds the metrics that are read when asked for.
-func registerGauges(registerer prometheus.Registerer, f *registry.Follower, g *Gateway, logsDropped func() int64) {
+func registerGauges(registerer prometheus.Registerer, f *registry.Follower, g *Gateway) {
 	counter := func(name, help string, value func() float64) {
 		registerer.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{Name: name, Help: help}, value))
 	}
@@ -199,9 +198,6 @@
 		_, failed := f.Calls()
 		return float64(failed)
 	})
-	counter("marigold_log_lines_dropped_total", "Log lines dropped as the output was slow.", func() float64 {
-		return float64(logsDropped())
-	})
 	counter("marigold_gateway_connections_opened_total", "Connections opened to backend servers.", func() float64 {
 		return float64(g.ConnectionsOpened())
 	})
--- a/internal/gateway/stages.go
+++ b/internal/gateway/stages.go
@@ -9,8 +9,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-	"github.com/go-logr/logr"
 
+	"github.com/marigoldwing/marigoldwing/internal/event"
 	"github.com/marigoldwing/marigoldwing/internal/fleet"
 	"github.com/marigoldwing/marigoldwing/internal/lease"
 	"github.com/marigoldwing/marigoldwing/internal/stages"
@@ -71,7 +71,7 @@
 // process holds the lease for it.
 type stageKeeper struct {
 	g        *Gateway
-	log      logr.Logger
+	log      event.Log
 	service  string
 	protocol StageProtocol
 	keeper   *lease.Keeper
@@ -164,14 +164,14 @@
 	authority, ok := k.keeper.Authority()
 	if !ok {
 		if k.term != 0 {
-			k.log.Info("right to give orders lost", "service", k.service, "fence", k.term)
+			k.log.Write(event.OrdersRightLost(k.service, k.term))
 		}
 		k.term = 0
 		return
 	}
 	now := k.g.now()
 	if authority.Term != k.term {
-		k.log.Info("right to give orders taken", "service", k.service, "fence", authority.Term)
+		k.log.Write(event.OrdersRightTaken(k.service, authority.Term))
 		k.term, k.since, k.state = authority.Term, now, stages.State{}
 	}
 	if k.g.leaving.Load() || now-k.since < k.quiet {
@@ -218,7 +218,7 @@
 		reads.Go(func() {
 			report, err := k.report(ctx, server)
 			if err != nil {
-				k.log.V(1).Info("engine gave no report", "server", server.ID, "error", err.Error())
+				k.log.Write(event.ReportMissing(server.ID, err))
 				return
 			}
 			engine.Asked, engine.Stage = true, report.Stage
@@ -266,8 +266,10 @@
 		outcome = err.Error()
 		k.pending[server.ID] = k.g.now() + lateOrder
 	}
-	k.log.Info("order given", "server", server.ID, "service", k.service, "stage", order.To.String(), "fence", k.term,
-		"expected_orders", report.Orders, "prefill_queue", order.PrefillQueue, "decode_use", order.DecodeUse, "outcome", outcome)
+	k.log.Write(event.OrderGiven(event.Order{
+		Server: server.ID, Service: k.service, Stage: order.To.String(), Fence: k.term, Expected: report.Orders,
+		PrefillQueue: order.PrefillQueue, DecodeUse: order.DecodeUse, Outcome: outcome,
+	}))
 }
 
 // engineCall makes a call to an engine that is not a caller's request.
--- a/internal/ledger/fault_test.go
+++ b/internal/ledger/fault_test.go
@@ -10,7 +10,6 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/go-logr/logr"
 	"github.com/stretchr/testify/require"
 	"google.golang.org/protobuf/proto"
 
@@ -162,7 +161,6 @@
 			Service:  "app",
 			Store:    hostStore{tr.store, h, noConditions},
 			Interval: 10 * time.Millisecond,
-			Log:      logr.Discard(),
 		})
 		go func() { _ = w.Run(tr.ctx) }()
 		return w
@@ -174,7 +172,7 @@
 	return func(tr *trial, _ *host, incarnation uint64) starter {
 		w := NewWriter(WriterOptions{
 			Options: Options{BackendServer: "a", Incarnation: incarnation, Started: time.Now()},
-			Service: "app", Store: tr.store, Interval: interval, Log: logr.Discard(),
+			Service: "app", Store: tr.store, Interval: interval,
 		})
 		go func() { _ = w.Run(tr.ctx) }()
 		return w
--- a/internal/ledger/takeover.go
+++ b/internal/ledger/takeover.go
@@ -9,6 +9,7 @@
 	"google.golang.org/protobuf/proto"
 
 	ledgerv1 "github.com/marigoldwing/marigoldwing/api/ledger/v1"
+	"github.com/marigoldwing/marigoldwing/internal/event"
 	"github.com/marigoldwing/marigoldwing/internal/platform"
 )
 
@@ -26,7 +27,7 @@
 		if err == nil || errors.Is(err, errSuperseded) {
 			return err
 		}
-		w.opts.Log.Info("ledger not taken over", "backendServer", w.opts.BackendServer, "error", err.Error())
+		w.opts.Log.Write(event.LedgerNotTakenOver(w.opts.BackendServer, err))
 		sleep(ctx, pause)
 		if ctx.Err() != nil {
 			return ctx.Err()
@@ -144,7 +145,7 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	if err := w.opts.Store.Delete(ctx, segmentKey(segment), version); err != nil {
-		w.opts.Log.Info("ledger segment not deleted", "segment", number, "error", err.Error())
+		w.opts.Log.Write(event.SegmentNotDeleted(number, err))
 	}
 }
 
--- a/internal/logtrace/logtrace.go
+++ b/internal/logtrace/logtrace.go
@@ -12,14 +12,13 @@
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/marigoldwing/marigoldwing/internal/event"
 )
 
 // maxLineBytes bounds one line of a log.
 const maxLineBytes = 1 << 20
 
-// keyRequestID is the field that names the request.
-const keyRequestID = "request_id"
-
 // Line is one log line that concerns a request.
 type Line struct {
 	Time    time.Time
@@ -55,13 +54,13 @@
 	if err := json.Unmarshal(text[begin:], &fields); err != nil {
 		return Line{}, false
 	}
-	if textOf(fields[keyRequestID]) != requestID {
+	if textOf(fields[event.KeyRequestID]) != requestID {
 		return Line{}, false
 	}
 	line := Line{Process: textOf(fields["process"]), Message: textOf(fields["msg"]), Fields: fields}
 	// A line without a readable time sorts first.
 	line.Time, _ = time.Parse(time.RFC3339Nano, textOf(fields["time"]))
-	for _, name := range []string{"time", "level", "msg", "process", keyRequestID} {
+	for _, name := range []string{"time", "level", "msg", "process", event.KeyRequestID} {
 		delete(fields, name)
 	}
 	return line, true
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -7,11 +7,11 @@
 	"net"
 	"sync"
 
-	"github.com/go-logr/logr"
 	"github.com/sourcegraph/jsonrpc2"
 	"google.golang.org/protobuf/proto"
 
 	peerv1 "github.com/marigoldwing/marigoldwing/api/peer/v1"
+	"github.com/marigoldwing/marigoldwing/internal/event"
 )
 
 // FrameSender sends the frames of answers back to the process that submitted
@@ -47,7 +47,7 @@
 	address string
 	handler Handler
 	metrics *Metrics
-	log     logr.Logger
+	log     event.Log
 
 	mu       sync.Mutex
 	listener net.Listener
@@ -56,7 +56,7 @@
 }
 
 // NewServer returns a server for address (IP:port).
-func NewServer(address string, handler Handler, metrics *Metrics, log logr.Logger) *Server {
+func NewServer(address string, handler Handler, metrics *Metrics, log event.Log) *Server {
 	return &Server{
 		address: address,
 		handler: handler,
@@ -167,7 +167,7 @@
 func (c *serverConn) Handle(ctx context.Context, conn *jsonrpc2.Conn, req *jsonrpc2.Request) {
 	if err := c.dispatch(ctx, conn, req); err != nil {
 		c.server.metrics.malformed.Inc()
-		c.server.log.Info("peer message closed its connection", "method", req.Method, "error", err.Error())
+		c.server.log.Write(event.PeerMessageMalformed(req.Method, err))
 		go func() { _ = conn.Close() }()
 	}
 }
--- a/internal/peers/exchange.go
+++ b/internal/peers/exchange.go
@@ -8,10 +8,10 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/go-logr/logr"
 	"google.golang.org/protobuf/proto"
 
 	peerv1 "github.com/marigoldwing/marigoldwing/api/peer/v1"
+	"github.com/marigoldwing/marigoldwing/internal/event"
 	"github.com/marigoldwing/marigoldwing/internal/peer"
 	"github.com/marigoldwing/marigoldwing/internal/platform"
 )
@@ -43,7 +43,7 @@
 	Incarnation uint64
 	Store       Store
 	Client      *peer.Client
-	Log         logr.Logger
+	Log         event.Log
 	// Fill writes what this gateway has in force into a heartbeat.
 	Fill func(*peerv1.Heartbeat)
 	// Heard takes in what a peer has in force.
@@ -116,7 +116,7 @@
 	defer x.mu.Unlock()
 	live := int64(x.table.Live(x.now()))
 	if before := x.live.Swap(live); before != live {
-		x.opts.Log.Info("gateways that live", "count", live, "before", before)
+		x.opts.Log.Write(event.GatewaysLive(live, before))
 	}
 	return x.table.Partners(x.now())
 }
@@ -137,7 +137,7 @@
 			// The connection may have gone silent.
 			x.opts.Client.Drop(p.Address)
 		}
-		x.opts.Log.V(1).Info("peer did not answer", "peer", p.Name, "error", err.Error())
+		x.opts.Log.Write(event.PeerSilent(p.Name, err))
 		return
 	}
 	x.heard(answer)
@@ -178,7 +178,7 @@
 		if entered && err == nil {
 			return
 		}
-		x.opts.Log.Info("gateways not listed yet", "entered", entered, "error", err.Error())
+		x.opts.Log.Write(event.GatewaysNotListed(entered, err))
 		select {
 		case <-time.After(listRetry):
 		case <-ctx.Done():
@@ -217,7 +217,7 @@
 	for _, o := range objects {
 		var h peerv1.Heartbeat
 		if err := proto.Unmarshal(o.Value, &h); err != nil {
-			x.opts.Log.Info("entry of a gateway can't be read", "name", o.Key.Name, "version", o.Version, "error", err.Error())
+			x.opts.Log.Write(event.GatewayEntryUnreadable(o.Key.Name, o.Version, err))
 			continue
 		}
 		x.table.Learn(x.now(), h.GetSender(), h.GetAddress())
@@ -236,7 +236,7 @@
 
 // Submit implements peer.Handler. Gateways take no attempts from others.
 func (x *Exchange) Submit(_ peer.FrameSender, s *peerv1.Submit) {
-	x.opts.Log.Info("attempt sent to a gateway ignored", "attempt", s.GetAttemptId())
+	x.opts.Log.Write(event.AttemptIgnored(s.GetAttemptId()))
 }
 
 // Withdraw implements peer.Handler.
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -8,11 +8,11 @@
 	"testing"
 	"time"
 
-	"github.com/go-logr/logr"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/stretchr/testify/require"
 
 	peerv1 "github.com/marigoldwing/marigoldwing/api/peer/v1"
+	"github.com/marigoldwing/marigoldwing/internal/event"
 	"github.com/marigoldwing/marigoldwing/internal/peer"
 	"github.com/marigoldwing/marigoldwing/internal/platform/fake"
 )
@@ -86,7 +86,7 @@
 	client := peer.NewClient(peer.ClientOptions{Metrics: metrics})
 	n := &node{heard: make(map[string]uint64)}
 	n.Exchange = NewExchange(Options{
-		Name: name, Address: address, Incarnation: uint64(time.Now().UnixNano()), Store: store, Client: client, Log: logr.Discard(),
+		Name: name, Address: address, Incarnation: uint64(time.Now().UnixNano()), Store: store, Client: client,
 		Fill: func(h *peerv1.Heartbeat) { h.ConfigRevision = version },
 		Heard: func(h *peerv1.Heartbeat) {
 			n.mu.Lock()
@@ -94,7 +94,7 @@
 			n.heard[h.GetSender()] = h.GetConfigRevision()
 		},
 	})
-	server := peer.NewServer(address, n.Exchange, metrics, logr.Discard())
+	server := peer.NewServer(address, n.Exchange, metrics, event.Log{})
 	require.NoError(t, server.Listen())
 	ctx, cancel := context.WithCancel(t.Context())
 	var running sync.WaitGroup
--- a/internal/process/main.go
+++ b/internal/process/main.go
@@ -8,9 +8,8 @@
 	"io"
 	"os"
 
-	"github.com/go-logr/logr"
-
 	settingsv1 "github.com/marigoldwing/marigoldwing/api/settings/v1"
+	"github.com/marigoldwing/marigoldwing/internal/event"
 	"github.com/marigoldwing/marigoldwing/internal/settings"
 	"github.com/marigoldwing/marigoldwing/internal/telemetry"
 )
@@ -51,7 +50,7 @@
 func Main[S any](
 	args []string,
 	load func(args []string) (S, settings.Mode, error),
-	run func(ctx context.Context, s S, log logr.Logger) error,
+	run func(ctx context.Context, s S, logs telemetry.Logs) error,
 	out, errOut io.Writer,
 ) int {
 	s, mode, err := load(args)
@@ -67,18 +66,20 @@
 		return ExitOK
 	}
 	as := loggedAs(s)
-	log := telemetry.NewLogger(out, as.GetName(), int(as.GetLogVerbosity()))
-	if err := run(context.Background(), s, log); err != nil {
-		log.Error(err, "failed")
+	writer := telemetry.NewWriter(out, telemetry.DefaultLogBuffer)
+	defer writer.Close()
+	logs := telemetry.NewLogs(writer, as.GetName(), int(as.GetLogVerbosity()))
+	if err := run(context.Background(), s, logs); err != nil {
+		logs.Events.Write(event.Failed(err))
 		return ExitFailed
 	}
 	return ExitOK
 }
 
 // Exit runs Main with the process's own arguments and streams, and exits.
-func Exit[S withProcess](
+func Exit[S any](
 	load func(args []string) (S, settings.Mode, error),
-	run func(ctx context.Context, s S, log logr.Logger) error,
+	run func(ctx context.Context, s S, logs telemetry.Logs) error,
 ) {
 	os.Exit(Main(os.Args[1:], load, run, os.Stdout, os.Stderr))
 }
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -14,8 +14,8 @@
 	"github.com/go-kratos/kratos/v2"
 	"github.com/go-kratos/kratos/v2/transport"
 	kratoshttp "github.com/go-kratos/kratos/v2/transport/http"
-	"github.com/go-logr/logr"
 
+	"github.com/marigoldwing/marigoldwing/internal/event"
 	"github.com/marigoldwing/marigoldwing/internal/telemetry"
 )
 
@@ -26,7 +26,7 @@
 // Options describe one process.
 type Options struct {
 	Name string
-	Log  logr.Logger
+	Logs telemetry.Logs
 	// HTTPAddress is the IP:port of the HTTP listener, and Handler what it
 	// serves.
 	HTTPAddress string
@@ -55,7 +55,7 @@
 // Run serves until a signal stops the process, and returns after a graceful
 // stop. Its error is one of starting or serving, never of being stopped.
 func Run(ctx context.Context, opts Options) error {
-	telemetry.CaptureKratos(opts.Log)
+	telemetry.CaptureKratos(opts.Logs.Logger)
 	if opts.StopTimeout == 0 {
 		opts.StopTimeout = DefaultStopTimeout
 	}
@@ -80,7 +80,7 @@
 	if err != nil {
 		return fmt.Errorf("process: %s: %w", opts.Name, err)
 	}
-	opts.Log.Info("stopped")
+	opts.Logs.Events.Write(event.Stopped())
 	return nil
 }
 
@@ -114,15 +114,15 @@
 	select {
 	case <-ended:
 	case <-time.After(opts.LoopTimeout):
-		opts.Log.Info("loops still running at exit")
+		opts.Logs.Events.Write(event.LoopsLeft())
 	}
 }
 
 func drain(opts Options) {
-	opts.Log.Info("stopping", "drainTimeout", opts.DrainTimeout.String())
+	opts.Logs.Events.Write(event.Stopping(opts.DrainTimeout))
 	ctx, cancel := context.WithTimeout(context.Background(), opts.DrainTimeout)
 	defer cancel()
 	start := time.Now()
 	opts.Drain(ctx)
-	opts.Log.Info("drained", "took", time.Since(start).String(), "whole", ctx.Err() == nil)
+	opts.Logs.Events.Write(event.Drained(time.Since(start), ctx.Err() == nil))
 }
--- a/internal/registry/loop.go
+++ b/internal/registry/loop.go
@@ -6,6 +6,8 @@
 	"math/rand/v2"
 	"sync"
 	"time"
+
+	"github.com/marigoldwing/marigoldwing/internal/event"
 )
 
 // feed is one kind of object that is followed. Both functions take in what
@@ -41,7 +43,7 @@
 		switch {
 		case err == nil:
 			if lost {
-				f.log.Info("store answers again", "kind", from.kind, "revision", next)
+				f.log.Write(event.StoreBack(from.kind, next))
 			}
 			if revision != 0 && next != revision {
 				sleep(ctx, eventPause)
@@ -49,11 +51,11 @@
 			revision, pause, lost = next, minPause, false
 			continue
 		case errors.Is(err, errNews):
-			f.log.Info("another gateway knows news, listing anew", "kind", from.kind, "revision", revision)
+			f.log.Write(event.PeerKnowsNews(from.kind, revision))
 			revision = 0
 			continue
 		case errors.Is(err, ErrHistoryGone):
-			f.log.Info("history of the store is gone, listing anew", "kind", from.kind, "revision", revision)
+			f.log.Write(event.HistoryGone(from.kind, revision))
 			revision = 0
 			continue
 		case ctx.Err() != nil:
@@ -116,7 +118,7 @@
 	f.view.Lost()
 	f.mu.Unlock()
 	if !*lost {
-		f.log.Info("store does not answer, what is known stays in force", "kind", kind, "revision", revision, "error", err.Error())
+		f.log.Write(event.StoreLost(kind, revision, err))
 	}
 	*lost = true
 }
--- a/internal/spread/exchange.go
+++ b/internal/spread/exchange.go
@@ -10,6 +10,7 @@
 	configv1 "github.com/marigoldwing/marigoldwing/api/config/v1"
 	peerv1 "github.com/marigoldwing/marigoldwing/api/peer/v1"
 	"github.com/marigoldwing/marigoldwing/internal/config"
+	"github.com/marigoldwing/marigoldwing/internal/event"
 )
 
 // Limits of the calls to peers.
@@ -162,7 +163,7 @@
 		err = s.fetchPlan(ctx, f.Service, address)
 	}
 	if err != nil {
-		s.opts.Log.V(1).Info("fetch failed", "peer", address, "service", f.Service, "error", err.Error())
+		s.opts.Log.Write(event.FetchFailed(address, f.Service, err))
 	}
 }
 
--- a/internal/spread/run.go
+++ b/internal/spread/run.go
@@ -15,6 +15,7 @@
 	peerv1 "github.com/marigoldwing/marigoldwing/api/peer/v1"
 	"github.com/marigoldwing/marigoldwing/internal/config"
 	"github.com/marigoldwing/marigoldwing/internal/deployments"
+	"github.com/marigoldwing/marigoldwing/internal/event"
 	"github.com/marigoldwing/marigoldwing/internal/platform"
 )
 
@@ -88,7 +89,7 @@
 	if storeErr == nil {
 		s.storeAnswered(time.Now())
 	} else {
-		s.opts.Log.Info("configuration not read at start", "error", storeErr.Error())
+		s.opts.Log.Write(event.ConfigNotRead(storeErr))
 	}
 	if len(peers) > 0 && peers[0].revision > stored.Accepted.GetRevision() {
 		return s.startFromPeers(ctx, peers)
@@ -119,7 +120,7 @@
 		})
 	}
 	if err := group.Wait(); err != nil {
-		s.opts.Log.V(1).Info("peer not reached at start", "error", err.Error())
+		s.opts.Log.Write(event.PeersUnreached(err))
 	}
 	answers = slices.DeleteFunc(answers, func(h heard) bool { return h.revision == 0 })
 	slices.SortStableFunc(answers, func(a, b heard) int { return cmp.Compare(b.revision, a.revision) })
@@ -166,7 +167,7 @@
 func (s *Spreader) tellOne(ctx context.Context, m Member) bool {
 	_, err := s.exchange(ctx, m.Address)
 	if err != nil {
-		s.opts.Log.V(1).Info("peer not reached", "peer", m.Name, "error", err.Error())
+		s.opts.Log.Write(event.PeerUnreached(m.Name, err))
 	}
 	return err == nil
 }
@@ -311,7 +312,7 @@
 	}
 	for _, ev := range events.Events {
 		if err := s.takeEvent(ctx, ev); err != nil {
-			s.opts.Log.Error(err, "stored object not taken", "key", ev.Object.Key.String())
+			s.opts.Log.Write(event.ObjectNotTaken(ev.Object.Key.String(), err))
 			if kind == platform.KindDeployment {
 				return 0, err
 			}
--- a/internal/spread/spread.go
+++ b/internal/spread/spread.go
@@ -8,11 +8,10 @@
 	"sync"
 	"time"
 
-	"github.com/go-logr/logr"
-
 	configv1 "github.com/marigoldwing/marigoldwing/api/config/v1"
 	peerv1 "github.com/marigoldwing/marigoldwing/api/peer/v1"
 	"github.com/marigoldwing/marigoldwing/internal/config"
+	"github.com/marigoldwing/marigoldwing/internal/event"
 	"github.com/marigoldwing/marigoldwing/internal/platform"
 )
 
@@ -47,7 +46,7 @@
 	// Interval between heartbeats.
 	Interval time.Duration
 	// Log may be the zero value.
-	Log logr.Logger
+	Log event.Log
 	// Fill adds what others put into a heartbeat: incarnation, loads, demand.
 	Fill func(*peerv1.Heartbeat)
 	// Observe is called with each heartbeat heard.
@@ -280,7 +279,7 @@
 	}
 	s.putInForce(a, source, delta)
 	s.opts.OnConfig(a)
-	s.opts.Log.Info("configuration in force", "revision", a.GetRevision(), "apply_id", a.GetApplyId(), "source", source.String())
+	s.opts.Log.Write(event.DeploymentInForce(a.GetRevision(), a.GetApplyId(), source.String()))
 }
 
 // putInForce keeps what takeConfig decided on, and has it told to others.
@@ -308,7 +307,7 @@
 		return
 	}
 	s.alarm = Alarm{Kind: verdict.Alarm, Reason: verdict.Reason, Since: time.Now()}
-	s.opts.Log.Info("configuration alarm", "alarm", verdict.Alarm.String(), "reason", verdict.Reason)
+	s.opts.Log.Write(event.ConfigAlarm(verdict.Alarm.String(), verdict.Reason))
 }
 
 // takePlan keeps a plan if it is newer than the one known, or has more of the
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -15,6 +15,8 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"google.golang.org/protobuf/encoding/protojson"
 	"google.golang.org/protobuf/proto"
+
+	"github.com/marigoldwing/marigoldwing/internal/event"
 )
 
 // Paths that every process serves.
@@ -29,23 +31,45 @@
 // the process. Verbosity 0 writes level info; each step more writes one
 // level of logr.Logger.V more.
 func NewLogger(w io.Writer, process string, verbosity int) logr.Logger {
-	handler := slog.NewJSONHandler(w, &slog.HandlerOptions{
-		Level:       slog.Level(-verbosity),
-		ReplaceAttr: nameLevel,
-	})
-	return logr.FromSlogHandler(handler).WithValues("process", process)
+	json := slog.NewJSONHandler(w, &slog.HandlerOptions{Level: slog.Level(-verbosity)})
+	return logr.FromSlogHandler(plainLevels{json}).WithValues("process", process)
 }
 
-// nameLevel writes every level below info as DEBUG: slog would name the
+// plainLevels writes every level below info as DEBUG: slog would name the
 // verbosities between by their distance from a level of its own.
-func nameLevel(groups []string, attr slog.Attr) slog.Attr {
-	if len(groups) > 0 || attr.Key != slog.LevelKey {
-		return attr
-	}
-	if level, ok := attr.Value.Any().(slog.Level); ok && level < slog.LevelInfo {
-		attr.Value = slog.StringValue(slog.LevelDebug.String())
+type plainLevels struct{ slog.Handler }
+
+// Handle implements slog.Handler.
+func (h plainLevels) Handle(ctx context.Context, record slog.Record) error {
+	if record.Level < slog.LevelInfo {
+		record.Level = slog.LevelDebug
 	}
-	return attr
+	return h.Handler.Handle(ctx, record)
+}
+
+// WithAttrs implements slog.Handler.
+func (h plainLevels) WithAttrs(attrs []slog.Attr) slog.Handler {
+	return plainLevels{h.Handler.WithAttrs(attrs)}
+}
+
+// WithGroup implements slog.Handler.
+func (h plainLevels) WithGroup(name string) slog.Handler {
+	return plainLevels{h.Handler.WithGroup(name)}
+}
+
+// Logs are what a process writes its lines with.
+type Logs struct {
+	// Logger is for libraries, Events for the process itself.
+	Logger logr.Logger
+	Events event.Log
+	// Dropped returns the number of lines that were dropped so far.
+	Dropped func() int64
+}
+
+// NewLogs returns logs that are written to w in the background.
+func NewLogs(w *Writer, process string, verbosity int) Logs {
+	logger := NewLogger(w, process, verbosity)
+	return Logs{Logger: logger, Events: event.NewLog(logger), Dropped: w.Dropped}
 }
 
 // CaptureKratos sends the log lines of the kratos library to logger.
@@ -76,12 +100,15 @@
 }
 
 // NewRegistry returns a metrics registry with the collectors for the Go
-// runtime and the process.
-func NewRegistry() *prometheus.Registry {
+// runtime, the process and its log.
+func NewRegistry(logLinesDropped func() int64) *prometheus.Registry {
 	registry := prometheus.NewRegistry()
 	registry.MustRegister(
 		collectors.NewGoCollector(),
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
+		prometheus.NewCounterFunc(prometheus.CounterOpts{
+			Name: "marigold_log_lines_dropped_total", Help: "Log lines dropped as the output was slow.",
+		}, func() float64 { return float64(logLinesDropped()) }),
 	)
 	return registry
 }
--- a/internal/telemetry/telemetry_test.go
+++ b/internal/telemetry/telemetry_test.go
@@ -33,7 +33,7 @@
 func TestMuxServesStateAndReadiness(t *testing.T) {
 	var notReady error
 	mux := NewMux(MuxOptions{
-		Metrics: NewRegistry(),
+		Metrics: NewRegistry(func() int64 { return 0 }),
 		State:   func(context.Context) any { return &statusv1.Status{AcceptedRevision: 7} },
 		Ready:   func() error { return notReady },
 	})
--- a/internal/telemetry/writer.go
+++ b/internal/telemetry/writer.go
@@ -14,6 +14,8 @@
 	// flushInterval is how long a line waits at most; lines written together
 	// cost fewer system calls.
 	flushInterval = 50 * time.Millisecond
+	// keptBytes is the largest buffer that is kept for the next lines.
+	keptBytes = 64 << 10
 	// lossInterval is how often dropped lines are told of at most.
 	lossInterval = time.Second
 )
@@ -26,6 +28,8 @@
 
 	mu      sync.Mutex
 	pending []byte
+	// written is the buffer of the last flush, for the next lines.
+	written []byte
 	dropped int64
 	untold  int64
 	toldAt  time.Time
@@ -96,18 +100,23 @@
 func (w *Writer) flush() {
 	w.mu.Lock()
 	lines := w.pending
-	w.pending = nil
+	w.pending = w.written[:0]
 	if w.untold > 0 && time.Since(w.toldAt) >= lossInterval {
 		lines = append(lines, lossLine(w.untold)...)
 		w.untold = 0
 		w.toldAt = time.Now()
 	}
 	w.mu.Unlock()
-	if len(lines) == 0 {
-		return
+	if len(lines) > 0 {
+		// There is nowhere else to tell of an output that fails.
+		_, _ = w.out.Write(lines)
 	}
-	// There is nowhere else to tell of an output that fails.
-	_, _ = w.out.Write(lines)
+	if cap(lines) > keptBytes {
+		lines = nil
+	}
+	w.mu.Lock()
+	w.written = lines
+	w.mu.Unlock()
 }
 
 // lossLine tells how many lines are missing.
--- a/internal/telemetry/writer_test.go
+++ b/internal/telemetry/writer_test.go
@@ -39,3 +39,21 @@
 	require.Contains(t, text, "log lines dropped")
 	require.Equal(t, int64(50), int64(strings.Count(text, "xxx\n"))+w.Dropped())
 }
+
+// TestWriterKeepsLinesWholeAsItReusesItsBuffers writes lines of several flushes.
+func TestWriterKeepsLinesWholeAsItReusesItsBuffers(t *testing.T) {
+	var out bytes.Buffer
+	w := &Writer{out: &out, limit: 1 << 20, wake: make(chan struct{}, 1)}
+	want := ""
+	for i := range 50 {
+		line := strings.Repeat(string(rune('a'+i%26)), 1+i*i) + "\n"
+		_, err := w.Write([]byte(line))
+		require.NoError(t, err)
+		want += line
+		if i%3 == 0 {
+			w.flush()
+		}
+	}
+	w.flush()
+	require.Equal(t, want, out.String())
+}
