Change engines' stages in proportion to the fleet

Now one twelfth of the engines, one at least, may change at once; engines on their way count at the stage where they go. Small fleets change as before. Tests: a fleet of 48 orders four, and stops at the share.

--- a/internal/gateway/stages.go
+++ b/internal/gateway/stages.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -183,15 +184,11 @@
 	}
 	servers := s.servers()
 	engines, reports := k.reports(ctx, servers)
-	next, order, ok := stages.Decide(k.state, stages.DefaultOptions(s.engine.StageChange), k.g.now(), engines)
+	next, orders := stages.Decide(k.state, stages.DefaultOptions(s.engine.StageChange), k.g.now(), engines)
 	k.state = next
-	if !ok {
-		return
-	}
-	for _, server := range servers {
-		if server.ID == order.Engine {
-			k.give(ctx, server, order, reports[server.ID])
-		}
+	for _, order := range orders {
+		i := slices.IndexFunc(servers, func(server fleet.Server) bool { return server.ID == order.Engine })
+		k.give(ctx, servers[i], order, reports[order.Engine])
 	}
 }
 
--- a/internal/stages/stages.go
+++ b/internal/stages/stages.go
@@ -2,9 +2,9 @@
 //
 // It answers a mix of long prompts and long answers that swings faster than
 // engines can be added: an engine that changes its stage is away for seconds,
-// so one moves at a time, towards the stage whose queue makes callers wait, and
-// only if the other stage can spare it. Decide is pure; the caller gives the
-// order.
+// so few move at a time, towards the stage whose queue makes callers wait, and
+// only if the other stage can spare them. Decide is pure; the caller gives the
+// orders.
 package stages
 
 import (
@@ -29,6 +29,8 @@
 	Asked bool
 	// Running and Queued requests, and how many can run at once.
 	Running, Queued, Slots int
+	// arriving engines are changing to Stage.
+	arriving bool
 }
 
 // Options set when an engine changes.
@@ -50,6 +52,8 @@
 	PrefillShare float64
 	// LeastOfStage is the least number of engines of each stage.
 	LeastOfStage int
+	// AwayShare of the engines, one at least, may change at once.
+	AwayShare float64
 }
 
 // DefaultOptions returns the usual options for engines that are away for a
@@ -63,6 +67,7 @@
 		Half:         4 * time.Second,
 		PrefillShare: 0.45,
 		LeastOfStage: 2,
+		AwayShare:    1.0 / 12,
 	}
 }
 
@@ -72,9 +77,15 @@
 	prefillQueue, decodeUse float64
 	seenAt                  time.Duration
 	seen                    bool
-	// orderedAt is when the last order was given.
-	orderedAt time.Duration
-	ordered   bool
+	// ordered has the newest order of each engine that may not show it in its
+	// report yet.
+	ordered map[string]given
+}
+
+// given is an order that was given.
+type given struct {
+	at time.Duration
+	to fleet.Stage
 }
 
 // Order is a change of one engine.
@@ -85,9 +96,12 @@
 	PrefillQueue, DecodeUse float64
 }
 
-// sums are the engines and the load of each stage.
+// sums are the engines and the load of each stage. Engines on their way to a
+// stage count there and as changing.
 type sums struct {
 	prefills, decodes, changing int
+	// engines in all.
+	engines int
 	// askedPrefills of the prefill engines have told prompts.
 	askedPrefills        int
 	prompts, used, slots float64
@@ -96,10 +110,15 @@
 func sum(engines []Engine) sums {
 	var s sums
 	for _, e := range engines {
-		switch {
-		case e.Leaving:
-		case e.Changing:
+		if e.Leaving {
+			continue
+		}
+		s.engines++
+		if e.Changing {
 			s.changing++
+		}
+		switch {
+		case e.Changing && !e.arriving:
 		case e.Stage == fleet.StagePrefill:
 			s.prefills++
 			if e.Asked {
@@ -117,25 +136,56 @@
 	return s
 }
 
-// Decide takes in what the engines report and returns the change that is worth
-// making, if any. Nothing changes while another change is under way.
-func Decide(st State, o Options, now time.Duration, engines []Engine) (State, Order, bool) {
+// Decide takes in what the engines report and returns the changes that are
+// worth making, none while as many as may change at once do.
+func Decide(st State, o Options, now time.Duration, engines []Engine) (State, []Order) {
+	engines, st.ordered = st.afterOrders(o, now, engines)
 	s := sum(engines)
 	st = st.observe(o, now, s)
-	settled := !st.ordered || now-st.orderedAt >= o.Change
-	if s.changing > 0 || !settled {
-		return st, Order{}, false
-	}
-	to, ok := st.wanted(o, s)
-	if !ok {
-		return st, Order{}, false
+	var orders []Order
+	for s.changing < o.mostAway(s) {
+		to, ok := st.wanted(o, s)
+		if !ok {
+			break
+		}
+		i := cheapest(engines, to)
+		if i < 0 {
+			break
+		}
+		orders = append(orders, Order{Engine: engines[i].ID, To: to, PrefillQueue: st.prefillQueue, DecodeUse: st.decodeUse})
+		st.ordered[engines[i].ID] = given{at: now, to: to}
+		engines[i].becomes(to)
+		s = sum(engines)
 	}
-	id := cheapest(engines, to)
-	if id == "" {
-		return st, Order{}, false
+	return st, orders
+}
+
+// mostAway returns how many engines may change at once.
+func (o Options) mostAway(s sums) int {
+	return max(1, int(o.AwayShare*float64(s.engines)))
+}
+
+// afterOrders returns a copy of the engines in which those that were ordered a
+// short while ago are on their way, whatever they report, and the orders that
+// are still young.
+func (st State) afterOrders(o Options, now time.Duration, engines []Engine) ([]Engine, map[string]given) {
+	marked := slices.Clone(engines)
+	young := make(map[string]given, len(st.ordered))
+	for i, e := range marked {
+		order, ok := st.ordered[e.ID]
+		if !ok || now-order.at >= o.Change {
+			continue
+		}
+		young[e.ID] = order
+		marked[i].becomes(order.to)
 	}
-	st.ordered, st.orderedAt = true, now
-	return st, Order{Engine: id, To: to, PrefillQueue: st.prefillQueue, DecodeUse: st.decodeUse}, true
+	return marked, young
+}
+
+// becomes makes an engine one on its way to a stage: it counts there, and its
+// load counts for nothing.
+func (e *Engine) becomes(to fleet.Stage) {
+	e.Stage, e.Changing, e.arriving, e.Asked = to, true, true, false
 }
 
 // observe smooths the load.
@@ -175,26 +225,30 @@
 	return st.decodeUse * float64(s.decodes) / float64(max(1, s.decodes-1))
 }
 
-// cheapest returns the engine of the other stage with the least work.
-func cheapest(engines []Engine, to fleet.Stage) string {
+// cheapest returns the index of the engine of the other stage with the least
+// work, or -1.
+func cheapest(engines []Engine, to fleet.Stage) int {
 	from := fleet.StageDecode
 	if to == fleet.StageDecode {
 		from = fleet.StagePrefill
 	}
-	var candidates []Engine
-	for _, e := range engines {
-		if e.Stage == from && e.Asked && !e.Leaving && !e.Changing {
-			candidates = append(candidates, e)
+	best := -1
+	for i, e := range engines {
+		if e.Stage != from || !e.Asked || e.Leaving || e.Changing {
+			continue
+		}
+		if best < 0 || compareWork(e, engines[best]) < 0 {
+			best = i
 		}
 	}
-	if len(candidates) == 0 {
-		return ""
+	return best
+}
+
+// compareWork orders engines by their requests, and by ID where these are the
+// same.
+func compareWork(a, b Engine) int {
+	if d := a.Running + a.Queued - b.Running - b.Queued; d != 0 {
+		return d
 	}
-	least := slices.MinFunc(candidates, func(a, b Engine) int {
-		if d := a.Running + a.Queued - b.Running - b.Queued; d != 0 {
-			return d
-		}
-		return strings.Compare(a.ID, b.ID)
-	})
-	return least.ID
+	return strings.Compare(a.ID, b.ID)
 }
