--- a/internal/event/belief.go
+++ b/internal/event/belief.go
@@ -85,6 +85,17 @@
 	return info("attempt sent to a gateway ignored", slog.String(keyAttemptID, attemptID))
 }
 
+// CoordinatorLost says that the gateway that places long prompts did not
+// answer, and that this one chooses by what it knows itself.
+func CoordinatorLost(name string, err error) Event {
+	return info("coordinator of long prompts does not answer, choosing alone", slog.String(keyPeer, name), errorText(err))
+}
+
+// CoordinatorBack says that long prompts are placed for this gateway again.
+func CoordinatorBack(name string) Event {
+	return info("coordinator of long prompts answers again", slog.String(keyPeer, name))
+}
+
 // OrdersRightTaken says that this gateway may have engines change their
 // stages. The fence is the term of its lease.
 func OrdersRightTaken(service string, fence uint64) Event {
--- a/internal/event/request.go
+++ b/internal/event/request.go
@@ -25,6 +25,8 @@
 	PromptTokens, NewTokens int
 	// Deferred requests can't be in time and yield to others.
 	Deferred bool
+	// PlacedBy is the gateway that chose for a long prompt; empty for others.
+	PlacedBy string
 	// Prefill tells of the engine that prefilled the prompt; nil for none.
 	Prefill *Prefill
 	// FetchFrom is the address of the engine that shared parts came from.
@@ -44,7 +46,7 @@
 }
 
 // attemptFields is the most that an Attempt has.
-const attemptFields = 19
+const attemptFields = 20
 
 // Event returns the line.
 func (a Attempt) Event() Event {
@@ -67,6 +69,7 @@
 		e.with(milliseconds("prefill_predicted_ms", a.Prefill.Predicted))
 		e.with(milliseconds("prefill_elapsed_ms", a.Prefill.Elapsed))
 	}
+	e.withText("placed_by", a.PlacedBy)
 	e.withText("fetch_from", a.FetchFrom)
 	e.with(slog.String(keyResult, a.Result))
 	e.withText(keyReason, a.Reason)
--- a/internal/fleet/config.go
+++ b/internal/fleet/config.go
@@ -97,6 +97,8 @@
 type EngineSpec struct {
 	// Slots is the number of requests that an engine runs at once.
 	Slots int
+	// MemoryTokens is the KV cache memory, in tokens; 0 if it is not told.
+	MemoryTokens int
 	// BytesPerToken of KV cache.
 	BytesPerToken int
 	// LinkMbps is the bandwidth of KV transfers, in megabits per second.
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -63,9 +63,10 @@
 // nil and what went wrong. A prompt that is prefilled has not run.
 func (q *request) prefill(ctx context.Context, c placement.Choice) (*Handle, outcome) {
 	begun := q.g.now()
-	q.prefillPredicted = c.FirstEvent
+	q.prefillPredicted = c.Prefilled
 	k := q.service.sent(begun, placement.Send{
-		Server: c.Prefill.ID, NewTokens: c.NewTokens, Parts: q.call.Parts, Deferred: c.Deferred, FirstEvent: c.FirstEvent,
+		Server: c.Prefill.ID, NewTokens: c.NewTokens, PromptTokens: q.call.PromptTokens, Parts: q.call.Parts,
+		Deferred: c.Deferred, FirstEvent: c.Prefilled, FetchFrom: c.FetchFrom, Coordinated: q.placed != nil,
 	})
 	defer func() {
 		q.service.ended(k)
@@ -104,6 +105,7 @@
 		return nil, q.prefillBroke(ctx, c, err.Error())
 	}
 	q.service.started(q.g.now(), k)
+	q.endPlaced(true)
 	q.service.succeeded(c.Prefill.ID)
 	q.g.metrics.attempts.WithLabelValues(q.service.name, "prefill", "done").Inc()
 	return &Handle{Address: c.Prefill.Address, ID: id}, outcome{}
@@ -203,7 +205,8 @@
 	a.LastEvent = q.lastEvent
 	a.Remaining = q.left()
 	k := q.service.sent(q.g.now(), placement.Send{
-		Server: c.Server.ID, NewTokens: tokens, Parts: q.call.Parts, Deferred: c.Deferred, FirstEvent: c.FirstEvent,
+		Server: c.Server.ID, NewTokens: tokens, PromptTokens: q.call.PromptTokens, Parts: q.call.Parts,
+		Deferred: c.Deferred, FirstEvent: c.FirstEvent, Coordinated: q.placed != nil,
 	})
 	defer q.service.ended(k)
 	sendCtx, stop := context.WithCancel(ctx)
@@ -216,6 +219,7 @@
 	}
 	defer e.Release()
 	q.service.started(q.g.now(), k)
+	q.endPlaced(true)
 	answer := q.g.opts.Protocol.Answer(e.Answer.StatusCode, e.Answer.Header)
 	q.service.told(q.g.now(), c.Server.ID, answer)
 	if answer.NotRun && a.Source == nil {
--- /dev/null
+++ b/internal/gateway/coordinate.go
@@ -0,0 +1,283 @@
+package gateway
+
+import (
+	"context"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	peerv1 "github.com/marigoldwing/marigoldwing/api/peer/v1"
+	"github.com/marigoldwing/marigoldwing/internal/event"
+	"github.com/marigoldwing/marigoldwing/internal/fleet"
+	"github.com/marigoldwing/marigoldwing/internal/peer"
+	"github.com/marigoldwing/marigoldwing/internal/placement"
+)
+
+const (
+	// coordinatedTokens is the prompt from which a gateway asks the one that
+	// places long prompts: a choice that is wrong costs more than the question.
+	coordinatedTokens = 1500
+	// placeTimeout bounds the question; a gateway that can't be asked in time
+	// chooses by itself.
+	placeTimeout = 40 * time.Millisecond
+	// placePause is how long a gateway that did not answer is not asked.
+	placePause = 500 * time.Millisecond
+	// placeEndedTimeout bounds the word of a prompt's end.
+	placeEndedTimeout = 500 * time.Millisecond
+)
+
+// PlaceClient asks other gateways to place prompts.
+type PlaceClient interface {
+	Place(ctx context.Context, address string, place *peerv1.Place) (*peerv1.PlaceReply, error)
+	PlaceEnded(ctx context.Context, address string, ended *peerv1.PlaceEnded) error
+}
+
+// coordination has the long prompts of a service placed by one gateway for
+// all. It implements peer.Placer for the others.
+type coordination struct {
+	g      *Gateway
+	client PlaceClient
+	// owner returns the gateway that places the prompts of a service; the
+	// address is empty for this one.
+	owner func(service string) (name, address string)
+
+	number atomic.Uint64
+	// mutedUntil is when a gateway that did not answer may be asked again.
+	mutedUntil atomic.Int64
+	silent     atomic.Bool
+}
+
+// Coordinate has the long prompts of each service placed by the gateway that
+// owner names; its address is empty for this one. It returns what answers the
+// other gateways. Call it before the first request.
+func (g *Gateway) Coordinate(client PlaceClient, owner func(service string) (name, address string)) peer.Placer {
+	g.coordination = &coordination{g: g, client: client, owner: owner}
+	return g.coordination
+}
+
+// placedBy is where the end of a placed prompt is told.
+type placedBy struct {
+	address string
+	ended   *peerv1.PlaceEnded
+}
+
+// choose chooses where the request goes next.
+func (q *request) choose(ctx context.Context) (placement.Choice, error) {
+	c := q.g.coordination
+	if c == nil || q.service.engine == nil || q.call.PromptTokens < coordinatedTokens {
+		return q.service.choose(q.g.now(), q.wanted())
+	}
+	name, address := c.owner(q.service.name)
+	q.service.setPlacesAll(q.g.now(), address == "")
+	by := placedHere
+	if address != "" {
+		if choice, ok := c.ask(ctx, q, name, address); ok {
+			q.g.metrics.placements.WithLabelValues(placedElsewhere).Inc()
+			return choice, nil
+		}
+		by = placedAlone
+	}
+	q.g.metrics.placements.WithLabelValues(by).Inc()
+	q.placedBy = q.g.opts.Name
+	return q.service.choose(q.g.now(), q.wanted())
+}
+
+// ask has another gateway place the request. It reports whether there is a
+// choice that this gateway can follow.
+func (c *coordination) ask(ctx context.Context, q *request, name, address string) (placement.Choice, bool) {
+	if int64(c.g.now()) < c.mutedUntil.Load() {
+		return placement.Choice{}, false
+	}
+	place := c.message(q)
+	q.placed = &placedBy{address: address, ended: &peerv1.PlaceEnded{Service: place.Service, Sender: place.Sender, Number: place.Number}}
+	ctx, cancel := context.WithTimeout(ctx, placeTimeout)
+	defer cancel()
+	reply, err := c.client.Place(ctx, address, place)
+	if err != nil {
+		c.lost(name, err)
+		q.endPlaced(false)
+		return placement.Choice{}, false
+	}
+	if c.silent.CompareAndSwap(true, false) {
+		c.g.log.Write(event.CoordinatorBack(name))
+	}
+	q.service.peerPrefillLoads(c.g.now(), name, readLoads(reply.GetPrefillLoads()))
+	choice, ok := q.service.choiceOf(c.g.now(), reply)
+	if !ok {
+		q.endPlaced(false)
+		return choice, false
+	}
+	q.placedBy = name
+	return choice, true
+}
+
+// lost leaves a gateway that did not answer alone for a while.
+func (c *coordination) lost(name string, err error) {
+	c.mutedUntil.Store(int64(c.g.now() + placePause))
+	if c.silent.CompareAndSwap(false, true) {
+		c.g.log.Write(event.CoordinatorLost(name, err))
+	}
+}
+
+// message returns the question where a request is to go.
+func (c *coordination) message(q *request) *peerv1.Place {
+	wanted := q.wanted()
+	place := &peerv1.Place{
+		Service:       q.service.name,
+		Number:        c.number.Add(1),
+		Sender:        c.g.opts.Name,
+		FailureDomain: c.g.opts.FailureDomain,
+		PromptTokens:  int64(wanted.PromptTokens),
+		BodyBytes:     int64(wanted.BodyBytes),
+		ObjectiveMs:   wanted.Objective.Milliseconds(),
+		Exclude:       wanted.Exclude,
+		DirectOnly:    wanted.DirectOnly,
+	}
+	for _, p := range wanted.Parts {
+		place.Parts = append(place.Parts, &peerv1.PromptPart{Id: p.ID, Tokens: int64(p.Tokens)})
+	}
+	return place
+}
+
+// Place implements peer.Placer.
+func (c *coordination) Place(p *peerv1.Place) *peerv1.PlaceReply {
+	s := c.g.state.Load().services[p.GetService()]
+	if s == nil || c.g.leaving.Load() {
+		return &peerv1.PlaceReply{}
+	}
+	r := placement.Request{
+		PromptTokens: int(p.GetPromptTokens()),
+		BodyBytes:    int(p.GetBodyBytes()),
+		Exclude:      p.GetExclude(),
+		Objective:    time.Duration(p.GetObjectiveMs()) * time.Millisecond,
+		DirectOnly:   p.GetDirectOnly(),
+		From:         p.GetFailureDomain(),
+	}
+	for _, part := range p.GetParts() {
+		r.Parts = append(r.Parts, placement.Part{ID: part.GetId(), Tokens: int(part.GetTokens())})
+	}
+	_, address := c.owner(p.GetService())
+	s.setPlacesAll(c.g.now(), address == "")
+	choice, err := s.place(c.g.now(), p.GetSender(), p.GetNumber(), r)
+	if err != nil {
+		// The sender chooses by what it knows, and refuses if it finds no
+		// server either.
+		return &peerv1.PlaceReply{}
+	}
+	reply := &peerv1.PlaceReply{
+		Server:       choice.Server.ID,
+		FetchFrom:    choice.FetchFrom,
+		NewTokens:    int64(choice.NewTokens),
+		FirstEventUs: choice.FirstEvent.Microseconds(),
+		PrefilledUs:  choice.Prefilled.Microseconds(),
+		LoadAgeUs:    choice.LoadAge.Microseconds(),
+		Deferred:     choice.Deferred,
+		PrefillLoads: loadMessages(s.prefillLoads()),
+	}
+	if choice.Split {
+		reply.PrefillServer = choice.Prefill.ID
+	}
+	return reply
+}
+
+// PlaceEnded implements peer.Placer.
+func (c *coordination) PlaceEnded(p *peerv1.PlaceEnded) {
+	if s := c.g.state.Load().services[p.GetService()]; s != nil {
+		s.placeEnded(c.g.now(), p.GetSender(), p.GetNumber(), p.GetPrefilled())
+	}
+}
+
+// endPlaced tells the gateway that placed the request that its prompt has been
+// prefilled, or will not be.
+func (q *request) endPlaced(prefilled bool) {
+	if q.placed == nil {
+		return
+	}
+	placed := q.placed
+	q.placed = nil
+	placed.ended.Prefilled = prefilled
+	go q.g.coordination.tellEnd(placed)
+}
+
+func (c *coordination) tellEnd(placed *placedBy) {
+	ctx, cancel := context.WithTimeout(context.Background(), placeEndedTimeout)
+	defer cancel()
+	// A word that is lost is made up for by the bound on a placed prompt's
+	// life.
+	_ = c.client.PlaceEnded(ctx, placed.address, placed.ended)
+}
+
+// choiceOf translates another gateway's choice. It reports whether this one
+// knows the chosen servers and would use them.
+func (s *service) choiceOf(now time.Duration, r *peerv1.PlaceReply) (placement.Choice, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c := placement.Choice{
+		FetchFrom:  r.GetFetchFrom(),
+		NewTokens:  int(r.GetNewTokens()),
+		FirstEvent: time.Duration(r.GetFirstEventUs()) * time.Microsecond,
+		Prefilled:  time.Duration(r.GetPrefilledUs()) * time.Microsecond,
+		LoadAge:    time.Duration(r.GetLoadAgeUs()) * time.Microsecond,
+		Deferred:   r.GetDeferred(),
+		Split:      r.GetPrefillServer() != "",
+	}
+	s.setWeights(now)
+	var ok bool
+	if c.Server, ok = s.usable(now, r.GetServer()); !ok {
+		return c, false
+	}
+	if c.Split {
+		c.Prefill, ok = s.usable(now, r.GetPrefillServer())
+	}
+	return c, ok
+}
+
+// usable returns a server that may take a request; s.mu is held.
+func (s *service) usable(now time.Duration, id string) (fleet.Server, bool) {
+	i := slices.IndexFunc(s.known, func(server fleet.Server) bool { return server.ID == id })
+	if i < 0 || !s.table.Usable(now, id) {
+		return fleet.Server{}, false
+	}
+	return s.known[i], true
+}
+
+// setPlacesAll takes in whether this gateway places the service's long prompts.
+func (s *service) setPlacesAll(now time.Duration, all bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case !all:
+		s.placesAllSince = notPlacing
+	case s.placesAllSince == notPlacing:
+		s.placesAllSince = now
+	}
+	s.table.SetPlacesAllSince(now, s.placesAllSince)
+}
+
+// notPlacing is the placesAllSince of a gateway that does not place all.
+const notPlacing = time.Duration(-1)
+
+func (s *service) place(now time.Duration, gateway string, number uint64, r placement.Request) (placement.Choice, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.setWeights(now)
+	return s.table.Place(now, gateway, number, r)
+}
+
+func (s *service) prefillLoads() []placement.OwnLoad {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.table.PrefillLoads()
+}
+
+func (s *service) peerPrefillLoads(now time.Duration, peer string, loads []placement.OwnLoad) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.table.PeerPrefillLoads(now, peer, loads)
+}
+
+func (s *service) placeEnded(now time.Duration, gateway string, number uint64, prefilled bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.table.PlaceEnded(now, gateway, number, prefilled)
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -53,6 +53,9 @@
 	retries atomic.Pointer[RetryOptions]
 	// live returns the number of gateways that live; nil if this is alone.
 	live func() int
+	// coordination has long prompts placed by one gateway; nil if this is
+	// alone.
+	coordination *coordination
 }
 
 // state is what is in force. It is replaced as a whole.
@@ -71,6 +74,9 @@
 	health *retry.Health
 	budget *retry.Budget
 	known  []fleet.Server
+	// placesAllSince is since when this gateway places all long prompts of the
+	// service, or notPlacing.
+	placesAllSince time.Duration
 }
 
 // New returns a gateway that knows no configuration yet.
@@ -134,6 +140,8 @@
 		table:  placement.NewTable(placement.DefaultOptions(g.opts.FailureDomain), spec.Engine),
 		health: retry.NewHealth(retry.DefaultHealthOptions()),
 		budget: retry.NewBudget(g.retryOptions()),
+
+		placesAllSince: notPlacing,
 	}
 }
 
@@ -181,10 +189,15 @@
 func (s *service) choose(now time.Duration, r placement.Request) (placement.Choice, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.setWeights(now)
+	return s.table.Choose(now, r)
+}
+
+// setWeights has the table follow the servers' health; s.mu is held.
+func (s *service) setWeights(now time.Duration) {
 	for _, server := range s.known {
 		s.table.SetWeight(server.ID, s.health.Weight(now, server.ID))
 	}
-	return s.table.Choose(now, r)
 }
 
 // ownLoads and peerLoads exchange what gateways have at the servers.
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -45,6 +45,10 @@
 	firstEvent time.Duration
 	// server that the last attempt went to.
 	server string
+	// placed is set until the gateway that placed the request has been told of
+	// the prompt's end, and placedBy names that gateway; empty for short ones.
+	placed   *placedBy
+	placedBy string
 }
 
 const (
@@ -151,16 +155,18 @@
 	// follow.
 	var last *outcome
 	for {
-		choice, err := q.service.choose(q.g.now(), q.wanted())
+		choice, err := q.choose(ctx)
 		if err != nil {
 			q.giveUp(orElse(last, "no_server"), noServerPause)
 			return
 		}
 		if !q.inTime(choice) {
+			q.endPlaced(false)
 			q.giveUp(orElse(last, "overloaded"), overloadPause(choice, q.route))
 			return
 		}
 		out, choice := q.attempt(ctx, choice)
+		q.endPlaced(false)
 		last = &out
 		if q.settled(ctx, out, choice) {
 			return
--- a/internal/gateway/log.go
+++ b/internal/gateway/log.go
@@ -25,6 +25,7 @@
 		Result:        out.result.String(),
 		Reason:        out.reason,
 		Elapsed:       q.g.now() - q.arrived,
+		PlacedBy:      q.placedBy,
 	}
 	if c.Split {
 		line.Prefill = &event.Prefill{Server: c.Prefill.ID, Predicted: q.prefillPredicted, Elapsed: q.prefilled}
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -13,6 +13,7 @@
 	firstEvent    *prometheus.HistogramVec
 	duration      *prometheus.HistogramVec
 	loadAge       prometheus.Histogram
+	placements    *prometheus.CounterVec
 	inflight      prometheus.Gauge
 	configVersion prometheus.Gauge
 }
@@ -36,6 +37,9 @@
 		loadAge: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Name: "marigold_gateway_load_age_seconds", Help: "Age of the load that a choice rests on.", Buckets: latencyBuckets,
 		}),
+		placements: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "marigold_gateway_placements_total", Help: "Choices for long prompts by who made them.",
+		}, []string{"by"}),
 		inflight: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "marigold_gateway_inflight_requests", Help: "Requests that have been read and not answered.",
 		}),
@@ -43,10 +47,20 @@
 			Name: "marigold_gateway_config_version", Help: "Version of the configuration in force.",
 		}),
 	}
-	registerer.MustRegister(m.requests, m.attempts, m.firstEvent, m.duration, m.loadAge, m.inflight, m.configVersion)
+	registerer.MustRegister(m.requests, m.attempts, m.firstEvent, m.duration, m.loadAge, m.placements, m.inflight, m.configVersion)
 	return m
 }
 
+// Who chooses for a long prompt, as a label.
+const (
+	// placedHere: this gateway, which places all.
+	placedHere = "self"
+	// placedElsewhere: the gateway that places all.
+	placedElsewhere = "coordinator"
+	// placedAlone: this gateway, as the one that places all gave no choice.
+	placedAlone = "alone"
+)
+
 func (m *metrics) choseWithLoadOf(age time.Duration) {
 	if age >= 0 {
 		m.loadAge.Observe(age.Seconds())
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -22,27 +22,38 @@
 	version, revision := c.follower.News()
 	h.ConfigRevision, h.ServersRevision = uint64(version), revision
 	for _, s := range c.g.state.Load().services {
-		for _, l := range s.ownLoads() {
-			h.Loads = append(h.Loads, &peerv1.Load{
-				BackendServer: l.Server, Running: int32(l.Requests),
-				QueuedPromptTokens:          int64(l.UrgentTokens + l.DeferredTokens),
-				QueuedPromptTokensByUrgency: []int64{int64(l.UrgentTokens), int64(l.DeferredTokens)},
-			})
-		}
+		h.Loads = append(h.Loads, loadMessages(s.ownLoads())...)
 	}
 }
 
-// heard takes in a heartbeat of another gateway.
-func (c companion) heard(h *peerv1.Heartbeat) {
-	c.follower.Told(int64(h.GetConfigRevision()), h.GetServersRevision())
-	loads := make([]placement.OwnLoad, 0, len(h.GetLoads()))
-	for _, l := range h.GetLoads() {
-		load := placement.OwnLoad{Server: l.GetBackendServer(), Requests: int(l.GetRunning()), UrgentTokens: int(l.GetQueuedPromptTokens())}
+func loadMessages(loads []placement.OwnLoad) []*peerv1.Load {
+	messages := make([]*peerv1.Load, 0, len(loads))
+	for _, l := range loads {
+		messages = append(messages, &peerv1.Load{
+			BackendServer: l.Server, Running: int32(l.Requests),
+			QueuedPromptTokens:          int64(l.UrgentWork + l.DeferredWork),
+			QueuedPromptTokensByUrgency: []int64{int64(l.UrgentWork), int64(l.DeferredWork)},
+		})
+	}
+	return messages
+}
+
+func readLoads(messages []*peerv1.Load) []placement.OwnLoad {
+	loads := make([]placement.OwnLoad, 0, len(messages))
+	for _, l := range messages {
+		load := placement.OwnLoad{Server: l.GetBackendServer(), Requests: int(l.GetRunning()), UrgentWork: int(l.GetQueuedPromptTokens())}
 		if parts := l.GetQueuedPromptTokensByUrgency(); len(parts) == 2 {
-			load.UrgentTokens, load.DeferredTokens = int(parts[0]), int(parts[1])
+			load.UrgentWork, load.DeferredWork = int(parts[0]), int(parts[1])
 		}
 		loads = append(loads, load)
 	}
+	return loads
+}
+
+// heard takes in a heartbeat of another gateway.
+func (c companion) heard(h *peerv1.Heartbeat) {
+	c.follower.Told(int64(h.GetConfigRevision()), h.GetServersRevision())
+	loads := readLoads(h.GetLoads())
 	now := c.g.now()
 	for _, s := range c.g.state.Load().services {
 		s.peerLoads(now, h.GetSender(), loads)
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -75,9 +75,11 @@
 	client := peer.NewClient(peer.ClientOptions{Metrics: peerMetrics})
 	defer client.Close()
 	c := companion{g: g, follower: follower}
-	exchange := peers.NewExchange(peers.Options{
+	var exchange *peers.Exchange
+	placer := g.Coordinate(client, func(service string) (name, address string) { return exchange.Owner(service) })
+	exchange = peers.NewExchange(peers.Options{
 		Name: s.GetName(), Address: s.GetPeerAddress(), Incarnation: uint64(time.Now().UnixNano()),
-		Store: wire.Peers, Client: client, Log: log, Fill: c.fill, Heard: c.heard,
+		Store: wire.Peers, Client: client, Log: log, Fill: c.fill, Heard: c.heard, Placer: placer,
 	})
 	g.live = exchange.Live
 	stageOptions := StageOptions{
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -96,6 +96,29 @@
 	return reply, c.call(ctx, address, methodFetchPlan, fetch, reply)
 }
 
+// Place asks the process at address where a prompt is to go.
+func (c *Client) Place(ctx context.Context, address string, place *peerv1.Place) (*peerv1.PlaceReply, error) {
+	reply := &peerv1.PlaceReply{}
+	return reply, c.call(ctx, address, methodPlace, place, reply)
+}
+
+// PlaceEnded tells the process at address of the end of a prompt that it
+// placed. Nothing answers.
+func (c *Client) PlaceEnded(ctx context.Context, address string, ended *peerv1.PlaceEnded) error {
+	link, err := c.pool(address).control(ctx)
+	if err != nil {
+		return err
+	}
+	params, err := encode(ended)
+	if err != nil {
+		return err
+	}
+	if err := link.rpc.Notify(ctx, methodPlaceEnded, params); err != nil {
+		return fmt.Errorf("peer: %s to %s: %w", methodPlaceEnded, address, err)
+	}
+	return nil
+}
+
 // Close closes all connections.
 func (c *Client) Close() {
 	c.mu.Lock()
--- a/internal/peer/message.go
+++ b/internal/peer/message.go
@@ -8,8 +8,8 @@
 	"google.golang.org/protobuf/proto"
 )
 
-// Methods of the protocol. Submit and Frame are notifications; the others
-// are calls.
+// Methods of the protocol. Submit, Frame and PlaceEnded are notifications; the
+// others are calls.
 const (
 	methodSubmit      = "submit"
 	methodFrame       = "frame"
@@ -18,6 +18,8 @@
 	methodHeartbeat   = "heartbeat"
 	methodFetchConfig = "fetchConfig"
 	methodFetchPlan   = "fetchPlan"
+	methodPlace       = "place"
+	methodPlaceEnded  = "placeEnded"
 )
 
 // ErrMalformed says that a message could not be decoded.
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -34,6 +34,13 @@
 	FetchPlan(fetch *peerv1.FetchPlan) *peerv1.FetchPlanReply
 }
 
+// Placer is implemented by handlers that place prompts for others. Its methods
+// must not block.
+type Placer interface {
+	Place(place *peerv1.Place) *peerv1.PlaceReply
+	PlaceEnded(ended *peerv1.PlaceEnded)
+}
+
 // Identified is implemented by handlers that tell their incarnation to
 // whoever connects.
 type Identified interface {
@@ -193,6 +200,22 @@
 	case methodFetchPlan:
 		return answer(ctx, conn, req, &peerv1.FetchPlan{}, h.FetchPlan)
 	}
+	return c.dispatchPlacer(ctx, conn, req)
+}
+
+func (c *serverConn) dispatchPlacer(ctx context.Context, conn *jsonrpc2.Conn, req *jsonrpc2.Request) error {
+	h, ok := c.server.handler.(Placer)
+	switch {
+	case ok && req.Method == methodPlace:
+		return answer(ctx, conn, req, &peerv1.Place{}, h.Place)
+	case ok && req.Method == methodPlaceEnded:
+		ended := &peerv1.PlaceEnded{}
+		if err := decode(req.Params, ended); err != nil {
+			return err
+		}
+		h.PlaceEnded(ended)
+		return nil
+	}
 	return fmt.Errorf("%w: method %q", ErrMalformed, req.Method)
 }
 
--- a/internal/peers/exchange.go
+++ b/internal/peers/exchange.go
@@ -48,6 +48,8 @@
 	Fill func(*peerv1.Heartbeat)
 	// Heard takes in what a peer has in force.
 	Heard func(*peerv1.Heartbeat)
+	// Placer places prompts for peers; nil for none.
+	Placer peer.Placer
 }
 
 // Exchange sends and answers heartbeats. It implements peer.Handler.
@@ -79,6 +81,14 @@
 	return x.table.Names(x.now())
 }
 
+// Owner returns the gateway that does one thing for all; the address is empty
+// for this gateway.
+func (x *Exchange) Owner(thing string) (name, address string) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.table.Owner(x.now(), thing)
+}
+
 // News has what is in force told to some peers at once.
 func (x *Exchange) News() {
 	select {
@@ -244,6 +254,21 @@
 	return &peerv1.WithdrawReply{AttemptId: w.GetAttemptId()}
 }
 
+// Place implements peer.Placer.
+func (x *Exchange) Place(p *peerv1.Place) *peerv1.PlaceReply {
+	if x.opts.Placer == nil {
+		return &peerv1.PlaceReply{}
+	}
+	return x.opts.Placer.Place(p)
+}
+
+// PlaceEnded implements peer.Placer.
+func (x *Exchange) PlaceEnded(p *peerv1.PlaceEnded) {
+	if x.opts.Placer != nil {
+		x.opts.Placer.PlaceEnded(p)
+	}
+}
+
 // FetchConfig implements peer.Handler. Gateways read the store themselves.
 func (x *Exchange) FetchConfig(*peerv1.FetchConfig) *peerv1.FetchConfigReply {
 	return &peerv1.FetchConfigReply{}
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -122,6 +122,21 @@
 	return names
 }
 
+// Owner returns the gateway that does one thing for all: the same one for all
+// gateways that know the same others. The address is empty for this gateway.
+func (t *Table) Owner(now time.Duration, thing string) (name, address string) {
+	name = t.self
+	highest := ownerWeight(thing, t.self)
+	for _, p := range t.peers {
+		if weight := ownerWeight(thing, p.Name); weight > highest && t.live(now, p) {
+			name, address, highest = p.Name, p.Address, weight
+		}
+	}
+	return name, address
+}
+
+func ownerWeight(thing, name string) uint64 { return xxhash.Sum64String(thing + "\x00" + name) }
+
 // Partners returns the peers to exchange heartbeats with in the next round:
 // those that live in turn, and a silent one.
 func (t *Table) Partners(now time.Duration) []Peer {
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -119,3 +119,38 @@
 	}
 	require.Eventually(t, func() bool { return nodes[0].version("d") == 4 }, 20*time.Second, 5*time.Millisecond)
 }
+
+// Gateways that know the same others name the same owner, and a thing moves
+// only when its owner is gone.
+func TestOwnersAreAgreedOnAndMoveOnlyWhenGone(t *testing.T) {
+	names := []string{"a", "b", "c", "d", "e"}
+	tables := map[string]*Table{}
+	for _, self := range names {
+		tables[self] = NewTable(self)
+		for _, other := range names {
+			tables[self].Heard(0, other, "10.0.0.2:"+other, 1, false)
+		}
+	}
+	moved := 0
+	for i := range 100 {
+		thing := fmt.Sprint("service-", i)
+		owner, _ := tables["a"].Owner(0, thing)
+		for _, self := range names {
+			name, address := tables[self].Owner(0, thing)
+			require.Equal(t, owner, name)
+			require.Equal(t, self == owner, address == "")
+		}
+		without := NewTable("a")
+		for _, other := range names[:4] {
+			without.Heard(0, other, "10.0.0.2:"+other, 1, false)
+		}
+		next, _ := without.Owner(0, thing)
+		if owner != "e" {
+			require.Equal(t, owner, next)
+			continue
+		}
+		moved++
+	}
+	require.Positive(t, moved)
+	require.Less(t, moved, 40)
+}
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -13,6 +13,7 @@
 // overload those that come in time then stay as many as the engines can carry.
 // The caller tells the table with Sent.
 func (t *Table) Choose(now time.Duration, r Request) (Choice, error) {
+	t.sweep(now)
 	if t.engine == nil {
 		return t.choosePlain(now, r)
 	}
@@ -34,6 +35,8 @@
 	decodes  []*server
 	// homes of the shared parts, for engines of each stage.
 	prefillHome, decodeHome *server
+	// sources are the engines known to have read all shared parts.
+	sources []*server
 }
 
 func (t *Table) newQuery(now time.Duration, r Request, deferred bool) query {
@@ -44,9 +47,13 @@
 		prefills: t.usable(now, fleet.StagePrefill),
 		decodes:  t.usable(now, fleet.StageDecode),
 	}
+	if q.From == "" {
+		q.From = t.opts.FailureDomain
+	}
 	if len(q.keys) < 2 {
 		return q
 	}
+	q.sources = t.sources(&q)
 	q.prefillHome = rendezvous(q.prefills, q.keys[0])
 	q.decodeHome = q.prefillHome
 	if q.shared < leastFetch || q.prefillHome == nil {
@@ -55,6 +62,36 @@
 	return q
 }
 
+// sources returns the engines from which the shared parts can be fetched.
+func (t *Table) sources(q *query) []*server {
+	if q.shared < leastFetch {
+		return nil
+	}
+	var list []*server
+	for _, s := range t.servers {
+		if !s.Leaving && s.weight > 0 && s.cache.held(q.now, q.Parts[:len(q.Parts)-1], q.keys) >= q.shared {
+			list = append(list, s)
+		}
+	}
+	return list
+}
+
+// sourceFor returns where an engine fetches the shared parts from, one in its
+// own failure domain first, or nil.
+func (q *query) sourceFor(s *server) *server {
+	var best *server
+	for _, source := range q.sources {
+		switch {
+		case source == s:
+		case source.FailureDomain == s.FailureDomain:
+			return source
+		case best == nil:
+			best = source
+		}
+	}
+	return best
+}
+
 // excluded tells whether a server has failed the request.
 func (q *query) excluded(s *server) bool { return slices.Contains(q.Exclude, s.ID) }
 
@@ -101,10 +138,10 @@
 		if slices.Contains(r.Exclude, s.ID) {
 			continue
 		}
-		first := plainService * s.slowdown * (1 + queueTurns(s, s.load(now)))
+		first := plainService * s.slow(now) * (1 + queueTurns(s, s.load(now)))
 		better(&best, &found, option{
 			Choice: t.choice(now, s, first),
-			score:  first/s.weight + t.distance(s, r.BodyBytes),
+			score:  first/s.weight + t.distance(t.opts.FailureDomain, s, r.BodyBytes),
 		})
 	}
 	if !found {
@@ -131,14 +168,15 @@
 		if q.excluded(s) {
 			continue
 		}
-		c := t.cachedFor(q, s, q.decodeHome)
+		wait := s.queued(q.now, rate, q.deferred) / rate
+		c := t.cachedFor(q, s, q.decodeHome, seconds(wait))
 		fresh := float64(max(1, q.PromptTokens-c.tokens))
-		prefill := fresh / rate
-		first := (firstStep+prefill+s.queued(q.now, q.deferred)/rate)*s.slowdown + t.moveSeconds(c.fetched) + t.slotWait(s, q.now)
+		prefill := prefillWork(fresh, float64(q.PromptTokens)) / rate
+		first := (firstStep+prefill+wait)*s.slow(q.now) + t.moveSeconds(c.fetched) + t.slotWait(s, q.now)
 		o := option{Choice: t.choice(q.now, s, first)}
 		o.NewTokens, o.FetchFrom = int(fresh), c.from
-		o.score = first/s.weight + t.distance(s, q.BodyBytes) + t.reread(q, c.tokens) +
-			t.opts.MoveToken*float64(c.fetched) + t.opts.Disturbance*prefill*s.load(q.now)
+		o.score = first/s.weight + t.distance(q.From, s, q.BodyBytes) + t.reread(q, c.tokens) +
+			t.opts.FetchToken*float64(c.fetched) + t.opts.Disturbance*prefill*s.load(q.now)
 		better(&best, &found, o)
 	}
 	return best, found
@@ -156,6 +194,7 @@
 	}
 	o := p
 	o.Prefill, o.Server, o.Split = p.Server, d.Server, true
+	o.Prefilled = p.FirstEvent
 	o.FirstEvent = p.FirstEvent + d.FirstEvent
 	o.LoadAge = max(p.LoadAge, d.LoadAge)
 	o.score = p.score + d.score
@@ -168,12 +207,18 @@
 		if q.excluded(s) {
 			continue
 		}
-		c := t.cachedFor(q, s, q.prefillHome)
+		rate := t.rate.perSecond
+		wait := s.queued(q.now, rate, q.deferred) / rate
+		c := t.cachedFor(q, s, q.prefillHome, seconds(wait))
 		fresh := float64(max(1, q.PromptTokens-c.tokens))
-		first := (firstStep+(fresh+s.queued(q.now, q.deferred))/t.rate.perSecond)*s.slowdown + t.moveSeconds(c.fetched)
+		prefill := prefillWork(fresh, float64(q.PromptTokens)) / rate
+		first := (firstStep+prefill+wait)*s.slow(q.now) + t.moveSeconds(c.fetched)
 		o := option{Choice: t.choice(q.now, s, first)}
 		o.NewTokens, o.FetchFrom = int(fresh), c.from
-		o.score = first/s.weight + t.distance(s, q.BodyBytes) + t.reread(q, c.tokens) + t.opts.MoveToken*float64(c.fetched)
+		o.score = first/s.weight + t.distance(q.From, s, q.BodyBytes) + t.reread(q, c.tokens) + t.opts.FetchToken*float64(c.fetched)
+		if s != q.prefillHome {
+			o.score += t.opts.AwayFromHome
+		}
 		better(&best, &found, o)
 	}
 	return best, found
@@ -183,6 +228,7 @@
 // engine of the first choice may be leaving by then, or busy.
 func (t *Table) ChooseDecode(now time.Duration, r Request, prefill fleet.Server) (Choice, error) {
 	q := query{Request: r, now: now, decodes: t.usable(now, fleet.StageDecode)}
+	q.From = t.opts.FailureDomain
 	o, ok := t.chooseDecode(&q, prefill)
 	if !ok {
 		return Choice{}, ErrNoServer
@@ -204,10 +250,11 @@
 			move *= 2
 			price *= 2
 		}
-		wait := s.queued(q.now, false) / (t.rate.perSecond * decodePrefillShare)
-		first := (firstStep+wait)*s.slowdown + move + t.slotWait(s, q.now)
+		rate := t.rate.perSecond * decodePrefillShare
+		wait := s.queued(q.now, rate, false) / rate
+		first := (firstStep+wait)*s.slow(q.now) + move + t.slotWait(s, q.now)
 		o := option{Choice: t.choice(q.now, s, first)}
-		o.score = first/s.weight + price + t.distance(s, q.BodyBytes)
+		o.score = first/s.weight + price + t.distance(q.From, s, q.BodyBytes)
 		better(&best, &found, o)
 	}
 	return best, found
@@ -218,12 +265,14 @@
 	if s.hasTold {
 		age = now - s.toldAt
 	}
-	return Choice{Server: s.Server, FirstEvent: time.Duration(first * float64(time.Second)), LoadAge: age}
+	return Choice{Server: s.Server, FirstEvent: seconds(first), LoadAge: age}
 }
 
-// distance prices a server in another failure domain.
-func (t *Table) distance(s *server, bodyBytes int) float64 {
-	if s.FailureDomain == t.opts.FailureDomain {
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+// distance prices a server in another failure domain than the request's.
+func (t *Table) distance(from string, s *server, bodyBytes int) float64 {
+	if s.FailureDomain == from {
 		return 0
 	}
 	return t.opts.CrossDomain + t.opts.CrossDomainByte*float64(bodyBytes)
@@ -255,18 +304,19 @@
 
 // cachedFor returns what an engine is thought to have cached of a prompt. The
 // home of a prompt is taken to hold its shared parts, as all gateways send
-// there first; other engines can fetch them from it once this gateway knows
-// that it has read them.
-func (t *Table) cachedFor(q *query, s, home *server) cached {
+// there first, unless this one has placed all prompts; other engines can fetch
+// them from one that is known to have read them. It is the request's turn after
+// a time.
+func (t *Table) cachedFor(q *query, s, home *server, turn time.Duration) cached {
 	most := max(0, q.PromptTokens-1)
-	held := s.held(q.now, q.Parts, q.keys)
-	if s == home {
+	held := s.cache.held(q.now+turn, q.Parts, q.keys)
+	if s == home && !t.knowsAll {
 		return cached{tokens: min(max(held, q.shared), most)}
 	}
 	c := cached{tokens: min(held, most)}
-	if home != nil && q.shared >= leastFetch && home.held(q.now, q.Parts[:len(q.Parts)-1], q.keys) > 0 {
+	if source := q.sourceFor(s); source != nil {
 		// A fetch of what is held already costs nothing.
-		c.from = home.Address
+		c.from = source.Address
 		c.fetched = max(0, q.shared-held)
 		c.tokens = min(max(held, q.shared), most)
 	}
@@ -301,7 +351,7 @@
 	load := s.load(now) + 1
 	fill := min(1, load/slots)
 	// A fuller batch makes each step slower.
-	wait := fullBatchStep * fill * s.slowdown
+	wait := fullBatchStep * fill * s.slow(now)
 	if load > slots {
 		wait += (load - slots) / slots * typicalRun
 	}
--- a/internal/placement/dump.go
+++ b/internal/placement/dump.go
@@ -9,8 +9,8 @@
 	Leaving  bool    `json:"leaving"`
 	Own      int     `json:"own_requests"`
 	Others   float64 `json:"others_requests"`
-	Urgent   float64 `json:"own_urgent_tokens"`
-	Deferred float64 `json:"own_deferred_tokens"`
+	Urgent   float64 `json:"own_urgent_work"`
+	Deferred float64 `json:"own_deferred_work"`
 	Slowdown float64 `json:"slowdown"`
 	Weight   float64 `json:"weight"`
 	Parts    int     `json:"prompt_parts"`
@@ -22,8 +22,8 @@
 	for _, s := range t.servers {
 		dumps = append(dumps, ServerDump{
 			ID: s.ID, Stage: s.Stage.String(), Leaving: s.Leaving,
-			Own: s.own, Others: s.others(now), Urgent: s.ownTokens.urgent, Deferred: s.ownTokens.deferred,
-			Slowdown: s.slowdown, Weight: s.weight, Parts: len(s.parts),
+			Own: s.own, Others: s.others(now), Urgent: s.ownWork.urgent, Deferred: s.ownWork.deferred,
+			Slowdown: s.slow(now), Weight: s.weight, Parts: len(s.cache.entries),
 		})
 	}
 	return dumps
--- a/internal/placement/load.go
+++ b/internal/placement/load.go
@@ -3,16 +3,19 @@
 import (
 	"math"
 	"time"
+
+	"github.com/marigoldwing/marigoldwing/internal/fleet"
 )
 
-// queue is prompt tokens that are to be prefilled.
+// queue is the work of prompts that are to be prefilled, in tokens without a
+// context.
 type queue struct {
 	// urgent tokens go first; deferred ones are of requests that come late
 	// anyway.
 	urgent, deferred float64
 }
 
-// add counts tokens in, or out if negative.
+// add counts work in, or out if negative.
 func (q *queue) add(tokens float64, deferred bool) {
 	if deferred {
 		q.deferred = max(0, q.deferred+tokens)
@@ -21,7 +24,7 @@
 	q.urgent = max(0, q.urgent+tokens)
 }
 
-// before returns the tokens that go before a new request.
+// before returns the work that goes before a new request.
 func (q queue) before(deferred bool) float64 {
 	if deferred {
 		return q.urgent + q.deferred
@@ -32,7 +35,7 @@
 // peerLoad is what another gateway has at a server.
 type peerLoad struct {
 	requests int
-	tokens   queue
+	work     queue
 	at       time.Duration
 }
 
@@ -43,19 +46,20 @@
 type OwnLoad struct {
 	Server   string
 	Requests int
-	// UrgentTokens and DeferredTokens of prompts are not prefilled yet.
-	UrgentTokens, DeferredTokens int
+	// UrgentWork and DeferredWork of prompts is not done yet, in tokens
+	// without a context.
+	UrgentWork, DeferredWork int
 }
 
 // OwnLoads returns what this gateway has at each server, to be told to
-// others.
+// others. The work of sends that a coordinator has placed is told by it.
 func (t *Table) OwnLoads() []OwnLoad {
 	var loads []OwnLoad
 	for _, s := range t.servers {
 		if s.own > 0 {
 			loads = append(loads, OwnLoad{
 				Server: s.ID, Requests: s.own,
-				UrgentTokens: int(s.ownTokens.urgent), DeferredTokens: int(s.ownTokens.deferred),
+				UrgentWork: int(s.ownWork.urgent - s.coordinated.urgent), DeferredWork: int(s.ownWork.deferred - s.coordinated.deferred),
 			})
 		}
 	}
@@ -68,12 +72,39 @@
 	for _, s := range t.servers {
 		delete(s.peers, peer)
 	}
+	t.addPeerLoads(now, peer, loads)
+}
+
+func (t *Table) addPeerLoads(now time.Duration, peer string, loads []OwnLoad) {
 	for _, l := range loads {
 		if s := t.find(l.Server); s != nil {
-			tokens := queue{urgent: float64(l.UrgentTokens), deferred: float64(l.DeferredTokens)}
-			s.peers[peer] = peerLoad{requests: l.Requests, tokens: tokens, at: now}
+			work := queue{urgent: float64(l.UrgentWork), deferred: float64(l.DeferredWork)}
+			s.peers[peer] = peerLoad{requests: l.Requests, work: work, at: now}
+		}
+	}
+}
+
+// PrefillLoads returns what this gateway knows to wait at the prefill engines
+// by its own sends, and by those that it has placed for others.
+func (t *Table) PrefillLoads() []OwnLoad {
+	var loads []OwnLoad
+	for _, l := range t.OwnLoads() {
+		if s := t.find(l.Server); s.Stage == fleet.StagePrefill {
+			loads = append(loads, l)
 		}
 	}
+	return loads
+}
+
+// PeerPrefillLoads takes in what another gateway knows to wait at the prefill
+// engines, and nothing of other servers.
+func (t *Table) PeerPrefillLoads(now time.Duration, peer string, loads []OwnLoad) {
+	for _, s := range t.servers {
+		if s.Stage == fleet.StagePrefill {
+			delete(s.peers, peer)
+		}
+	}
+	t.addPeerLoads(now, peer, loads)
 }
 
 // fromPeers returns the requests that other gateways have told of.
@@ -99,16 +130,24 @@
 	return max(requests, float64(max(0, s.told-s.toldOwn))*math.Exp2(-age))
 }
 
-// queued returns the prompt tokens that are to be prefilled at the server
-// before a new request.
-func (s *server) queued(now time.Duration, deferred bool) float64 {
-	tokens := s.ownTokens.before(deferred)
+// queued returns the work that is to be done at the server before a new
+// request, at a rate of work a second.
+func (s *server) queued(now time.Duration, rate float64, deferred bool) float64 {
+	rate /= s.slow(now)
+	told := 0.0
 	for _, l := range s.peers {
 		if now-l.at < peerLife {
-			tokens += l.tokens.before(deferred)
+			told += left(l.work.before(deferred), now-l.at, rate)
 		}
 	}
-	return tokens
+	// What a coordinator tells has the sends that it placed for this gateway.
+	placed := s.coordinated.before(deferred)
+	return left(s.ownWork.before(deferred), now-s.workingSince, rate) + max(0, told-placed)
+}
+
+// left returns what is left of work after it has been done for a time.
+func left(work float64, done time.Duration, rate float64) float64 {
+	return max(0, work-rate*done.Seconds())
 }
 
 // load returns the requests at the server now.
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -40,6 +40,9 @@
 	Objective time.Duration
 	// DirectOnly keeps the request from engines that only prefill.
 	DirectOnly bool
+	// From is the failure domain that the request comes from; empty for the
+	// gateway's own.
+	From string
 }
 
 // Choice is where a request goes.
@@ -55,8 +58,9 @@
 	// NewTokens of the prompt are not in the cache of the engine that
 	// prefills.
 	NewTokens int
-	// FirstEvent is predicted from now.
-	FirstEvent time.Duration
+	// FirstEvent is predicted from now, and Prefilled when the prefill engine
+	// is done, if Split.
+	FirstEvent, Prefilled time.Duration
 	// Deferred is set when the first event can't be in time: the request is to
 	// go behind those that can.
 	Deferred bool
@@ -74,13 +78,20 @@
 // in seconds of a later first event.
 type Options struct {
 	FailureDomain string
+	// AwayFromHome is added for an engine that is not the prompt's home, so
+	// that gateways which know little of each other agree.
+	AwayFromHome float64
 	// CrossDomain is added for a server in another failure domain, and
 	// CrossDomainByte for each byte of the body besides.
 	CrossDomain, CrossDomainByte float64
 	// RereadToken is added for each shared token that is prefilled again.
 	RereadToken float64
-	// MoveToken is added for each token of KV cache that is transferred.
+	// MoveToken is added for each token of KV cache that is transferred to a
+	// decode engine.
 	MoveToken float64
+	// FetchToken is added for each shared token that is fetched: the copy
+	// takes the place of others' parts.
+	FetchToken float64
 	// Disturbance weighs the time for which a prefill at a decode engine holds
 	// up each of the streams there.
 	Disturbance float64
@@ -90,11 +101,13 @@
 func DefaultOptions(failureDomain string) Options {
 	return Options{
 		FailureDomain:   failureDomain,
+		AwayFromHome:    0.06,
 		CrossDomain:     0.04,
 		CrossDomainByte: 3e-6,
-		RereadToken:     60e-6,
+		RereadToken:     30e-6,
 		MoveToken:       2e-6,
-		Disturbance:     0.4,
+		FetchToken:      20e-6,
+		Disturbance:     1.0,
 	}
 }
 
@@ -118,6 +131,6 @@
 	// half.
 	loadHalfLife = 500 * time.Millisecond
 	// partLife is how long a part is taken to stay in an engine's cache after
-	// its last use.
-	partLife = 20 * time.Second
+	// its last use at most.
+	partLife = 60 * time.Second
 )
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -51,11 +51,11 @@
 }
 
 func sentTo(t *Table, now time.Duration, c Choice, r Request) *Ticket {
-	id := c.Server.ID
+	id, first := c.Server.ID, c.FirstEvent
 	if c.Split {
-		id = c.Prefill.ID
+		id, first = c.Prefill.ID, c.Prefilled
 	}
-	return t.Sent(now, Send{Server: id, NewTokens: c.NewTokens, Parts: r.Parts, Deferred: c.Deferred, FirstEvent: c.FirstEvent})
+	return t.Sent(now, Send{Server: id, NewTokens: c.NewTokens, PromptTokens: r.PromptTokens, Parts: r.Parts, Deferred: c.Deferred, FirstEvent: first})
 }
 
 func TestLongPromptsAreSplitAndShortOnesAreNot(t *testing.T) {
@@ -124,7 +124,7 @@
 	table := newTable(engines(0, 2))
 	first, err := table.Choose(0, short(1))
 	require.NoError(t, err)
-	busy := []OwnLoad{{Server: first.Server.ID, Requests: 12, UrgentTokens: 30_000}}
+	busy := []OwnLoad{{Server: first.Server.ID, Requests: 12, UrgentWork: 30_000}}
 	table.PeerLoads(0, "gateway-2", busy)
 	c, err := table.Choose(0, short(2))
 	require.NoError(t, err)
@@ -186,7 +186,7 @@
 	servers[1].Started = 5
 	table.SetServers(spec, servers)
 	require.Zero(t, table.find("d0").own)
-	require.Empty(t, table.find("d0").parts)
+	require.Empty(t, table.find("d0").cache.entries)
 }
 
 // Tickets of an incarnation that is gone must not count at the next one.
@@ -197,7 +197,7 @@
 	table.Ended(k)
 	table.Started(0, k)
 	require.Zero(t, table.find("d0").own)
-	require.Zero(t, table.find("d0").ownTokens.urgent)
+	require.Zero(t, table.find("d0").ownWork.urgent)
 	table.Ended(nil)
 }
 
--- a/internal/placement/table.go
+++ b/internal/placement/table.go
@@ -15,6 +15,10 @@
 	servers []*server
 	rate    rateEstimate
 	swept   time.Duration
+	// knowsAll is set while all long prompts of the service have been placed
+	// by this table for a while.
+	knowsAll bool
+	placed   map[placedKey]*placedSend
 }
 
 // server is one backend server with what the gateway knows of it.
@@ -22,9 +26,12 @@
 	fleet.Server
 	// hash of the ID, for rendezvous.
 	hash uint64
-	// own sends under way, and their prompt tokens not yet prefilled.
-	own       int
-	ownTokens queue
+	// own sends under way, and the work of their prompts that are not
+	// prefilled yet; coordinated is the part of it that a coordinator placed.
+	own                  int
+	ownWork, coordinated queue
+	// workingSince is when the server began with the first of that work.
+	workingSince time.Duration
 	// told is the load of the newest answer, with the own sends at that time.
 	told    int
 	toldOwn int
@@ -32,22 +39,25 @@
 	hasTold bool
 	// peers has the sends of other gateways under way, by gateway.
 	peers map[string]peerLoad
-	// slowdown is the mean ratio of observed to predicted times.
-	slowdown float64
+	// slowdown is the ratio of observed to usual times at observedAt.
+	slowdown   float64
+	observedAt time.Duration
 	// weight is the share of its usual work that the server is to get.
 	weight float64
 	// refusedUntil keeps requests away from a server that refuses; refusals
 	// counts those in a row.
 	refusedUntil time.Duration
 	refusals     int
-	// parts has the time of the last use of each prompt part.
-	parts map[uint64]time.Duration
+	cache        *cache
 }
 
 // NewTable returns a table without servers. The engine is nil for plain
 // services.
 func NewTable(opts Options, engine *fleet.EngineSpec) *Table {
-	return &Table{opts: opts, engine: engine, rate: rateEstimate{perSecond: initialPrefillRate}}
+	return &Table{
+		opts: opts, engine: engine, rate: rateEstimate{perSecond: initialPrefillRate},
+		placed: make(map[placedKey]*placedSend),
+	}
 }
 
 // SetServers makes these the servers of the service. Those that remain keep
@@ -56,8 +66,12 @@
 	t.engine = engine
 	old := t.servers
 	t.servers = make([]*server, 0, len(servers))
-	for _, s := range servers {
-		t.servers = append(t.servers, keep(old, s))
+	for _, server := range servers {
+		s := keep(old, server)
+		if engine != nil {
+			s.cache.setMemory(engine.MemoryTokens)
+		}
+		t.servers = append(t.servers, s)
 	}
 }
 
@@ -71,7 +85,7 @@
 	}
 	return &server{
 		Server: now, hash: xxhash.Sum64String(now.ID), slowdown: 1, weight: 1,
-		parts: make(map[uint64]time.Duration), peers: make(map[string]peerLoad),
+		cache: newCache(), peers: make(map[string]peerLoad),
 	}
 }
 
@@ -94,26 +108,36 @@
 
 // Ticket is a send under way. It is ended once by Table.Ended.
 type Ticket struct {
-	server   *server
-	tokens   float64
-	deferred bool
-	sentAt   time.Duration
+	server *server
+	// work of the prompt, and whether others had to go before it.
+	work   float64
+	waited bool
+
+	deferred, coordinated bool
+	sentAt                time.Duration
 	// predicted time of the first event, in seconds.
 	predicted float64
 	started   bool
+	// fresh are the keys of the parts that the server is to read.
+	fresh []uint64
 }
 
 // Send is a request on its way to a server.
 type Send struct {
 	Server string
-	// NewTokens of the prompt are to be prefilled there.
-	NewTokens int
+	// NewTokens of the PromptTokens are to be prefilled there.
+	NewTokens, PromptTokens int
 	// Parts of the prompt that the server will have read then.
 	Parts []Part
 	// Deferred requests go behind those that can still be in time.
 	Deferred bool
 	// FirstEvent is when the first event is predicted.
 	FirstEvent time.Duration
+	// FetchFrom is the address of the engine that shared parts are fetched
+	// from; empty for none.
+	FetchFrom string
+	// Coordinated sends were placed by a coordinator, which tells of them.
+	Coordinated bool
 }
 
 // Sent takes in that a request is on its way.
@@ -123,15 +147,15 @@
 		return nil
 	}
 	k := &Ticket{
-		server: s, tokens: float64(send.NewTokens), deferred: send.Deferred,
-		sentAt: now, predicted: send.FirstEvent.Seconds(),
+		server: s, work: prefillWork(float64(send.NewTokens), float64(send.PromptTokens)), deferred: send.Deferred,
+		coordinated: send.Coordinated, sentAt: now, predicted: send.FirstEvent.Seconds(),
+		waited: s.queued(now, t.rateOf(s), send.Deferred) > 0,
 	}
 	s.own++
-	s.ownTokens.add(k.tokens, k.deferred)
-	for _, key := range chain(send.Parts) {
-		s.parts[key] = now
-	}
-	t.sweep(now)
+	s.addWork(now, k, k.work)
+	keys := chain(send.Parts)
+	k.fresh = s.cache.use(now, now+send.FirstEvent+takeTime, send.Parts, keys)
+	t.fetched(now, send, keys)
 	return k
 }
 
@@ -141,21 +165,59 @@
 		return
 	}
 	k.started = true
-	k.server.ownTokens.add(-k.tokens, k.deferred)
+	k.server.addWork(now, k, -k.work)
+	k.server.cache.wasRead(now+takeTime, k.fresh)
 	took := (now - k.sentAt).Seconds()
-	k.server.observe(took, k.predicted)
-	if k.server.Stage == fleet.StagePrefill {
-		t.rate.observe(k.tokens, took)
+	k.server.observe(now, took, k.predicted)
+	if k.server.Stage == fleet.StagePrefill && !k.waited {
+		t.rate.observe(k.work, took-firstStep)
+	}
+}
+
+// addWork counts a send's work in, or out if negative. The server goes on with
+// the next work then.
+func (s *server) addWork(now time.Duration, k *Ticket, work float64) {
+	if work < 0 || s.ownWork.before(true) == 0 {
+		s.workingSince = now
+	}
+	s.ownWork.add(work, k.deferred)
+	if k.coordinated {
+		s.coordinated.add(work, k.deferred)
+	}
+}
+
+// fetched takes in that the source of a fetch has used the shared parts.
+func (t *Table) fetched(now time.Duration, send Send, keys []uint64) {
+	if send.FetchFrom == "" || len(keys) == 0 {
+		return
+	}
+	shared := len(keys) - 1
+	for _, s := range t.servers {
+		if s.Address == send.FetchFrom {
+			s.cache.use(now, now, send.Parts[:shared], keys[:shared])
+		}
 	}
 }
 
+// rateOf returns the rate at which a server prefills, in work per second.
+func (t *Table) rateOf(s *server) float64 {
+	if s.Stage == fleet.StageDecode {
+		return t.rate.perSecond * decodePrefillShare
+	}
+	return t.rate.perSecond
+}
+
 // Ended takes in that a send has ended in whatever way.
 func (t *Table) Ended(k *Ticket) {
 	if k == nil || k.server == nil {
 		return
 	}
 	if !k.started {
-		k.server.ownTokens.add(-k.tokens, k.deferred)
+		k.server.cache.forget(k.fresh)
+		k.server.ownWork.add(-k.work, k.deferred)
+		if k.coordinated {
+			k.server.coordinated.add(-k.work, k.deferred)
+		}
 	}
 	k.server.own--
 	k.server = nil
@@ -202,26 +264,35 @@
 	}
 }
 
+// sweepInterval is the time between looks for parts that are not used any more.
+const sweepInterval = time.Second
+
 // sweep drops parts that have not been used for long.
 func (t *Table) sweep(now time.Duration) {
-	if now-t.swept < partLife {
+	if now-t.swept < sweepInterval {
 		return
 	}
 	t.swept = now
 	for _, s := range t.servers {
-		for key, used := range s.parts {
-			if now-used > partLife {
-				delete(s.parts, key)
-			}
-		}
+		s.cache.expire(now - partLife)
 	}
 }
 
+// Usable tells whether a server may take a request.
+func (t *Table) Usable(now time.Duration, id string) bool {
+	s := t.find(id)
+	return s != nil && s.usable(now)
+}
+
+func (s *server) usable(now time.Duration) bool {
+	return !s.Leaving && s.weight > 0 && now >= s.refusedUntil
+}
+
 // usable returns the servers of a stage that may take a request.
 func (t *Table) usable(now time.Duration, stage fleet.Stage) []*server {
 	list := make([]*server, 0, len(t.servers))
 	for _, s := range t.servers {
-		if s.Stage == stage && !s.Leaving && s.weight > 0 && now >= s.refusedUntil {
+		if s.Stage == stage && s.usable(now) {
 			list = append(list, s)
 		}
 	}
