--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 BUF := $(GO) run github.com/bufbuild/buf/cmd/buf@v1.75.0
 BIN := bin
 
-.PHONY: build test lint generate bench demo clean
+.PHONY: build test lint generate bench bench-against demo clean
 
 build:
 	$(GO) build -o $(BIN)/ ./cmd/...
@@ -22,8 +22,13 @@
 	$(BUF) generate
 
 bench:
+	$(GO) run ./cmd/marigold-load gateways
 	$(GO) run ./cmd/marigold-load bench
 
+# Needs COMMIT: an earlier commit to compare with.
+bench-against:
+	./scripts/bench-against.sh $(COMMIT)
+
 demo: build
 	./scripts/demo.sh
 
--- a/cmd/marigold-load/bench.go
+++ b/cmd/marigold-load/bench.go
@@ -28,6 +28,7 @@
 			"  marigold-load report -o bench.html bench.json",
 		FlagSet: fs,
 		Exec: func(ctx context.Context, _ []string) error {
+			options.Progress = os.Stderr
 			if err := bench.Run(ctx, os.Stdout, options); err != nil || *series == "" {
 				return err
 			}
--- a/cmd/marigold-load/main.go
+++ b/cmd/marigold-load/main.go
@@ -17,6 +17,7 @@
 		ShortHelp:  "Send loads to entries and report on experiments.",
 		Subcommands: []*ffcli.Command{
 			newBenchCommand(),
+			newGatewaysCommand(),
 			newRunCommand(),
 			newReportCommand(),
 			newSlopesCommand(),
--- a/internal/bench/bench_test.go
+++ b/internal/bench/bench_test.go
@@ -104,7 +104,7 @@
 	err := Run(context.Background(), &out, Options{Seeds: 1, Profiles: "no-such", Workers: 1})
 	require.ErrorContains(t, err, "no-such")
 	p := short(servicio("short"))
-	runs, err := runAll(context.Background(), []profile{*p}, []variant{policyVariant(), naiveVariant()}, []uint64{1}, func(variant) int { return 1 }, 2)
+	runs, err := runAll(context.Background(), []profile{*p}, []variant{policyVariant(), naiveVariant()}, []uint64{1}, func(variant) int { return 1 }, 2, newProgress(nil))
 	require.NoError(t, err)
 	require.NoError(t, runs[0].write(&out))
 	runs[0].summary(&out)
--- a/internal/bench/main.go
+++ b/internal/bench/main.go
@@ -8,6 +8,7 @@
 	"runtime"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -38,6 +39,28 @@
 	Profiles string
 	// Workers is the number of runs at once.
 	Workers int
+	// Progress is told of the runs that have ended; nil for nobody.
+	Progress io.Writer
+}
+
+// progress counts runs and tells of them now and then.
+type progress struct {
+	out   io.Writer
+	ended atomic.Int64
+	began time.Time
+}
+
+// progressRuns is the number of runs between two words of progress.
+const progressRuns = 10
+
+func newProgress(out io.Writer) *progress { return &progress{out: out, began: time.Now()} }
+
+// end takes in that a run has ended.
+func (p *progress) end() {
+	n := p.ended.Add(1)
+	if p.out != nil && n%progressRuns == 0 {
+		fmt.Fprintf(p.out, "%d runs played in %s\n", n, time.Since(p.began).Round(time.Second))
+	}
 }
 
 // AddFlags defines the flags of the bench.
@@ -71,7 +94,7 @@
 		}
 		return len(seeds)
 	}
-	all, err := runAll(ctx, chosen, variants, seeds, limit, max(1, o.Workers))
+	all, err := runAll(ctx, chosen, variants, seeds, limit, max(1, o.Workers), newProgress(o.Progress))
 	if err != nil {
 		return err
 	}
@@ -128,7 +151,7 @@
 
 // runAll runs every variant of every profile with as many of the seeds as its
 // limit says.
-func runAll(ctx context.Context, chosen []profile, variants []variant, seeds []uint64, limit func(variant) int, workers int) ([]*profileRuns, error) {
+func runAll(ctx context.Context, chosen []profile, variants []variant, seeds []uint64, limit func(variant) int, workers int, told *progress) ([]*profileRuns, error) {
 	group, ctx := errgroup.WithContext(ctx)
 	group.SetLimit(workers)
 	var all []*profileRuns
@@ -148,6 +171,7 @@
 					}
 					res, err := runOne(runs.profile, variants[v], seed)
 					runs.seeds[s].results[v] = res
+					told.end()
 					return err
 				})
 			}
--- a/internal/enginemodel/model.go
+++ b/internal/enginemodel/model.go
@@ -180,6 +180,12 @@
 	return seq.produced, nil
 }
 
+// Fetch puts blocks that another engine has handed over into the prefix cache.
+func (m *Model) Fetch(now time.Duration, hashes []uint64) {
+	m.advance(now)
+	m.cache.insert(now, hashes)
+}
+
 // Release frees the memory of an exported KV cache; it reports whether it
 // was still held.
 func (m *Model) Release(now time.Duration, id string) bool {
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -176,12 +176,23 @@
 		o := option{Choice: t.choice(q.now, s, first)}
 		o.NewTokens, o.FetchFrom = int(fresh), c.from
 		o.score = first/s.weight + t.distance(q.From, s, q.BodyBytes) + t.reread(q, c.tokens) +
-			t.opts.FetchToken*float64(c.fetched) + t.opts.Disturbance*prefill*s.load(q.now)
+			t.opts.FetchToken*float64(c.fetched) + t.disturbance(prefill, s.load(q.now))
 		better(&best, &found, o)
 	}
 	return best, found
 }
 
+// disturbance prices a prefill at a decode engine by the streams that it holds
+// up. Callers notice the pauses that a long one makes.
+func (t *Table) disturbance(prefill, streams float64) float64 {
+	noticed := t.opts.LongDisturbance * max(0, prefill-noticedPrefill)
+	return t.opts.Disturbance * (prefill + noticed) * streams
+}
+
+// noticedPrefill is the time from which a prefill makes pauses that callers
+// notice, in seconds.
+const noticedPrefill = 0.05
+
 // chooseSplit chooses an engine to prefill and another to decode.
 func (t *Table) chooseSplit(q *query) (option, bool) {
 	p, ok := t.choosePrefill(q)
--- a/internal/placement/load.go
+++ b/internal/placement/load.go
@@ -131,13 +131,14 @@
 }
 
 // queued returns the work that is to be done at the server before a new
-// request, at a rate of work a second.
+// request, at a rate of work a second. Own sends are done one after the other;
+// what others told stands, as they go on sending.
 func (s *server) queued(now time.Duration, rate float64, deferred bool) float64 {
 	rate /= s.slow(now)
 	told := 0.0
 	for _, l := range s.peers {
 		if now-l.at < peerLife {
-			told += left(l.work.before(deferred), now-l.at, rate)
+			told += l.work.before(deferred)
 		}
 	}
 	// What a coordinator tells has the sends that it placed for this gateway.
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -95,6 +95,9 @@
 	// Disturbance weighs the time for which a prefill at a decode engine holds
 	// up each of the streams there.
 	Disturbance float64
+	// LongDisturbance is how many times more the part of it counts that makes
+	// pauses which callers notice.
+	LongDisturbance float64
 }
 
 // DefaultOptions returns the usual options.
@@ -106,8 +109,9 @@
 		CrossDomainByte: 3e-6,
 		RereadToken:     30e-6,
 		MoveToken:       2e-6,
-		FetchToken:      20e-6,
+		FetchToken:      30e-6,
 		Disturbance:     1.0,
+		LongDisturbance: 3,
 	}
 }
 
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -287,3 +287,33 @@
 		}
 	}
 }
+
+// A long prompt is kept from decode engines whose streams it would make pause;
+// a short one is not worth the way over two engines there.
+func TestLongPromptsAreKeptFromBusyDecodeEngines(t *testing.T) {
+	for _, c := range []struct {
+		tokens int
+		split  bool
+	}{{30, false}, {17_000, true}} {
+		table := newTable(engines(2, 4))
+		for i := range 4 {
+			table.PeerLoads(0, fmt.Sprint("gw-", i), []OwnLoad{{Server: fmt.Sprint("d", i), Requests: 3}})
+		}
+		r := Request{PromptTokens: c.tokens, Objective: 600 * time.Millisecond}
+		got, err := table.Choose(0, r)
+		require.NoError(t, err)
+		require.Equal(t, c.split, got.Split, "%d tokens", c.tokens)
+	}
+}
+
+// What another gateway told of its queues stands until it tells anew or the
+// news is old: it goes on sending.
+func TestToldQueuesStand(t *testing.T) {
+	table := newTable(engines(1, 1))
+	table.PeerLoads(0, "gw-2", []OwnLoad{{Server: "p0", Requests: 1, UrgentWork: 9000}})
+	p0 := table.find("p0")
+	require.Equal(t, 9000.0, p0.queued(peerLife-1, table.rate.perSecond, false))
+	require.Zero(t, p0.queued(peerLife, table.rate.perSecond, false))
+	table.Sent(0, Send{Server: "p0", NewTokens: 9000, PromptTokens: 9000})
+	require.Less(t, p0.queued(50*time.Millisecond, table.rate.perSecond, false), 9000+p0.ownWork.urgent, "own work is being done")
+}
