--- /dev/null
+++ b/internal/gateway/placing.go
@@ -0,0 +1,108 @@
+package gateway
+
+import (
+	"time"
+
+	peerv1 "github.com/marigoldwing/marigoldwing/api/peer/v1"
+	"github.com/marigoldwing/marigoldwing/internal/placement"
+)
+
+// Place implements peer.Placer.
+func (c *coordination) Place(p *peerv1.Place) *peerv1.PlaceReply {
+	s := c.g.state.Load().services[p.GetService()]
+	if s == nil || c.g.leaving.Load() {
+		return &peerv1.PlaceReply{}
+	}
+	_, address := c.owner(p.GetService())
+	s.setPlacesAll(c.g.now(), address == "")
+	choice, err := s.place(c.g.now(), p.GetSender(), p.GetNumber(), placeRequest(p))
+	if err != nil {
+		// The sender chooses by what it knows, and refuses if it finds no
+		// server either.
+		return &peerv1.PlaceReply{}
+	}
+	reply := placeReply(choice)
+	reply.PrefillLoads = loadMessages(s.prefillLoads())
+	return reply
+}
+
+// placeRequest translates what another gateway asks.
+func placeRequest(p *peerv1.Place) placement.Request {
+	r := placement.Request{
+		PromptTokens: int(p.GetPromptTokens()),
+		BodyBytes:    int(p.GetBodyBytes()),
+		Exclude:      p.GetExclude(),
+		Objective:    time.Duration(p.GetObjectiveMs()) * time.Millisecond,
+		DirectOnly:   p.GetDirectOnly(),
+		From:         p.GetFailureDomain(),
+	}
+	for _, part := range p.GetParts() {
+		r.Parts = append(r.Parts, placement.Part{ID: part.GetId(), Tokens: int(part.GetTokens())})
+	}
+	return r
+}
+
+// placeReply translates a choice for another gateway.
+func placeReply(choice placement.Choice) *peerv1.PlaceReply {
+	reply := &peerv1.PlaceReply{
+		Server:       choice.Server.ID,
+		FetchFrom:    choice.FetchFrom,
+		NewTokens:    int64(choice.NewTokens),
+		FirstEventUs: choice.FirstEvent.Microseconds(),
+		PrefilledUs:  choice.Prefilled.Microseconds(),
+		LoadAgeUs:    choice.LoadAge.Microseconds(),
+		Deferred:     choice.Deferred,
+	}
+	if choice.Split {
+		reply.PrefillServer = choice.Prefill.ID
+	}
+	return reply
+}
+
+// PlaceEnded implements peer.Placer.
+func (c *coordination) PlaceEnded(p *peerv1.PlaceEnded) {
+	if s := c.g.state.Load().services[p.GetService()]; s != nil {
+		s.placeEnded(c.g.now(), p.GetSender(), p.GetNumber(), p.GetPrefilled())
+	}
+}
+
+// setPlacesAll takes in whether this gateway places the service's long prompts.
+func (s *service) setPlacesAll(now time.Duration, all bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case !all:
+		s.placesAllSince = notPlacing
+	case s.placesAllSince == notPlacing:
+		s.placesAllSince = now
+	}
+	s.table.SetPlacesAllSince(now, s.placesAllSince)
+}
+
+// notPlacing is the placesAllSince of a gateway that does not place all.
+const notPlacing = time.Duration(-1)
+
+func (s *service) place(now time.Duration, gateway string, number uint64, r placement.Request) (placement.Choice, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.setWeights(now)
+	return s.table.Place(now, gateway, number, r)
+}
+
+func (s *service) prefillLoads() []placement.OwnLoad {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.table.PrefillLoads()
+}
+
+func (s *service) peerPrefillLoads(now time.Duration, peer string, loads []placement.OwnLoad) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.table.PeerPrefillLoads(now, peer, loads)
+}
+
+func (s *service) placeEnded(now time.Duration, gateway string, number uint64, prefilled bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.table.PlaceEnded(now, gateway, number, prefilled)
+}
