--- a/internal/stages/stages.go
+++ b/internal/stages/stages.go
@@ -52,8 +52,10 @@
 	PrefillShare float64
 	// LeastOfStage is the least number of engines of each stage.
 	LeastOfStage int
-	// AwayShare of the engines, one at least, may change at once.
+	// AwayShare of the engines, one at least and MostAway at most, may change
+	// at once.
 	AwayShare float64
+	MostAway  int
 }
 
 // DefaultOptions returns the usual options for engines that are away for a
@@ -68,6 +70,7 @@
 		PrefillShare: 0.45,
 		LeastOfStage: 2,
 		AwayShare:    1.0 / 12,
+		MostAway:     4,
 	}
 }
 
@@ -162,7 +165,7 @@
 
 // mostAway returns how many engines may change at once.
 func (o Options) mostAway(s sums) int {
-	return max(1, int(o.AwayShare*float64(s.engines)))
+	return min(max(1, int(o.AwayShare*float64(s.engines))), o.MostAway)
 }
 
 // afterOrders returns a copy of the engines in which those that were ordered a
--- a/internal/stages/stages_test.go
+++ b/internal/stages/stages_test.go
@@ -143,3 +143,10 @@
 	}
 	return list
 }
+
+// A fleet of the target's size is not turned over at once: an order costs an
+// engine its work for seconds.
+func TestVeryLargeFleetsChangeAFewAtATime(t *testing.T) {
+	_, orders := Decide(State{}, DefaultOptions(change), 0, idle(200, 740))
+	require.Len(t, orders, 4)
+}
