--- a/internal/event/request.go
+++ b/internal/event/request.go
@@ -77,6 +77,17 @@
 	return e
 }
 
+// AttemptUnderWay says where a request is that has had no answer for a while,
+// so that it leaves a trace also if the process is lost. The prefill server is
+// empty if the server prefills the prompt itself.
+func AttemptUnderWay(requestID, service, server, prefillServer, placedBy string, predicted time.Duration) Event {
+	e := info("attempt under way", slog.String(KeyRequestID, requestID), slog.String(keyService, service),
+		slog.String(keyServer, server), milliseconds("predicted_ms", predicted))
+	e.withText("prefill_server", prefillServer)
+	e.withText("placed_by", placedBy)
+	return e
+}
+
 // RequestEnded says what a request's caller got.
 type RequestEnded struct {
 	RequestID, Route string
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -32,12 +32,26 @@
 		return outcome{result: timedOut, reason: "deadline"}, c
 	}
 	q.g.metrics.choseWithLoadOf(c.LoadAge)
+	underWay := time.AfterFunc(underWayAfter, q.underWay(c))
+	defer underWay.Stop()
 	if c.Split {
 		return q.attemptSplit(ctx, c)
 	}
 	return q.send(ctx, c, Attempt{FetchFrom: c.FetchFrom}, c.NewTokens), c
 }
 
+// underWayAfter is how long an attempt may last without a line of its own: few
+// last longer, and those of a lost process are asked about.
+const underWayAfter = 500 * time.Millisecond
+
+// underWay returns what writes the line of an attempt that lasts.
+func (q *request) underWay(c placement.Choice) func() {
+	id, service, placedBy := q.call.ID, q.service.name, q.placedBy
+	return func() {
+		q.g.log.Write(event.AttemptUnderWay(id, service, c.Server.ID, c.Prefill.ID, placedBy, c.FirstEvent))
+	}
+}
+
 // attemptSplit has the prompt prefilled at one engine and decoded at another,
 // which is chosen anew when the prefill is done.
 func (q *request) attemptSplit(ctx context.Context, c placement.Choice) (outcome, placement.Choice) {
