--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -32,6 +32,9 @@
 	// check has begun to fail, so that the balancer turns away first. Then the
 	// listener and idle connections are closed, and what runs may end.
 	leaveNotice = 2500 * time.Millisecond
+	// drainMargin tells a drain that has had its time from one that was cut
+	// short.
+	drainMargin = 100 * time.Millisecond
 	// stopMargin is left of the grace when what runs has had its time.
 	stopMargin = time.Second
 	// releaseTime bounds the release of the lease at the end.
@@ -109,7 +112,7 @@
 			func(ctx context.Context) { g.RunStages(ctx, stageOptions) },
 		},
 		Drain:        g.Drain,
-		DrainTimeout: leaveNotice,
+		DrainTimeout: leaveNotice + drainMargin,
 		StopTimeout:  max(leastStopTime, seconds(s.GetStopGraceS())-leaveNotice-stopMargin),
 		LoopTimeout:  releaseTime,
 		Tune:         tuneServer,
@@ -184,7 +187,10 @@
 // do so too. The listener is closed then.
 func (g *Gateway) Drain(ctx context.Context) {
 	g.leaving.Store(true)
-	<-ctx.Done()
+	select {
+	case <-time.After(leaveNotice):
+	case <-ctx.Done():
+	}
 }
 
 // registerGauges adds the metrics that are read when asked for.
