Leave only the coordinator alone that is silent

Cause: read from the code: one mark for all owners, so that a silent owner of one service kept a gateway from asking the owners of the others; and the end of a placed prompt that could not be told left no line. Ruled out: an owner for all services, which would place all long prompts of a deployment at one gateway.

--- a/internal/event/belief.go
+++ b/internal/event/belief.go
@@ -91,6 +91,12 @@
 	return info("coordinator of long prompts does not answer, choosing alone", slog.String(keyPeer, name), errorText(err))
 }
 
+// PlaceEndNotTold says that the gateway that placed a prompt counts it longer
+// than it is there.
+func PlaceEndNotTold(address string, err error) Event {
+	return detail("end of a placed prompt not told, it expires", slog.String(keyAddress, address), errorText(err))
+}
+
 // CoordinatorBack says that long prompts are placed for this gateway again.
 func CoordinatorBack(name string) Event {
 	return info("coordinator of long prompts answers again", slog.String(keyPeer, name))
--- a/internal/gateway/coordinate.go
+++ b/internal/gateway/coordinate.go
@@ -41,10 +41,8 @@
 	// address is empty for this one.
 	owner func(service string) (name, address string)
 
-	number atomic.Uint64
-	// mutedUntil is when a gateway that did not answer may be asked again.
-	mutedUntil atomic.Int64
-	silent     atomic.Bool
+	number  atomic.Uint64
+	silence silence
 }
 
 // Coordinate has the long prompts of each service placed by the gateway that
@@ -85,7 +83,7 @@
 // ask has another gateway place the request. It reports whether there is a
 // choice that this gateway can follow.
 func (c *coordination) ask(ctx context.Context, q *request, name, address string) (placement.Choice, bool) {
-	if int64(c.g.now()) < c.mutedUntil.Load() {
+	if !c.silence.over(c.g.now(), name) {
 		return placement.Choice{}, false
 	}
 	place := c.message(q)
@@ -101,7 +99,7 @@
 		q.endPlaced(false)
 		return placement.Choice{}, false
 	}
-	if c.silent.CompareAndSwap(true, false) {
+	if c.silence.ends(name) {
 		c.g.log.Write(event.CoordinatorBack(name))
 	}
 	q.service.peerPrefillLoads(c.g.now(), name, readLoads(reply.GetPrefillLoads()))
@@ -116,8 +114,7 @@
 
 // lost leaves a gateway that did not answer alone for a while.
 func (c *coordination) lost(name string, err error) {
-	c.mutedUntil.Store(int64(c.g.now() + placePause))
-	if c.silent.CompareAndSwap(false, true) {
+	if c.silence.begins(c.g.now(), name) {
 		c.g.log.Write(event.CoordinatorLost(name, err))
 	}
 }
@@ -157,9 +154,9 @@
 func (c *coordination) tellEnd(placed *placedBy) {
 	ctx, cancel := context.WithTimeout(context.Background(), placeEndedTimeout)
 	defer cancel()
-	// A word that is lost is made up for by the bound on a placed prompt's
-	// life.
-	_ = c.client.PlaceEnded(ctx, placed.address, placed.ended)
+	if err := c.client.PlaceEnded(ctx, placed.address, placed.ended); err != nil {
+		c.g.log.Write(event.PlaceEndNotTold(placed.address, err))
+	}
 }
 
 // choiceOf translates another gateway's choice. It reports whether this one
