Tell the pauses of streams and what is at each server as metrics

Cause: the issue on explaining failures asks for the time between events, and for queue and requests in flight by backend server; the gateway's metrics had neither, only the state dump. Ruled out: a gauge that each send moves: the table knows it when it is asked.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -90,6 +90,7 @@
 	}
 	g.setRetries(opts.Retries)
 	g.state.Store(&state{services: map[string]*service{}})
+	opts.Registerer.MustRegister(loadCollector{g})
 	return g
 }
 
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -41,8 +41,9 @@
 	lastEvent string
 	// committed is set when the head of an answer has gone to the caller.
 	committed bool
-	// firstEvent is when the first event went out, 0 before.
-	firstEvent time.Duration
+	// firstEvent and newestEvent are when the first and the newest event went
+	// out, 0 before.
+	firstEvent, newestEvent time.Duration
 	// server that the last attempt went to.
 	server string
 	// placed is set until the gateway that placed the request has been told of
--- /dev/null
+++ b/internal/gateway/load_metrics.go
@@ -0,0 +1,42 @@
+package gateway
+
+import "github.com/prometheus/client_golang/prometheus"
+
+// loadCollector tells what is at each backend server when it is asked. It
+// implements prometheus.Collector.
+type loadCollector struct{ g *Gateway }
+
+// Whose requests at a server are counted, as a label.
+const (
+	whoseOwn    = "own"
+	whoseOthers = "others"
+)
+
+var (
+	serverRequests = prometheus.NewDesc("marigold_gateway_server_requests",
+		"Requests at a backend server: this gateway's, and those that others are thought to have.",
+		[]string{"service", "server", "whose"}, nil)
+	serverQueuedWork = prometheus.NewDesc("marigold_gateway_server_queued_work",
+		"Work of prompts that this gateway has sent or placed and that are not prefilled yet, in tokens without a context.",
+		[]string{"service", "server"}, nil)
+)
+
+// Describe implements prometheus.Collector.
+func (loadCollector) Describe(out chan<- *prometheus.Desc) {
+	out <- serverRequests
+	out <- serverQueuedWork
+}
+
+// Collect implements prometheus.Collector.
+func (c loadCollector) Collect(out chan<- prometheus.Metric) {
+	gauge := func(desc *prometheus.Desc, value float64, labels ...string) {
+		out <- prometheus.MustNewConstMetric(desc, prometheus.GaugeValue, value, labels...)
+	}
+	for service, servers := range c.g.State().Services {
+		for _, s := range servers {
+			gauge(serverRequests, float64(s.Own), service, s.ID, whoseOwn)
+			gauge(serverRequests, s.Others, service, s.ID, whoseOthers)
+			gauge(serverQueuedWork, s.Urgent+s.Deferred, service, s.ID)
+		}
+	}
+}
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -11,6 +11,7 @@
 	requests      *prometheus.CounterVec
 	attempts      *prometheus.CounterVec
 	firstEvent    *prometheus.HistogramVec
+	eventGap      *prometheus.HistogramVec
 	duration      *prometheus.HistogramVec
 	loadAge       prometheus.Histogram
 	placements    *prometheus.CounterVec
@@ -31,6 +32,9 @@
 		firstEvent: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name: "marigold_gateway_first_event_seconds", Help: "Time to the first event of a stream.", Buckets: latencyBuckets,
 		}, []string{"route"}),
+		eventGap: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "marigold_gateway_event_gap_seconds", Help: "Time between the events of a stream.", Buckets: latencyBuckets,
+		}, []string{"route"}),
 		duration: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name: "marigold_gateway_request_seconds", Help: "Time to the end of the answer.", Buckets: latencyBuckets,
 		}, []string{"route"}),
@@ -47,7 +51,7 @@
 			Name: "marigold_gateway_config_version", Help: "Version of the configuration in force.",
 		}),
 	}
-	registerer.MustRegister(m.requests, m.attempts, m.firstEvent, m.duration, m.loadAge, m.placements, m.inflight, m.configVersion)
+	registerer.MustRegister(m.requests, m.attempts, m.firstEvent, m.eventGap, m.duration, m.loadAge, m.placements, m.inflight, m.configVersion)
 	return m
 }
 
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -81,6 +81,7 @@
 		if _, err := q.w.Write(data); err != nil {
 			return errors.Join(errCallerLeft, err)
 		}
+		q.noteGap()
 	}
 	if err := http.NewResponseController(q.w).Flush(); err != nil {
 		return errors.Join(errCallerLeft, err)
@@ -88,6 +89,15 @@
 	return nil
 }
 
+// noteGap counts the time since the event before.
+func (q *request) noteGap() {
+	now := q.g.now()
+	if q.newestEvent > 0 {
+		q.g.metrics.eventGap.WithLabelValues(q.route.Name).Observe((now - q.newestEvent).Seconds())
+	}
+	q.newestEvent = now
+}
+
 // eventReader splits a stream into whole events.
 type eventReader struct {
 	pending []byte
