Keep the length of a coordinated prompt in one place

Cause: reading the change as a newcomer: the bench and the gateway each had the constant, the bench's world a field that nothing read, and the factors of its bursts no origin.

--- a/internal/gateway/coordinate.go
+++ b/internal/gateway/coordinate.go
@@ -14,9 +14,6 @@
 )
 
 const (
-	// coordinatedTokens is the prompt from which a gateway asks the one that
-	// places long prompts: a choice that is wrong costs more than the question.
-	coordinatedTokens = 1500
 	// placeTimeout bounds the question; a gateway that can't be asked in time
 	// chooses by itself.
 	placeTimeout = 40 * time.Millisecond
@@ -62,7 +59,7 @@
 // choose chooses where the request goes next.
 func (q *request) choose(ctx context.Context) (placement.Choice, error) {
 	c := q.g.coordination
-	if c == nil || q.service.engine == nil || q.call.PromptTokens < coordinatedTokens {
+	if c == nil || q.service.engine == nil || q.call.PromptTokens < placement.CoordinatedTokens {
 		return q.service.choose(q.g.now(), q.wanted())
 	}
 	name, address := c.owner(q.service.name)
--- a/internal/gatewaybench/profile.go
+++ b/internal/gatewaybench/profile.go
@@ -43,8 +43,9 @@
 	long, short class
 }
 
-// swing is the time in which the mix turns from long prompts to short ones;
-// while one kind comes more often, the other comes less.
+// swing is the time in which the mix turns from long prompts to short ones, as
+// in the sheets' bursts; while one kind comes more often, the other comes less.
+// Long prompts come between one burst (1.9) and two at once (3.4) of the sheets.
 const (
 	swing     = 2800 * time.Millisecond
 	moreLong  = 2.6
--- a/internal/gatewaybench/routers.go
+++ b/internal/gatewaybench/routers.go
@@ -9,9 +9,6 @@
 	"github.com/marigoldwing/marigoldwing/internal/placement"
 )
 
-// longPrompt is the prompt from which one gateway places for all.
-const longPrompt = 1500
-
 // gateways place by the product's decisions.
 type gateways struct {
 	profile *profile
@@ -44,7 +41,7 @@
 
 // placer returns the table that places a request.
 func (g *gateways) placer(now time.Duration, r *request) *placement.Table {
-	if !g.coordinated || r.prompt < longPrompt {
+	if !g.coordinated || r.prompt < placement.CoordinatedTokens {
 		return g.tables[r.gateway]
 	}
 	g.tables[0].SetPlacesAllSince(now, 0)
--- a/internal/gatewaybench/world.go
+++ b/internal/gatewaybench/world.go
@@ -15,7 +15,7 @@
 type node struct {
 	server fleet.Server
 	model  *enginemodel.Model
-	// streams and prefills have what is told of a request's progress.
+	// watchers are told of the sequences' progress, by sequence.
 	watchers map[string]*watcher
 }
 
@@ -53,7 +53,6 @@
 	requests []*request
 	nodes    []*node
 	byID     map[string]*node
-	router   router
 	timers   timers
 	made     int
 }
@@ -138,7 +137,6 @@
 
 // play plays the run to its end.
 func (w *world) play(r router) {
-	w.router = r
 	for _, request := range w.requests {
 		w.after(request.at, func(now time.Duration) { r.send(w, now, request) })
 	}
--- a/internal/placement/coordinator.go
+++ b/internal/placement/coordinator.go
@@ -8,6 +8,9 @@
 // few of them.
 
 const (
+	// CoordinatedTokens is the prompt from which one gateway places for all: a
+	// choice that is wrong costs more than the question.
+	CoordinatedTokens = 1500
 	// placedLife bounds how long a placed prompt counts whose end is not told.
 	placedLife = 10 * time.Second
 	// knowsAllAfter is how long a table must have placed all prompts until it
