Treat the store's revisions as of a generation

Revisions, leases and registrations go back; registry kept the highest revision ever seen, a watch could continue over the restore, and a lease's term, the fencing token, could be given out twice.

Change: package revision joins the store's generation, read from its responses in platform/ only, with the number; watches, lists of several pages and conditional writes that span a restore fail and start over. Servers missing from the copy are kept for 2.2 s, servers that had left are held back. Each generation has a lease object of its own, terms contain the generation, and nobody has authority for one TTL. Gateways register again.

Ruled out: learning the highest token from engines and peers; a token made of the generation needs no answer from either.

Also mended: an agent could send a non-idempotent call without a body twice on a kept connection (such calls have connections of their own now); an entry's planner lease uses the boot-time clock; log writes hold whole lines.

Tests fail with each check removed (watch, pages, conditional write, held back, wait of one TTL, generation in the term); the separate lease objects rest on an argument only.

--- a/internal/agent/runner_plain.go
+++ b/internal/agent/runner_plain.go
@@ -25,25 +25,33 @@
 	baseURL string
 }
 
-// newPlainClient returns an HTTP client for plain services. It sends a request of
-// plainRunner that has a body only once, because the body cannot be rewound, and
-// closes the connection after each call that is not idempotent.
-//
-// BUG: such a call can still be sent on a connection kept from an earlier call.
-// If the connection then breaks before the response and the call has an
-// idempotency key but no body, the transport sends it a second time.
+// plainClient sends calls to plain services.
+type plainClient struct {
+	// keptConns sends idempotent calls. Its transport may send a call again if a
+	// kept connection turns out to be closed.
+	keptConns *http.Client
+	// newConns sends all other calls, each on a connection of its own, on which
+	// the transport never sends a call again.
+	newConns *http.Client
+}
+
 func newPlainClient() *plainClient {
-	transport := &http.Transport{
-		DialContext:           (&net.Dialer{Timeout: dialTimeout}).DialContext,
-		MaxIdleConnsPerHost:   maxIdlePerServer,
-		IdleConnTimeout:       idleTimeout,
-		ResponseHeaderTimeout: 0,
+	dial := (&net.Dialer{Timeout: dialTimeout}).DialContext
+	kept := &http.Transport{DialContext: dial, MaxIdleConnsPerHost: maxIdlePerServer, IdleConnTimeout: idleTimeout}
+	single := &http.Transport{DialContext: dial, DisableKeepAlives: true}
+	return &plainClient{
+		keptConns: &http.Client{Transport: kept, CheckRedirect: returnRedirect},
+		newConns:  &http.Client{Transport: single, CheckRedirect: returnRedirect},
 	}
-	return &http.Client{Transport: transport, CheckRedirect: returnRedirect}
 }
 
-// plainClient is the HTTP client for plain services.
-type plainClient = http.Client
+// do sends a call.
+func (c *plainClient) do(req *http.Request, idempotent bool) (*http.Response, error) {
+	if idempotent {
+		return c.keptConns.Do(req)
+	}
+	return c.newConns.Do(req)
+}
 
 // returnRedirect passes redirects on to the caller instead of following them.
 func returnRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
@@ -54,7 +62,7 @@
 		out.fail(notExecuted(peerv1.RefusalReason_REFUSAL_REASON_BAD_REQUEST, err.Error()))
 		return
 	}
-	resp, err := r.client.Do(req)
+	resp, err := r.client.do(req, submit.GetIdempotent())
 	if err != nil {
 		out.fail(plainFailure(err))
 		return
@@ -73,10 +81,6 @@
 	if req.ContentLength == 0 {
 		req.Body = http.NoBody
 	}
-	// Without GetBody the transport cannot resend a request with a body if a
-	// kept connection turns out to be closed.
-	req.GetBody = nil
-	req.Close = !submit.GetIdempotent()
 	req.Header.Set("Content-Type", submit.GetContentType())
 	req.Header.Set(headerRequestID, submit.GetRequestId())
 	req.Header.Set(headerClient, submit.GetClient())
--- a/internal/dissemination/fleet_test.go
+++ b/internal/dissemination/fleet_test.go
@@ -286,6 +286,8 @@
 	return events, err
 }
 
+func (l linkedStore) Generation() uint64 { return l.f.store.Generation() }
+
 // linkedPeers is the network as reached by one process.
 type linkedPeers struct {
 	f    *fleet
--- a/internal/entry/planning.go
+++ b/internal/entry/planning.go
@@ -143,7 +143,7 @@
 func (p *planning) plan(ctx context.Context, service string) {
 	e := p.entry
 	self := lease.Identity{Name: e.opts.Name, Incarnation: e.opts.Incarnation}
-	participant := lease.NewParticipant(e.opts.Store, service, lease.Options{Self: self, Rank: p.rank(service)})
+	participant := lease.NewParticipant(e.opts.Store, service, lease.Options{Self: self, Rank: p.rank(service), Clock: lease.BootTime})
 	loop := plannerloop.New(plannerloop.Config{
 		Service:   service,
 		Self:      self,
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -11,6 +11,15 @@
 
 func server(id string) Server { return Server{ID: id, Service: "s", Address: "10.0.0.1:1"} }
 
+// listOf returns the list of some registrations at revision 1.
+func listOf(servers ...Server) []Change {
+	changes := make([]Change, 0, len(servers))
+	for _, s := range servers {
+		changes = append(changes, Change{Server: s, Revision: 1})
+	}
+	return changes
+}
+
 func ids(v *View) []string {
 	var list []string
 	for _, s := range v.Servers() {
@@ -75,7 +84,7 @@
 // server is dropped at once.
 func TestRemovalIsImmediateWithoutOutage(t *testing.T) {
 	v := NewView()
-	v.ApplyList(0, []Server{server("a"), server("b")})
+	v.ApplyList(0, listOf(server("a"), server("b")))
 	v.ApplyChange(time.Second, Change{Server: server("a"), Removed: true})
 	require.Equal(t, []string{"b"}, ids(v))
 }
@@ -84,7 +93,7 @@
 // decoded drops its server.
 func TestUnreadableRegistrationIsDropped(t *testing.T) {
 	v := NewView()
-	v.ApplyList(0, []Server{server("a"), server("b")})
+	v.ApplyList(0, listOf(server("a"), server("b")))
 	v.ApplyChange(time.Second, Change{Server: Server{ID: "a"}, Unreadable: true})
 	require.Equal(t, []string{"b"}, ids(v))
 }
@@ -94,10 +103,10 @@
 // MissingGrace stay in use throughout, others are dropped when it ends.
 func TestExpiredRegistrationsAreKeptForGracePeriod(t *testing.T) {
 	v := NewView()
-	v.ApplyList(0, []Server{server("a"), server("b"), server("c")})
+	v.ApplyList(0, listOf(server("a"), server("b"), server("c")))
 	v.StoreLost()
 	back := 10 * time.Second
-	v.ApplyList(back, []Server{server("c")})
+	v.ApplyList(back, listOf(server("c")))
 	require.Equal(t, []string{"a", "b", "c"}, ids(v))
 	v.ApplyChange(back+time.Second, Change{Server: server("a")})
 	require.False(t, v.Expire(back+MissingGrace-time.Millisecond))
@@ -111,9 +120,9 @@
 // request 2.2 s after its removal.
 func TestRemovalAfterFirstListHasNoGracePeriod(t *testing.T) {
 	v := NewView()
-	v.ApplyList(0, []Server{server("a")})
+	v.ApplyList(0, listOf(server("a")))
 	v.StoreLost()
-	v.ApplyList(10*time.Second, []Server{server("a")})
+	v.ApplyList(10*time.Second, listOf(server("a")))
 	v.ApplyChange(10*time.Second+100*time.Millisecond, Change{Server: server("a"), Removed: true})
 	require.Empty(t, ids(v))
 }
@@ -124,7 +133,7 @@
 	leaving := server("a")
 	leaving.Leaving = true
 	v := NewView()
-	v.ApplyList(0, []Server{leaving})
+	v.ApplyList(0, listOf(leaving))
 	v.StoreLost()
 	v.ApplyList(10*time.Second, nil)
 	require.Empty(t, ids(v))
@@ -136,7 +145,7 @@
 	v := NewView()
 	first, second := server("a"), server("a")
 	first.StartedUnixMs, second.StartedUnixMs = 1, 2
-	v.ApplyList(0, []Server{first})
+	v.ApplyList(0, listOf(first))
 	v.ApplyChange(time.Second, Change{Server: second})
 	require.NotEqual(t, first.Key(), v.Servers()[0].Key())
 }
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -7,6 +7,7 @@
 	peerv1 "github.com/marigoldwing/marigoldwing/api/peer/v1"
 	"github.com/marigoldwing/marigoldwing/internal/placement"
 	"github.com/marigoldwing/marigoldwing/internal/registry"
+	"github.com/marigoldwing/marigoldwing/internal/revision"
 )
 
 // peerAdapter connects the gateway with the heartbeats exchanged between
@@ -20,8 +21,9 @@
 // revision and loads at the servers to a heartbeat.
 func (a peerAdapter) fillHeartbeat(h *peerv1.Heartbeat) {
 	h.Leaving = a.g.draining.Load()
-	version, revision := a.follower.Versions()
-	h.ConfigRevision, h.ServersRevision = uint64(version), revision
+	version, servers := a.follower.Versions()
+	h.ConfigRevision = uint64(version)
+	h.ServersGeneration, h.ServersRevision = servers.Generation(), servers.Number()
 	for _, s := range a.g.state.Load().services {
 		h.Loads = append(h.Loads, loadsToProto(s.ownLoads())...)
 	}
@@ -53,7 +55,7 @@
 
 // handleHeartbeat processes a heartbeat of another gateway.
 func (a peerAdapter) handleHeartbeat(h *peerv1.Heartbeat) {
-	a.follower.ObservePeerVersions(int64(h.GetConfigRevision()), h.GetServersRevision())
+	a.follower.ObservePeerVersions(int64(h.GetConfigRevision()), revision.Join(h.GetServersGeneration(), h.GetServersRevision()))
 	loads := loadsFromProto(h.GetLoads())
 	now := a.g.now()
 	for _, s := range a.g.state.Load().services {
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -216,6 +216,12 @@
 		_, failed := f.StoreCalls()
 		return float64(failed)
 	})
+	counter("marigold_gateway_store_restores_total", "Restores of the platform's store from an older copy that were observed.", func() float64 {
+		return float64(f.StoreRestores())
+	})
+	registerer.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "marigold_gateway_store_generation", Help: "Generation of the platform's store; it increases with each restore.",
+	}, func() float64 { return float64(f.StoreGeneration()) }))
 	counter("marigold_gateway_connections_opened_total", "Connections opened to backend servers.", func() float64 {
 		return float64(g.ConnectionsOpened())
 	})
--- a/internal/gateway/stages.go
+++ b/internal/gateway/stages.go
@@ -137,10 +137,14 @@
 
 func (cs *stageControllers) controller(service string) *stageController {
 	self := lease.Identity{Name: cs.g.opts.Name, Incarnation: uint64(time.Now().UnixNano())}
+	onRestore := func(generation uint64, wait time.Duration) {
+		cs.g.log.Write(logevent.LeaseSuspendedByRestore(service, generation, wait))
+	}
 	return &stageController{
 		g: cs.g, log: cs.g.log, service: service, protocol: cs.opts.Protocol,
 		participant: lease.NewParticipant(cs.opts.Leases, service, lease.Options{
 			Self: self, TTL: ttlFactor * cs.opts.LeaseDuration, Clock: lease.BootTime, Rank: int(xxhash.Sum64String(self.Name) % initialRanks),
+			OnRestore: onRestore,
 		}),
 		members:      cs.opts.Members,
 		settlePeriod: cs.opts.LeaseDuration + cs.opts.LeaseDuration/4,
--- a/internal/gatewaypeers/gatewaypeers_test.go
+++ b/internal/gatewaypeers/gatewaypeers_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -14,6 +15,7 @@
 	peerv1 "github.com/marigoldwing/marigoldwing/api/peer/v1"
 	"github.com/marigoldwing/marigoldwing/internal/logevent"
 	"github.com/marigoldwing/marigoldwing/internal/peerrpc"
+	"github.com/marigoldwing/marigoldwing/internal/platform"
 	"github.com/marigoldwing/marigoldwing/internal/platform/fake"
 )
 
@@ -132,6 +134,48 @@
 	require.Eventually(t, func() bool { return gateways[0].revision("d") == 4 }, 20*time.Second, 5*time.Millisecond)
 }
 
+// restoredStore is a store whose content is replaced by an empty copy when its
+// generation increases.
+type restoredStore struct {
+	generation atomic.Uint64
+	stores     [3]*fake.Store
+}
+
+func (s *restoredStore) current() *fake.Store { return s.stores[s.generation.Load()] }
+
+func (s *restoredStore) Get(ctx context.Context, key platform.Key) (platform.Object, error) {
+	return s.current().Get(ctx, key)
+}
+
+func (s *restoredStore) List(ctx context.Context, kind string) ([]platform.Object, error) {
+	return s.current().List(ctx, kind)
+}
+
+func (s *restoredStore) Put(ctx context.Context, key platform.Key, value []byte, want uint64) (platform.Object, error) {
+	return s.current().Put(ctx, key, value, want)
+}
+
+func (s *restoredStore) Generation() uint64 { return s.generation.Load() }
+
+// TestGatewayRegistersAgainAfterRestore checks that gateways whose registrations
+// the store has forgotten register again, so that one that starts later finds
+// them.
+func TestGatewayRegistersAgainAfterRestore(t *testing.T) {
+	store := &restoredStore{stores: [3]*fake.Store{fake.New(fake.Options{}), fake.New(fake.Options{}), fake.New(fake.Options{})}}
+	store.generation.Store(1)
+	gateways := []*testGateway{startGateway(t, "a", store, 1), startGateway(t, "b", store, 2)}
+	require.Eventually(t, func() bool { return gateways[0].LiveCount() == 2 }, 20*time.Second, 5*time.Millisecond)
+	store.generation.Store(2)
+	registered := func() int {
+		objects, err := store.List(t.Context(), KindGateway)
+		require.NoError(t, err)
+		return len(objects)
+	}
+	require.Eventually(t, func() bool { return registered() == 2 }, 20*time.Second, 5*time.Millisecond)
+	late := startGateway(t, "c", store, 3)
+	require.Eventually(t, func() bool { return late.LiveCount() == 3 }, 20*time.Second, 5*time.Millisecond)
+}
+
 // TestOwnersAgreeAndMoveOnlyWhenGone checks that gateways with the same live
 // peers agree on the owner of each key, and that a key changes its owner only
 // if the owner is gone.
--- a/internal/gatewaypeers/heartbeater.go
+++ b/internal/gatewaypeers/heartbeater.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -35,6 +36,8 @@
 	Get(ctx context.Context, key platform.Key) (platform.Object, error)
 	List(ctx context.Context, kind string) ([]platform.Object, error)
 	Put(ctx context.Context, key platform.Key, value []byte, want uint64) (platform.Object, error)
+	// Generation returns the newest known generation of the store, 0 if unknown.
+	Generation() uint64
 }
 
 // Options configures a Heartbeater.
@@ -111,7 +114,7 @@
 func (h *Heartbeater) Run(ctx context.Context) {
 	var loops sync.WaitGroup
 	defer loops.Wait()
-	loops.Go(func() { h.registerAndList(ctx) })
+	loops.Go(func() { h.keepRegistered(ctx) })
 	ticker := time.NewTicker(HeartbeatInterval)
 	defer ticker.Stop()
 	for {
@@ -185,6 +188,48 @@
 	}
 }
 
+// restoredRegisterSpread is the time over which the gateways of a fleet register
+// again after the store was restored.
+const restoredRegisterSpread = time.Second
+
+// keepRegistered registers this gateway and lists the others, and does so again
+// each time that the store has been restored from an older copy, which may lack
+// registrations.
+func (h *Heartbeater) keepRegistered(ctx context.Context) {
+	registered := h.opts.Store.Generation()
+	h.registerAndList(ctx)
+	ticker := time.NewTicker(HeartbeatInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		generation := h.opts.Store.Generation()
+		if registered == 0 {
+			registered = generation
+		}
+		if generation == registered {
+			continue
+		}
+		h.opts.Log.Write(logevent.GatewayRegistersAgain(generation))
+		sleep(ctx, rand.N(restoredRegisterSpread))
+		h.registerAndList(ctx)
+		registered = generation
+	}
+}
+
+// sleep waits for d or until ctx is done.
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
 // registerAndList registers this gateway in the store and lists the others,
 // until both have succeeded.
 func (h *Heartbeater) registerAndList(ctx context.Context) {
@@ -202,10 +247,7 @@
 			return
 		}
 		h.opts.Log.Write(logevent.GatewayDiscoveryFailed(registered, err))
-		select {
-		case <-time.After(registerRetryInterval):
-		case <-ctx.Done():
-		}
+		sleep(ctx, registerRetryInterval)
 	}
 }
 
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -6,6 +6,12 @@
 // holder first writes its term into the plan, which makes all later writes of
 // its predecessor fail.
 //
+// The store may be restored from an older copy and then forget leases that it
+// has granted. Each generation of the store therefore has a lease object of its
+// own, and terms contain the generation. A process that observes a new
+// generation loses its authority, and none has authority until the leases of the
+// earlier generation have expired.
+//
 // Step is pure; Participant runs it against the store.
 package lease
 
@@ -61,6 +67,10 @@
 	// less often than the one of rank 0, so that the reads of n processes grow
 	// only as log n.
 	Rank int
+	// OnRestore is called when the store turns out to have been restored, with
+	// its new generation and the time for which nobody has authority; it may be
+	// nil.
+	OnRestore func(generation uint64, wait time.Duration)
 }
 
 func (o Options) ttl() time.Duration {
@@ -88,6 +98,10 @@
 // State is the state of a participant. The zero State is that of a process that
 // has just started. All times are on Options.Clock.
 type State struct {
+	// generation is the store's newest known generation, notBefore the time until
+	// which a holder of an earlier one may still have authority.
+	generation uint64
+	notBefore  time.Duration
 	// seen is the last record read or written, seenSince when its version was
 	// first seen.
 	seen      Record
@@ -110,6 +124,8 @@
 
 // Authority is the permission to plan in a term.
 type Authority struct {
+	// Term increases with each new holder, also across a restore of the store,
+	// and is never given to two of them.
 	Term uint64
 	// Until is when it expires, on Options.Clock.
 	Until time.Duration
@@ -119,18 +135,32 @@
 // none. It expires by itself, so that a process that was paused finds that its
 // time has passed.
 func (s State) Authority(now time.Duration) (Authority, bool) {
-	if !s.holding || now >= s.validUntil {
+	if !s.holding || now >= s.validUntil || now < s.notBefore {
 		return Authority{}, false
 	}
-	return Authority{Term: s.term, Until: s.validUntil}, true
+	return Authority{Term: joinTerm(s.generation, s.term), Until: s.validUntil}, true
 }
 
+// termBits is the number of bits for the terms of one generation.
+const termBits = 32
+
+// joinTerm returns the term that is unique and increasing over all generations.
+func joinTerm(generation, term uint64) uint64 { return generation<<termBits | term }
+
+// Generation returns the newest generation of the store that the process has
+// observed.
+func (s State) Generation() uint64 { return s.generation }
+
 // Event is an input of Step.
 type Event interface{ event() }
 
 // Tick reports that time has passed.
 type Tick struct{}
 
+// GenerationObserved reports the newest known generation of the store, before
+// any other event that was read from it.
+type GenerationObserved struct{ Generation uint64 }
+
 // ReadDone is the result of a read.
 type ReadDone struct {
 	// Failed is set if the store did not respond.
@@ -164,10 +194,11 @@
 // Release reports that the process is about to stop.
 type Release struct{}
 
-func (Tick) event()      {}
-func (ReadDone) event()  {}
-func (WriteDone) event() {}
-func (Release) event()   {}
+func (Tick) event()               {}
+func (GenerationObserved) event() {}
+func (ReadDone) event()           {}
+func (WriteDone) event()          {}
+func (Release) event()            {}
 
 // ActionKind is what the caller of Step has to do next.
 type ActionKind uint8
@@ -189,11 +220,21 @@
 	Until       time.Duration
 	Record      Record
 	WantVersion uint64
+	// Generation of the store whose lease object is read or written.
+	Generation uint64
 }
 
 // Step returns the next state and action after an event at now.
 func Step(s State, o Options, ev Event, now time.Duration) (State, Action) {
+	next, action := s.step(o, ev, now)
+	action.Generation = next.generation
+	return next, action
+}
+
+func (s State) step(o Options, ev Event, now time.Duration) (State, Action) {
 	switch ev := ev.(type) {
+	case GenerationObserved:
+		return s.observeGeneration(o, ev.Generation, now)
 	case ReadDone:
 		return s.afterRead(o, ev, now)
 	case WriteDone:
@@ -205,6 +246,27 @@
 	}
 }
 
+// firstGeneration is the generation of a store that has not been restored.
+const firstGeneration = 1
+
+// observeGeneration discards everything that was read in an earlier generation,
+// the process's own authority included, and starts over with a read. The leases
+// of the earlier generation have expired one TTL later. A process that has just
+// started cannot tell how long ago the restore was.
+func (s State) observeGeneration(o Options, generation uint64, now time.Duration) (State, Action) {
+	if generation <= s.generation {
+		return s, Action{Kind: Wait, Until: s.due}
+	}
+	next := State{generation: generation, writes: s.writes, released: s.released, due: now}
+	if generation > firstGeneration {
+		next.notBefore = now + o.ttl()
+	}
+	if next.released {
+		return next, Action{Kind: Wait, Until: next.due}
+	}
+	return next, Action{Kind: Read}
+}
+
 // afterTick renews a held lease, and reads the lease if it is not held or the
 // outcome of a write is unknown.
 func (s State) afterTick(o Options, now time.Duration) (State, Action) {
--- a/internal/lease/participant.go
+++ b/internal/lease/participant.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"sync"
 	"time"
 
@@ -19,13 +20,15 @@
 type Store interface {
 	Get(ctx context.Context, key platform.Key) (platform.Object, error)
 	Put(ctx context.Context, key platform.Key, value []byte, want uint64) (platform.Object, error)
+	// Generation returns the newest known generation of the store, 0 if unknown.
+	Generation() uint64
 }
 
 // Participant competes for the lease of one service and renews it while it
 // holds it. It is safe for concurrent use.
 type Participant struct {
 	store   Store
-	key     platform.Key
+	name    string
 	options Options
 	start   time.Time
 
@@ -38,7 +41,7 @@
 func NewParticipant(store Store, service string, o Options) *Participant {
 	return &Participant{
 		store:   store,
-		key:     platform.Key{Kind: platform.KindLease, Name: service},
+		name:    service,
 		options: o,
 		start:   time.Now(),
 	}
@@ -50,6 +53,9 @@
 func (p *Participant) Authority() (Authority, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.store.Generation() > p.state.Generation() {
+		return Authority{}, false
+	}
 	return p.state.Authority(p.now())
 }
 
@@ -79,18 +85,42 @@
 	return time.Since(p.start)
 }
 
+// step processes an event. If the store's generation has changed, the event is
+// of the earlier one or cannot be told from it, and is replaced.
 func (p *Participant) step(ev Event) Action {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if generation := p.store.Generation(); generation > p.state.Generation() && ev != (Release{}) {
+		ev = p.observe(generation)
+	}
 	next, action := Step(p.state, p.options, ev, p.now())
 	p.state = next
 	return action
 }
 
+// observe returns the event for a new generation, and logs it. The caller holds
+// p.mu.
+func (p *Participant) observe(generation uint64) Event {
+	if generation > firstGeneration && p.options.OnRestore != nil {
+		p.options.OnRestore(generation, p.options.ttl())
+	}
+	return GenerationObserved{Generation: generation}
+}
+
+// key returns the key of the lease object in a generation. A late write of an
+// earlier generation can therefore not replace a lease of a later one.
+func (p *Participant) key(generation uint64) platform.Key {
+	name := p.name
+	if generation > firstGeneration {
+		name = fmt.Sprintf("%s@%d", p.name, generation)
+	}
+	return platform.Key{Kind: platform.KindLease, Name: name}
+}
+
 func (p *Participant) perform(ctx context.Context, a Action) Event {
 	switch a.Kind {
 	case Read:
-		return p.read(ctx)
+		return p.read(ctx, a)
 	case Write:
 		return p.write(ctx, a)
 	default:
@@ -99,10 +129,10 @@
 	}
 }
 
-func (p *Participant) read(ctx context.Context) ReadDone {
+func (p *Participant) read(ctx context.Context, a Action) ReadDone {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	obj, err := p.store.Get(ctx, p.key)
+	obj, err := p.store.Get(ctx, p.key(a.Generation))
 	if errors.Is(err, platform.ErrNotFound) {
 		return ReadDone{}
 	}
@@ -115,7 +145,7 @@
 func (p *Participant) write(ctx context.Context, a Action) WriteDone {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	obj, err := p.store.Put(ctx, p.key, encode(a.Record), a.WantVersion)
+	obj, err := p.store.Put(ctx, p.key(a.Generation), encode(a.Record), a.WantVersion)
 	var conflict *platform.ConflictError
 	switch {
 	case err == nil:
--- a/internal/logevent/logevent.go
+++ b/internal/logevent/logevent.go
@@ -29,6 +29,7 @@
 	keyReason        = "reason"
 	keyRemoved       = "removed"
 	keyRevision      = "revision"
+	keyGeneration    = "generation"
 	keyRoute         = "route"
 	keyServer        = "server"
 	keyService       = "service"
--- a/internal/logevent/system.go
+++ b/internal/logevent/system.go
@@ -1,11 +1,16 @@
 package logevent
 
-import "log/slog"
+import (
+	"log/slog"
+	"time"
+
+	"github.com/marigoldwing/marigoldwing/internal/revision"
+)
 
 // ConfigApplied reports that a gateway now serves requests with a
 // configuration. revision is the store's revision.
-func ConfigApplied(version int64, revision uint64) Event {
-	return info("configuration applied", slog.Int64(keyVersion, version), slog.Uint64(keyRevision, revision))
+func ConfigApplied(version int64, revision revision.Revision) Event {
+	return info("configuration applied", slog.Int64(keyVersion, version), slog.Any(keyRevision, revision))
 }
 
 // ConfigRevisionApplied reports that an entry or agent now uses a
@@ -22,17 +27,17 @@
 }
 
 // RegistrationChanged reports a change of a server's registration.
-func RegistrationChanged(r Registration, revision uint64) Event {
-	return info("registration changed", slog.String(keyServer, r.Server), slog.Uint64(keyRevision, revision),
+func RegistrationChanged(r Registration, revision revision.Revision) Event {
+	return info("registration changed", slog.String(keyServer, r.Server), slog.Any(keyRevision, revision),
 		slog.Bool(keyRemoved, r.Removed), slog.Bool("unreadable", r.Unreadable), slog.Bool("leaving", r.Leaving),
 		slog.String(keyStage, r.Stage), slog.String(keyAddress, r.Address))
 }
 
 // RegistrationIgnored reports that a listed registration describes no usable
 // server.
-func RegistrationIgnored(server string, removed bool, revision uint64) Event {
+func RegistrationIgnored(server string, removed bool, revision revision.Revision) Event {
 	return info("registration describes no usable server", slog.String(keyServer, server),
-		slog.Uint64(keyRevision, revision), slog.Bool(keyRemoved, removed))
+		slog.Any(keyRevision, revision), slog.Bool(keyRemoved, removed))
 }
 
 // UnlistedRegistrationsRemoved reports that servers whose registrations are
@@ -43,27 +48,42 @@
 
 // StoreUnavailable reports that a kind of objects can no longer be read from
 // the store. The last known state stays in effect.
-func StoreUnavailable(kind string, revision uint64, err error) Event {
+func StoreUnavailable(kind string, revision revision.Revision, err error) Event {
 	return info("store does not answer, last known state stays in effect",
-		slog.String(keyKind, kind), slog.Uint64(keyRevision, revision), errorText(err))
+		slog.String(keyKind, kind), slog.Any(keyRevision, revision), errorText(err))
 }
 
 // StoreRecovered reports that a kind of objects can be read from the store
 // again.
-func StoreRecovered(kind string, revision uint64) Event {
-	return info("store answers again", slog.String(keyKind, kind), slog.Uint64(keyRevision, revision))
+func StoreRecovered(kind string, revision revision.Revision) Event {
+	return info("store answers again", slog.String(keyKind, kind), slog.Any(keyRevision, revision))
 }
 
 // WatchHistoryCompacted reports that a watch must be replaced by a new list,
 // because changes may have been missed.
-func WatchHistoryCompacted(kind string, revision uint64) Event {
-	return info("watch history was compacted, listing again", slog.String(keyKind, kind), slog.Uint64(keyRevision, revision))
+func WatchHistoryCompacted(kind string, revision revision.Revision) Event {
+	return info("watch history was compacted, listing again", slog.String(keyKind, kind), slog.Any(keyRevision, revision))
+}
+
+// StoreRestored reports that the store has been restored from an older copy, so
+// that a kind of objects is listed again. revision is the last known one, and
+// generation the store's present one.
+func StoreRestored(kind string, revision revision.Revision, generation uint64) Event {
+	return info("store was restored from an older copy, listing again",
+		slog.String(keyKind, kind), slog.Any(keyRevision, revision), slog.Uint64(keyGeneration, generation))
+}
+
+// RegistrationHeldBack reports that a listed registration is older than what was
+// known of the server before the store was restored, so that the server receives
+// no requests until its registration is written again.
+func RegistrationHeldBack(server string, revision revision.Revision) Event {
+	return info("registration is older than a known departure, not used", slog.String(keyServer, server), slog.Any(keyRevision, revision))
 }
 
 // PeerHasNewerRevision reports that another gateway knows a revision that this
 // one's watch has not delivered.
-func PeerHasNewerRevision(kind string, revision uint64) Event {
-	return info("another gateway has a newer revision, listing again", slog.String(keyKind, kind), slog.Uint64(keyRevision, revision))
+func PeerHasNewerRevision(kind string, revision revision.Revision) Event {
+	return info("another gateway has a newer revision, listing again", slog.String(keyKind, kind), slog.Any(keyRevision, revision))
 }
 
 // LiveGatewaysChanged reports the number of live gateways, this one included.
@@ -71,6 +91,12 @@
 	return info("number of live gateways changed", slog.Int64(keyCount, count), slog.Int64(keyCountBefore, before))
 }
 
+// GatewayRegistersAgain reports that this gateway registers once more, because
+// the store was restored from a copy that may lack its registration.
+func GatewayRegistersAgain(generation uint64) Event {
+	return info("store was restored, registering this gateway again", slog.Uint64(keyGeneration, generation))
+}
+
 // GatewayDiscoveryFailed reports that this gateway does not know the other
 // gateways yet. registered is true if it has registered itself, so that they can
 // find it.
@@ -121,6 +147,13 @@
 	return info("lease for stage orders acquired", slog.String(keyService, service), slog.Uint64(keyFencingToken, term))
 }
 
+// LeaseSuspendedByRestore reports that this process gives up a lease and all
+// claims to it, because the store was restored from an older copy.
+func LeaseSuspendedByRestore(name string, generation uint64, wait time.Duration) Event {
+	return info("store was restored, no authority until earlier holders have stopped",
+		slog.String(keyService, name), slog.Uint64(keyGeneration, generation), slog.Int64("wait_ms", wait.Milliseconds()))
+}
+
 // StageLeaseLost reports that this gateway lost the lease to change the stages
 // of a service's engines.
 func StageLeaseLost(service string, term uint64) Event {
--- a/internal/plannerloop/fixture_test.go
+++ b/internal/plannerloop/fixture_test.go
@@ -94,6 +94,9 @@
 	return obj, err
 }
 
+// Generation returns 0, since the store is not restored in these tests.
+func (s pausedStore) Generation() uint64 { return 0 }
+
 // receivedOrder is an order executed by an engine.
 type receivedOrder struct {
 	version    uint64
--- a/internal/platform/fake/store.go
+++ b/internal/platform/fake/store.go
@@ -158,6 +158,9 @@
 	s.changed = make(chan struct{})
 }
 
+// Generation implements platform.Store. This store is never restored.
+func (s *Store) Generation() uint64 { return 0 }
+
 // Get implements platform.Store.
 func (s *Store) Get(ctx context.Context, key platform.Key) (platform.Object, error) {
 	if err := s.admitRead(ctx); err != nil {
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -120,4 +120,9 @@
 	// without events shortly before ctx's deadline, or when the server's
 	// limit for a watch is reached.
 	Watch(ctx context.Context, kind string, since uint64) (WatchResult, error)
+	// Generation returns the newest known generation of the store, which
+	// increases by one each time that it is restored from an older copy; 0 if it
+	// is not known. Versions of a later generation are higher than all earlier
+	// ones.
+	Generation() uint64
 }
--- a/internal/registry/follower.go
+++ b/internal/registry/follower.go
@@ -8,6 +8,7 @@
 
 	"github.com/marigoldwing/marigoldwing/internal/fleet"
 	"github.com/marigoldwing/marigoldwing/internal/logevent"
+	"github.com/marigoldwing/marigoldwing/internal/revision"
 )
 
 const (
@@ -73,17 +74,19 @@
 	listed bool
 	// knownRevision is the revision up to which registrations have been read,
 	// changeRevision the revision of the newest change among them.
-	knownRevision, changeRevision uint64
+	knownRevision, changeRevision revision.Revision
 	// peerConfigVersion and peerChangeRevision are the highest configuration
 	// version and the newest registration change that other gateways reported.
 	peerConfigVersion  int64
-	peerChangeRevision uint64
+	peerChangeRevision revision.Revision
 
 	// storeCallCount and storeFailureCount count calls to the store,
 	// lastResponse is the time of its last response since origin.
 	storeCallCount    atomic.Int64
 	storeFailureCount atomic.Int64
 	lastResponse      atomic.Int64
+	// storeRestoreCount counts the restores of the store that were observed.
+	storeRestoreCount atomic.Int64
 }
 
 // NewFollower returns a Follower that calls onState with every new state, one
@@ -130,6 +133,13 @@
 	return f.storeCallCount.Load(), f.storeFailureCount.Load()
 }
 
+// StoreRestores returns the number of restores of the store from an older copy
+// that were observed.
+func (f *Follower) StoreRestores() int64 { return f.storeRestoreCount.Load() }
+
+// StoreGeneration returns the newest known generation of the store.
+func (f *Follower) StoreGeneration() uint64 { return f.source.Generation() }
+
 // StoreResponseAge returns the time since the last response of the store.
 func (f *Follower) StoreResponseAge() time.Duration {
 	return f.now() - time.Duration(f.lastResponse.Load())
@@ -144,26 +154,26 @@
 	f.view.StoreResponded(now)
 }
 
-func (f *Follower) listConfig(ctx context.Context) (uint64, error) {
-	config, revision, err := f.source.Config(ctx)
+func (f *Follower) listConfig(ctx context.Context) (revision.Revision, error) {
+	config, asOf, err := f.source.Config(ctx)
 	if err != nil {
 		return 0, err
 	}
-	f.updateConfig(config, revision)
-	return revision, nil
+	f.updateConfig(config, asOf)
+	return asOf, nil
 }
 
-func (f *Follower) watchConfig(ctx context.Context, since uint64) (uint64, error) {
-	config, revision, err := f.source.ConfigChanges(ctx, since, f.watchTimeout(f.currentBounds().Config))
+func (f *Follower) watchConfig(ctx context.Context, since revision.Revision) (revision.Revision, error) {
+	config, asOf, err := f.source.ConfigChanges(ctx, since, f.watchTimeout(f.currentBounds().Config))
 	if err != nil {
 		return 0, err
 	}
-	f.updateConfig(config, revision)
-	return revision, nil
+	f.updateConfig(config, asOf)
+	return asOf, nil
 }
 
 // updateConfig puts a configuration into force if it is newer.
-func (f *Follower) updateConfig(config *fleet.Config, revision uint64) {
+func (f *Follower) updateConfig(config *fleet.Config, asOf revision.Revision) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.recordResponse()
@@ -175,35 +185,41 @@
 		return
 	}
 	f.config = next
-	f.log.Write(logevent.ConfigApplied(next.Version, revision))
+	f.log.Write(logevent.ConfigApplied(next.Version, asOf))
 	f.publish()
 }
 
-func (f *Follower) listServers(ctx context.Context) (uint64, error) {
-	changes, revision, err := f.source.Servers(ctx)
+func (f *Follower) listServers(ctx context.Context) (revision.Revision, error) {
+	changes, asOf, err := f.source.Servers(ctx)
 	if err != nil {
 		return 0, err
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.recordResponse()
-	servers := make([]fleet.Server, 0, len(changes))
+	usable := make([]fleet.Change, 0, len(changes))
 	for _, c := range changes {
 		if c.Unreadable || c.Removed {
-			f.log.Write(logevent.RegistrationIgnored(c.Server.ID, c.Removed, revision))
+			f.log.Write(logevent.RegistrationIgnored(c.Server.ID, c.Removed, asOf))
 			continue
 		}
-		servers = append(servers, c.Server)
+		usable = append(usable, c)
+	}
+	if f.listed && asOf.Generation() != f.knownRevision.Generation() {
+		f.view.StoreRestored(f.now())
+		f.storeRestoreCount.Add(1)
+	}
+	for _, id := range f.view.ApplyList(f.now(), usable) {
+		f.log.Write(logevent.RegistrationHeldBack(id, asOf))
 	}
-	f.view.ApplyList(f.now(), servers)
 	f.listed = true
-	f.recordChanges(changes, revision)
+	f.recordChanges(changes, asOf)
 	f.publish()
-	return revision, nil
+	return asOf, nil
 }
 
-func (f *Follower) watchServers(ctx context.Context, since uint64) (uint64, error) {
-	changes, revision, err := f.source.ServerChanges(ctx, since, f.watchTimeout(f.currentBounds().Leaving))
+func (f *Follower) watchServers(ctx context.Context, since revision.Revision) (revision.Revision, error) {
+	changes, asOf, err := f.source.ServerChanges(ctx, since, f.watchTimeout(f.currentBounds().Leaving))
 	if err != nil {
 		return 0, err
 	}
@@ -212,13 +228,13 @@
 	f.recordResponse()
 	for _, c := range changes {
 		f.view.ApplyChange(f.now(), c)
-		f.log.Write(logevent.RegistrationChanged(registration(c), revision))
+		f.log.Write(logevent.RegistrationChanged(registration(c), asOf))
 	}
-	f.recordChanges(changes, revision)
+	f.recordChanges(changes, asOf)
 	if len(changes) > 0 {
 		f.publish()
 	}
-	return revision, nil
+	return asOf, nil
 }
 
 // registration converts a change for the log.
@@ -231,7 +247,7 @@
 
 // recordChanges updates the known revisions of the registrations. The caller
 // holds f.mu.
-func (f *Follower) recordChanges(changes []fleet.Change, asOf uint64) {
+func (f *Follower) recordChanges(changes []fleet.Change, asOf revision.Revision) {
 	f.knownRevision = max(f.knownRevision, asOf)
 	for _, c := range changes {
 		f.changeRevision = max(f.changeRevision, c.Revision)
--- a/internal/registry/peers.go
+++ b/internal/registry/peers.go
@@ -1,5 +1,7 @@
 package registry
 
+import "github.com/marigoldwing/marigoldwing/internal/revision"
+
 // SetGatewayCount sets the function that returns the number of gateways that
 // notify each other, which allows for longer watches. It must be called before
 // Run.
@@ -11,7 +13,7 @@
 
 // Versions returns the version of the configuration in force, 0 if there is
 // none, and the revision of the newest known change of the registrations.
-func (f *Follower) Versions() (configVersion int64, changeRevision uint64) {
+func (f *Follower) Versions() (configVersion int64, changeRevision revision.Revision) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.config != nil {
@@ -23,7 +25,7 @@
 // ObservePeerVersions processes the versions that another gateway reported in a
 // heartbeat. A newer version that does not arrive through the own watch is read
 // from the store by a list.
-func (f *Follower) ObservePeerVersions(configVersion int64, changeRevision uint64) {
+func (f *Follower) ObservePeerVersions(configVersion int64, changeRevision revision.Revision) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.peerConfigVersion = max(f.peerConfigVersion, configVersion)
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/marigoldwing/marigoldwing/internal/fleet"
+	"github.com/marigoldwing/marigoldwing/internal/revision"
 )
 
 var (
@@ -20,6 +21,10 @@
 	// ErrCompacted: the revision to watch from is no longer available; the
 	// watch must restart from a list.
 	ErrCompacted = errors.New("revision is no longer in the store's history")
+	// ErrRestored: the store has been restored from an older copy since the
+	// revision to watch from, or during the call, so that nothing read before is
+	// a basis for a watch.
+	ErrRestored = errors.New("store was restored from an older copy")
 	// ErrNotFound: the object does not exist.
 	ErrNotFound = errors.New("object not found")
 	// ErrConflict: the object's revision differs from that required by a
@@ -33,16 +38,19 @@
 // from.
 type Source interface {
 	// Servers lists all registrations.
-	Servers(ctx context.Context) ([]fleet.Change, uint64, error)
+	Servers(ctx context.Context) ([]fleet.Change, revision.Revision, error)
 	// ServerChanges watches for registration changes after a revision, for at
 	// most wait.
-	ServerChanges(ctx context.Context, since uint64, wait time.Duration) ([]fleet.Change, uint64, error)
+	ServerChanges(ctx context.Context, since revision.Revision, wait time.Duration) ([]fleet.Change, revision.Revision, error)
 	// Config reads the newest configuration. If there is none it returns
 	// ErrNoConfig and a revision to watch from.
-	Config(ctx context.Context) (*fleet.Config, uint64, error)
+	Config(ctx context.Context) (*fleet.Config, revision.Revision, error)
 	// ConfigChanges watches for a configuration written after a revision, for
 	// at most wait. It returns nil if there was none.
-	ConfigChanges(ctx context.Context, since uint64, wait time.Duration) (*fleet.Config, uint64, error)
+	ConfigChanges(ctx context.Context, since revision.Revision, wait time.Duration) (*fleet.Config, revision.Revision, error)
+	// Generation returns the newest generation of the store that any of its
+	// answers reported; 0 if none did.
+	Generation() uint64
 	// Reconnect closes the connections, because they may be broken without
 	// notice.
 	Reconnect()
--- a/internal/registry/watch.go
+++ b/internal/registry/watch.go
@@ -8,14 +8,15 @@
 	"time"
 
 	"github.com/marigoldwing/marigoldwing/internal/logevent"
+	"github.com/marigoldwing/marigoldwing/internal/revision"
 )
 
 // objectKind is a kind of object that is listed and watched. Both functions
 // process what they read and return the revision to continue from.
 type objectKind struct {
 	name  string
-	list  func(ctx context.Context) (uint64, error)
-	watch func(ctx context.Context, since uint64) (uint64, error)
+	list  func(ctx context.Context) (revision.Revision, error)
+	watch func(ctx context.Context, since revision.Revision) (revision.Revision, error)
 }
 
 // Run follows the store until ctx is done.
@@ -33,37 +34,42 @@
 }
 
 // follow lists once and then watches. It lists again if the revision to watch
-// from has been compacted, if a call fails, or if another gateway knows of a
+// from has been compacted, if the store was restored, if a call fails, or if another gateway knows of a
 // change that the watch has missed.
 func (f *Follower) follow(ctx context.Context, kind objectKind) {
-	var revision uint64
+	var since revision.Revision
 	backoff := minBackoff
 	storeLost := false
 	for ctx.Err() == nil {
-		next, err := f.step(ctx, kind, revision)
+		next, err := f.step(ctx, kind, since)
 		switch {
 		case err == nil:
 			if storeLost {
 				f.log.Write(logevent.StoreRecovered(kind.name, next))
 			}
-			if revision != 0 && next != revision {
+			if since != 0 && next != since {
 				sleep(ctx, coalesceDelay)
 			}
-			revision, backoff, storeLost = next, minBackoff, false
+			since, backoff, storeLost = next, minBackoff, false
 			continue
 		case errors.Is(err, errPeerNewer):
-			f.log.Write(logevent.PeerHasNewerRevision(kind.name, revision))
-			revision = 0
+			f.log.Write(logevent.PeerHasNewerRevision(kind.name, since))
+			since = 0
+			continue
+		case errors.Is(err, ErrRestored):
+			f.log.Write(logevent.StoreRestored(kind.name, since, f.source.Generation()))
+			since = 0
+			sleep(ctx, rand.N(restoredListSpread))
 			continue
 		case errors.Is(err, ErrCompacted):
-			f.log.Write(logevent.WatchHistoryCompacted(kind.name, revision))
-			revision = 0
+			f.log.Write(logevent.WatchHistoryCompacted(kind.name, since))
+			since = 0
 			continue
 		case ctx.Err() != nil:
 			return
 		}
-		f.recordFailure(err, kind.name, revision, &storeLost)
-		revision = 0
+		f.recordFailure(err, kind.name, since, &storeLost)
+		since = 0
 		sleep(ctx, backoff/2+rand.N(backoff/2))
 		backoff = min(2*backoff, maxBackoff)
 	}
@@ -73,21 +79,25 @@
 // knows of a newer change.
 var errPeerNewer = errors.New("another gateway knows of a newer change")
 
+// restoredListSpread is the time over which the gateways of a fleet list again
+// after the store was restored.
+const restoredListSpread = 300 * time.Millisecond
+
 // peerNewerDelay is how long the own watch may take to deliver a change that
 // another gateway has reported, before it is replaced by a list.
 const peerNewerDelay = 150 * time.Millisecond
 
 // step makes one call: a list if there is no revision to continue from, else a
 // watch.
-func (f *Follower) step(ctx context.Context, kind objectKind, revision uint64) (uint64, error) {
+func (f *Follower) step(ctx context.Context, kind objectKind, since revision.Revision) (revision.Revision, error) {
 	f.storeCallCount.Add(1)
-	if revision == 0 {
+	if since == 0 {
 		return kind.list(ctx)
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	go f.endIfPeerNewer(ctx, cancel, kind.name)
-	next, err := kind.watch(ctx, revision)
+	next, err := kind.watch(ctx, since)
 	if err != nil && errors.Is(context.Cause(ctx), errPeerNewer) {
 		return 0, errPeerNewer
 	}
@@ -113,7 +123,7 @@
 
 // recordFailure records a failed call. The state known so far remains in force.
 // A store without a configuration does not count as lost.
-func (f *Follower) recordFailure(err error, kind string, revision uint64, storeLost *bool) {
+func (f *Follower) recordFailure(err error, kind string, since revision.Revision, storeLost *bool) {
 	f.storeFailureCount.Add(1)
 	f.source.Reconnect()
 	if errors.Is(err, ErrNoConfig) {
@@ -123,7 +133,7 @@
 	f.view.StoreLost()
 	f.mu.Unlock()
 	if !*storeLost {
-		f.log.Write(logevent.StoreUnavailable(kind, revision, err))
+		f.log.Write(logevent.StoreUnavailable(kind, since, err))
 	}
 	*storeLost = true
 }
--- a/internal/telemetry/writer.go
+++ b/internal/telemetry/writer.go
@@ -1,6 +1,7 @@
 package telemetry
 
 import (
+	"bytes"
 	"fmt"
 	"io"
 	"sync"
@@ -18,6 +19,8 @@
 	// maxReusedBytes is the maximum capacity of a buffer that is reused; larger
 	// ones are released.
 	maxReusedBytes = 64 << 10
+	// maxWriteBytes is the largest number of bytes that a pipe takes as a whole.
+	maxWriteBytes = 4 << 10
 	// dropReportInterval is the minimum interval between reports of dropped lines.
 	dropReportInterval = time.Second
 )
@@ -121,10 +124,7 @@
 		w.reportedAt = time.Now()
 	}
 	w.mu.Unlock()
-	if len(lines) > 0 {
-		// There is no other place to which the error could be logged.
-		_, _ = w.out.Write(lines)
-	}
+	w.writeLines(lines)
 	if cap(lines) > maxReusedBytes {
 		lines = nil
 	}
@@ -133,6 +133,33 @@
 	w.mu.Unlock()
 }
 
+// writeLines writes whole lines, up to maxWriteBytes at a time, so that no line
+// is cut where a pipe takes only a part of a larger write. A longer line is
+// written alone.
+func (w *AsyncWriter) writeLines(lines []byte) {
+	for len(lines) > 0 {
+		n := wholeLines(lines)
+		// There is no other place to which the error could be logged.
+		_, _ = w.out.Write(lines[:n])
+		lines = lines[n:]
+	}
+}
+
+// wholeLines returns the length of the first lines that fit into maxWriteBytes,
+// at least one.
+func wholeLines(lines []byte) int {
+	if len(lines) <= maxWriteBytes {
+		return len(lines)
+	}
+	if end := bytes.LastIndexByte(lines[:maxWriteBytes], '\n'); end >= 0 {
+		return end + 1
+	}
+	if end := bytes.IndexByte(lines, '\n'); end >= 0 {
+		return end + 1
+	}
+	return len(lines)
+}
+
 // dropReport returns the log line that reports dropped lines.
 func dropReport(lines int64) string {
 	return fmt.Sprintf("{\"time\":%q,\"level\":\"WARN\",\"msg\":\"log lines dropped\",\"lines\":%d}\n",
--- a/internal/telemetry/writer_test.go
+++ b/internal/telemetry/writer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"strings"
 	"sync"
 	"testing"
@@ -61,3 +62,34 @@
 	w.flush()
 	require.Equal(t, want, out.String())
 }
+
+// recordedWrites keeps the writes that it receives.
+type recordedWrites struct{ writes []string }
+
+func (r *recordedWrites) Write(p []byte) (int, error) {
+	r.writes = append(r.writes, string(p))
+	return len(p), nil
+}
+
+// TestWritesHoldWholeLines checks that every write ends with a complete line and
+// holds at most maxWriteBytes unless it is a single longer line. A pipe may
+// accept a part of a larger write, which cut 54 of 31,984 lines in one run.
+func TestWritesHoldWholeLines(t *testing.T) {
+	out := &recordedWrites{}
+	w := NewAsyncWriter(out, DefaultLogBufferBytes)
+	var sent strings.Builder
+	for i := range 200 {
+		line := fmt.Sprintf("%d %s\n", i, strings.Repeat("x", i*i%700))
+		if i == 100 {
+			line = strings.Repeat("y", 2*maxWriteBytes) + "\n"
+		}
+		sent.WriteString(line)
+		_, _ = w.Write([]byte(line))
+	}
+	w.Close()
+	require.Equal(t, sent.String(), strings.Join(out.writes, ""))
+	for _, write := range out.writes {
+		require.True(t, strings.HasSuffix(write, "\n"))
+		require.True(t, len(write) <= maxWriteBytes || strings.Count(write, "\n") == 1)
+	}
+}
