Prefill smaller prompts first and count the prompt in service

Change: a queue model per engine (package placement, promptQueue) with the prompt in service and the waiting ones by priority, exchanged by heartbeats and the coordinator's replies. The priority at the prefill engine is the route's plus a class by the share of the objective that the prefill takes; a prompt predicted to be late yields by one level instead of four. The prediction counts what goes first, the score half of what is overtaken besides.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -85,10 +85,10 @@
 	q.prefillPredicted = c.TimeToPrefilled
 	inFlight := q.service.recordSend(startedAt, placement.Send{
 		ServerID: c.PrefillServer.ID, UncachedTokens: c.UncachedTokens, PromptTokens: q.meta.PromptTokens, Parts: q.meta.Parts,
-		Deferred: c.Deferred, TimeToFirstEvent: c.TimeToPrefilled, FetchFrom: c.FetchFrom, Coordinated: q.pendingPlacement != nil,
+		Priority: c.Priority, TimeToFirstEvent: c.TimeToPrefilled, FetchFrom: c.FetchFrom, Coordinated: q.pendingPlacement != nil,
 	})
 	defer func() {
-		q.service.recordEnd(inFlight)
+		q.service.recordEnd(q.g.now(), inFlight)
 		q.prefillElapsed = q.g.now() - startedAt
 	}()
 	meta := AttemptMeta{
@@ -96,7 +96,7 @@
 		Remaining:   q.remaining(),
 		PrefillOnly: true,
 		FetchFrom:   c.FetchFrom,
-		Priority:    q.priority(c),
+		Priority:    c.Priority,
 	}
 	exchange, err := q.g.pool.Do(ctx, c.PrefillServer.Key(), q.upstreamRequest(meta), q.ownsResponse)
 	if err != nil {
@@ -153,17 +153,9 @@
 	return outcome{result: notExecuted, reason: "prefill: " + reason, serverUntried: true}
 }
 
-// deferredPriorityOffset is added to the priority of a deferred request, one
-// that is predicted to miss its objective, so that it yields to requests that can
-// still meet theirs.
-const deferredPriorityOffset = 4
-
-// priority returns the priority that the request has at its engines; 0 is the
-// most urgent.
+// priority returns the priority of the request at the engine that runs it; 0 is
+// the most urgent. An engine that has no prefill to do gets the route's.
 func (q *request) priority(c placement.Choice) int {
-	if c.Deferred {
-		return q.route.Priority + deferredPriorityOffset
-	}
 	return q.route.Priority
 }
 
@@ -231,9 +223,9 @@
 	meta.Remaining = q.remaining()
 	inFlight := q.service.recordSend(q.g.now(), placement.Send{
 		ServerID: c.Server.ID, UncachedTokens: uncachedTokens, PromptTokens: q.meta.PromptTokens, Parts: q.meta.Parts,
-		Deferred: c.Deferred, TimeToFirstEvent: c.TimeToFirstEvent, Coordinated: q.pendingPlacement != nil,
+		Priority: q.priority(c), TimeToFirstEvent: c.TimeToFirstEvent, Coordinated: q.pendingPlacement != nil,
 	})
-	defer q.service.recordEnd(inFlight)
+	defer func() { q.service.recordEnd(q.g.now(), inFlight) }()
 	sendCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	timer := q.startHeadTimer(c, cancel)
--- a/internal/gateway/coordinate.go
+++ b/internal/gateway/coordinate.go
@@ -110,7 +110,7 @@
 		c.g.log.Write(logevent.CoordinatorRecovered(name))
 	}
 	q.service.setPeerPrefillLoads(c.g.now(), name, loadsFromProto(reply.GetPrefillLoads()))
-	choice, ok := q.service.choiceFromReply(c.g.now(), reply)
+	choice, ok := q.service.choiceFromReply(c.g.now(), reply, q.route.Priority)
 	if !ok {
 		q.notifyPlaceEnded(false)
 		return choice, false
@@ -130,15 +130,17 @@
 func (c *coordination) placeMessage(q *request) *peerv1.Place {
 	r := q.placementRequest()
 	place := &peerv1.Place{
-		Service:       q.service.name,
-		Number:        c.lastNumber.Add(1),
-		Sender:        c.g.opts.Name,
-		FailureDomain: c.g.opts.FailureDomain,
-		PromptTokens:  int64(r.PromptTokens),
-		BodyBytes:     int64(r.BodyBytes),
-		ObjectiveMs:   r.FirstEventBudget.Milliseconds(),
-		Exclude:       r.Exclude,
-		DirectOnly:    r.NoSplit,
+		Service:          q.service.name,
+		Number:           c.lastNumber.Add(1),
+		Sender:           c.g.opts.Name,
+		FailureDomain:    c.g.opts.FailureDomain,
+		PromptTokens:     int64(r.PromptTokens),
+		BodyBytes:        int64(r.BodyBytes),
+		ObjectiveMs:      r.FirstEventBudget.Milliseconds(),
+		Exclude:          r.Exclude,
+		DirectOnly:       r.NoSplit,
+		Priority:         int32(r.Priority),
+		RouteObjectiveMs: r.Objective.Milliseconds(),
 	}
 	for _, p := range r.Parts {
 		place.Parts = append(place.Parts, &peerv1.PromptPart{Id: p.ID, Tokens: int64(p.Tokens)})
@@ -168,7 +170,7 @@
 
 // choiceFromReply converts a coordinator's reply. It reports whether this
 // gateway knows the chosen servers and considers them usable.
-func (s *service) choiceFromReply(now time.Duration, r *peerv1.PlaceReply) (placement.Choice, bool) {
+func (s *service) choiceFromReply(now time.Duration, r *peerv1.PlaceReply, routePriority int) (placement.Choice, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	c := placement.Choice{
@@ -178,6 +180,7 @@
 		TimeToPrefilled:  time.Duration(r.GetPrefilledUs()) * time.Microsecond,
 		LoadAge:          time.Duration(r.GetLoadAgeUs()) * time.Microsecond,
 		Deferred:         r.GetDeferred(),
+		Priority:         replyPriority(r, routePriority),
 		Split:            r.GetPrefillServer() != "",
 	}
 	s.setWeights(now)
@@ -191,6 +194,15 @@
 	return c, ok
 }
 
+// replyPriority returns the priority of a prompt at its engine. A coordinator of
+// an earlier version does not report it; the route's priority is used then.
+func replyPriority(r *peerv1.PlaceReply, routePriority int) int {
+	if r.Priority == nil {
+		return routePriority
+	}
+	return int(r.GetPriority())
+}
+
 // usable returns a server and whether it may receive a request. The caller
 // holds s.mu.
 func (s *service) usable(now time.Duration, id string) (fleet.Server, bool) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -214,10 +214,10 @@
 
 // ownLoads returns this gateway's requests and queued work per server, for
 // heartbeats.
-func (s *service) ownLoads() []placement.GatewayLoad {
+func (s *service) ownLoads(now time.Duration) []placement.GatewayLoad {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.table.OwnLoads()
+	return s.table.OwnLoads(now)
 }
 
 // setPeerLoads stores the loads that another gateway reported in a heartbeat.
@@ -250,10 +250,10 @@
 	s.table.RecordPrefilled(now, send)
 }
 
-func (s *service) recordEnd(send *placement.InFlightSend) {
+func (s *service) recordEnd(now time.Duration, send *placement.InFlightSend) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.table.RecordEnd(send)
+	s.table.RecordEnd(now, send)
 }
 
 func (s *service) recordLoad(now time.Duration, id string, meta ResponseMeta) {
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -198,6 +198,8 @@
 		Exclude:          q.excluded,
 		FirstEventBudget: q.objectiveRemaining(),
 		NoSplit:          q.directOnly,
+		Priority:         q.route.Priority,
+		Objective:        q.route.LatencyObjective,
 	}
 }
 
--- a/internal/gateway/load_metrics.go
+++ b/internal/gateway/load_metrics.go
@@ -36,7 +36,7 @@
 		for _, s := range servers {
 			gauge(serverRequests, float64(s.OwnRequests), service, s.ID, ownerSelf)
 			gauge(serverRequests, s.OtherRequests, service, s.ID, ownerOthers)
-			gauge(serverQueuedWork, s.UrgentWork+s.DeferredWork, service, s.ID)
+			gauge(serverQueuedWork, s.QueuedWork, service, s.ID)
 		}
 	}
 }
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -25,7 +25,7 @@
 	h.ConfigRevision = uint64(version)
 	h.ServersGeneration, h.ServersRevision = servers.Generation(), servers.Number()
 	for _, s := range a.g.state.Load().services {
-		h.Loads = append(h.Loads, loadsToProto(s.ownLoads())...)
+		h.Loads = append(h.Loads, loadsToProto(s.ownLoads(a.g.now()))...)
 	}
 }
 
@@ -34,19 +34,35 @@
 	for _, l := range loads {
 		messages = append(messages, &peerv1.Load{
 			BackendServer: l.ServerID, Running: int32(l.Requests),
-			QueuedPromptTokens:          int64(l.UrgentWork + l.DeferredWork),
-			QueuedPromptTokensByUrgency: []int64{int64(l.UrgentWork), int64(l.DeferredWork)},
+			InServicePromptTokens:        int64(l.Work.InService),
+			QueuedPromptTokensByPriority: waitingToProto(l.Work.Waiting),
 		})
 	}
 	return messages
 }
 
+// waitingToProto converts the waiting work by priority, without the zeros at its
+// end.
+func waitingToProto(waiting [placement.PriorityLevels]float64) []int64 {
+	tokens := make([]int64, 0, len(waiting))
+	for _, work := range waiting {
+		tokens = append(tokens, int64(work))
+	}
+	for len(tokens) > 0 && tokens[len(tokens)-1] == 0 {
+		tokens = tokens[:len(tokens)-1]
+	}
+	return tokens
+}
+
 func loadsFromProto(messages []*peerv1.Load) []placement.GatewayLoad {
 	loads := make([]placement.GatewayLoad, 0, len(messages))
 	for _, l := range messages {
-		load := placement.GatewayLoad{ServerID: l.GetBackendServer(), Requests: int(l.GetRunning()), UrgentWork: int(l.GetQueuedPromptTokens())}
-		if parts := l.GetQueuedPromptTokensByUrgency(); len(parts) == 2 {
-			load.UrgentWork, load.DeferredWork = int(parts[0]), int(parts[1])
+		load := placement.GatewayLoad{ServerID: l.GetBackendServer(), Requests: int(l.GetRunning())}
+		load.Work.InService = float64(l.GetInServicePromptTokens())
+		for i, tokens := range l.GetQueuedPromptTokensByPriority() {
+			if i < placement.PriorityLevels {
+				load.Work.Waiting[i] = float64(tokens)
+			}
 		}
 		loads = append(loads, load)
 	}
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	peerv1 "github.com/marigoldwing/marigoldwing/api/peer/v1"
 	"github.com/marigoldwing/marigoldwing/internal/placement"
 )
@@ -22,7 +24,7 @@
 		return &peerv1.PlaceReply{}
 	}
 	reply := placeReply(choice)
-	reply.PrefillLoads = loadsToProto(s.prefillLoads())
+	reply.PrefillLoads = loadsToProto(s.prefillLoads(c.g.now()))
 	return reply
 }
 
@@ -35,6 +37,8 @@
 		FirstEventBudget: time.Duration(p.GetObjectiveMs()) * time.Millisecond,
 		NoSplit:          p.GetDirectOnly(),
 		OriginDomain:     p.GetFailureDomain(),
+		Priority:         int(p.GetPriority()),
+		Objective:        time.Duration(p.GetRouteObjectiveMs()) * time.Millisecond,
 	}
 	for _, part := range p.GetParts() {
 		r.Parts = append(r.Parts, placement.PromptPart{ID: part.GetId(), Tokens: int(part.GetTokens())})
@@ -52,6 +56,7 @@
 		PrefilledUs:  choice.TimeToPrefilled.Microseconds(),
 		LoadAgeUs:    choice.LoadAge.Microseconds(),
 		Deferred:     choice.Deferred,
+		Priority:     proto.Int32(int32(choice.Priority)),
 	}
 	if choice.Split {
 		reply.PrefillServer = choice.PrefillServer.ID
@@ -91,10 +96,10 @@
 	return s.table.PlaceForPeer(now, gateway, number, r)
 }
 
-func (s *service) prefillLoads() []placement.GatewayLoad {
+func (s *service) prefillLoads(now time.Duration) []placement.GatewayLoad {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.table.OwnPrefillLoads()
+	return s.table.OwnPrefillLoads(now)
 }
 
 func (s *service) setPeerPrefillLoads(now time.Duration, peer string, loads []placement.GatewayLoad) {
--- a/internal/gatewaybench/routers.go
+++ b/internal/gatewaybench/routers.go
@@ -34,7 +34,7 @@
 	for i, from := range g.tables {
 		for j, to := range g.tables {
 			if i != j {
-				to.SetPeerLoads(now, fmt.Sprint("gateway-", i), from.OwnLoads())
+				to.SetPeerLoads(now, fmt.Sprint("gateway-", i), from.OwnLoads(now))
 			}
 		}
 	}
@@ -66,9 +66,7 @@
 	if c.Split {
 		first, s.PrefillOnly = c.PrefillServer.ID, true
 	}
-	if c.Deferred {
-		s.Priority--
-	}
+	s.Priority = -c.Priority
 	n := sim.byID[first]
 	if c.FetchFrom != "" {
 		n.model.InsertPrefix(now, r.prefixHashes[:r.sharedBlocks()])
@@ -106,7 +104,7 @@
 			table.RecordPrefilled(now, ticket)
 			r.recordFirstEvent(sim, now)
 		},
-		done: func(time.Duration) { table.RecordEnd(ticket) },
+		done: func(now time.Duration) { table.RecordEnd(now, ticket) },
 	})
 }
 
--- a/internal/placement/coordinator.go
+++ b/internal/placement/coordinator.go
@@ -51,13 +51,13 @@
 	}
 	send := Send{
 		ServerID: c.Server.ID, UncachedTokens: c.UncachedTokens, PromptTokens: r.PromptTokens, Parts: r.Parts,
-		Deferred: c.Deferred, TimeToFirstEvent: c.TimeToFirstEvent, FetchFrom: c.FetchFrom,
+		Priority: c.Priority, TimeToFirstEvent: c.TimeToFirstEvent, FetchFrom: c.FetchFrom,
 	}
 	if c.Split {
 		send.ServerID, send.TimeToFirstEvent = c.PrefillServer.ID, c.TimeToPrefilled
 	}
 	key := peerSendKey{gateway, number}
-	t.endPeerSend(key)
+	t.endPeerSend(now, key)
 	t.peerSends[key] = &peerSend{send: t.RecordSend(now, send), expires: now + peerSendTTL}
 	return c, nil
 }
@@ -69,16 +69,16 @@
 	if p, ok := t.peerSends[key]; ok && prefilled {
 		t.RecordPrefilled(now, p.send)
 	}
-	t.endPeerSend(key)
+	t.endPeerSend(now, key)
 }
 
 // endPeerSend stops counting a prompt placed for another gateway.
-func (t *Table) endPeerSend(key peerSendKey) {
+func (t *Table) endPeerSend(now time.Duration, key peerSendKey) {
 	p, ok := t.peerSends[key]
 	if !ok {
 		return
 	}
-	t.RecordEnd(p.send)
+	t.RecordEnd(now, p.send)
 	delete(t.peerSends, key)
 }
 
@@ -87,7 +87,7 @@
 func (t *Table) expirePeerSends(now time.Duration) {
 	for key, p := range t.peerSends {
 		if now >= p.expires {
-			t.endPeerSend(key)
+			t.endPeerSend(now, key)
 		}
 	}
 }
--- a/internal/placement/coordinator_test.go
+++ b/internal/placement/coordinator_test.go
@@ -11,13 +11,18 @@
 	"github.com/marigoldwing/marigoldwing/internal/fleet"
 )
 
+// queuedAt returns the work that the table has queued at a server.
+func queuedAt(table *Table, id string) float64 {
+	return table.find(id).queue.work(0, table.prefillRate.perSecond, false).total()
+}
+
 func TestPeerSendsCountUntilTheirEnd(t *testing.T) {
 	table := newTable(engines(2, 4))
 	first, err := table.PlaceForPeer(0, "gw-2", 1, long(1, 1))
 	require.NoError(t, err)
 	require.True(t, first.Split)
-	require.Positive(t, table.find(first.PrefillServer.ID).ownBacklog.urgent)
-	loads := table.OwnPrefillLoads()
+	require.Positive(t, queuedAt(table, first.PrefillServer.ID))
+	loads := table.OwnPrefillLoads(0)
 	require.Len(t, loads, 1, "other gateways receive the placed load")
 	require.Equal(t, first.PrefillServer.ID, loads[0].ServerID)
 	table.RecordPeerPrefillEnd(100*time.Millisecond, "gw-3", 1, true)
@@ -25,7 +30,7 @@
 	table.RecordPeerPrefillEnd(100*time.Millisecond, "gw-2", 1, true)
 	table.RecordPeerPrefillEnd(100*time.Millisecond, "gw-2", 1, true)
 	require.Zero(t, table.find(first.PrefillServer.ID).ownRequests)
-	require.Zero(t, table.find(first.PrefillServer.ID).ownBacklog.urgent)
+	require.Zero(t, queuedAt(table, first.PrefillServer.ID))
 }
 
 // A gateway that is lost never reports the end of its prompts. They must not
@@ -62,14 +67,14 @@
 	table := newTable(engines(1, 1))
 	r := long(1, 1)
 	table.RecordSend(0, Send{ServerID: "p0", UncachedTokens: 9000, PromptTokens: r.PromptTokens, Parts: r.Parts, Coordinated: true})
-	loads := table.OwnLoads()
+	loads := table.OwnLoads(0)
 	require.Len(t, loads, 1)
-	require.Zero(t, loads[0].UrgentWork)
+	require.Zero(t, loads[0].Work.total())
 	p0 := table.find("p0")
-	own := p0.backlogAhead(0, table.prefillRate.perSecond, false)
+	own := p0.backlogAhead(0, table.prefillRate.perSecond, 0)
 	require.Positive(t, own, "the sender itself counts the work")
-	table.SetPeerPrefillLoads(0, "coordinator", []GatewayLoad{{ServerID: "p0", Requests: 1, UrgentWork: int(p0.ownBacklog.urgent)}})
-	require.InDelta(t, own, p0.backlogAhead(0, table.prefillRate.perSecond, false), 1)
+	table.SetPeerPrefillLoads(0, "coordinator", []GatewayLoad{{ServerID: "p0", Requests: 1, Work: p0.queue.work(0, table.prefillRate.perSecond, false)}})
+	require.InDelta(t, own, p0.backlogAhead(0, table.prefillRate.perSecond, 0), 1)
 }
 
 // prefillEngine simulates a prefill engine. It prefills one prompt at a time in
@@ -131,7 +136,7 @@
 			for i, from := range tables {
 				for j, to := range tables {
 					if i != j {
-						to.SetPeerLoads(now, fmt.Sprint("gw-", i), from.OwnLoads())
+						to.SetPeerLoads(now, fmt.Sprint("gw-", i), from.OwnLoads(now))
 					}
 				}
 			}
--- a/internal/placement/dump.go
+++ b/internal/placement/dump.go
@@ -9,8 +9,7 @@
 	Leaving       bool    `json:"leaving"`
 	OwnRequests   int     `json:"own_requests"`
 	OtherRequests float64 `json:"others_requests"`
-	UrgentWork    float64 `json:"own_urgent_work"`
-	DeferredWork  float64 `json:"own_deferred_work"`
+	QueuedWork    float64 `json:"own_queued_work"`
 	Slowdown      float64 `json:"slowdown"`
 	Weight        float64 `json:"weight"`
 	CachedParts   int     `json:"prompt_parts"`
@@ -22,7 +21,7 @@
 	for _, s := range t.servers {
 		dumps = append(dumps, ServerDump{
 			ID: s.ID, Stage: s.Stage.String(), Leaving: s.Leaving,
-			OwnRequests: s.ownRequests, OtherRequests: s.otherRequests(now), UrgentWork: s.ownBacklog.urgent, DeferredWork: s.ownBacklog.deferred,
+			OwnRequests: s.ownRequests, OtherRequests: s.otherRequests(now), QueuedWork: s.queue.work(now, t.rateOf(s)/s.currentSlowdown(now), false).total(),
 			Slowdown: s.currentSlowdown(now), Weight: s.weight, CachedParts: len(s.cache.entries),
 		})
 	}
--- a/internal/placement/engines.go
+++ b/internal/placement/engines.go
@@ -35,14 +35,16 @@
 		if q.excluded(s) {
 			continue
 		}
-		wait := s.backlogAhead(q.now, rate, q.deferred) / rate
+		priority := t.priorityAt(q, s, q.decodeHome, rate)
+		ahead, behind := s.backlog(q.now, rate, priority)
+		wait := ahead / rate
 		hit := t.prefixHitFor(q, s, q.decodeHome, seconds(wait))
 		uncached := float64(max(1, q.PromptTokens-hit.tokens))
 		prefill := prefillWork(uncached, float64(q.PromptTokens)) / rate
 		first := (firstStepSeconds+prefill+wait)*s.currentSlowdown(q.now) + t.transferSeconds(hit.fetched) + t.slotWaitSeconds(s, q.now)
 		c := candidate{Choice: t.newChoice(q.now, s, first)}
-		c.UncachedTokens, c.FetchFrom = int(uncached), hit.sourceAddress
-		c.score = first/s.weight + t.domainCost(q.OriginDomain, s, q.BodyBytes) + t.recomputeCost(q, hit.tokens) +
+		c.UncachedTokens, c.FetchFrom, c.Priority = int(uncached), hit.sourceAddress, priority
+		c.score = first/s.weight + t.domainCost(q.OriginDomain, s, q.BodyBytes) + t.recomputeCost(q, hit.tokens) + t.opts.OvertakingWeight*behind/rate +
 			t.opts.FetchPenaltyPerToken*float64(hit.fetched) + t.interferenceCost(prefill, s.requests(q.now))
 		keepBetter(&best, &found, c)
 	}
@@ -75,14 +77,16 @@
 			continue
 		}
 		rate := t.prefillRate.perSecond
-		wait := s.backlogAhead(q.now, rate, q.deferred) / rate
+		priority := t.priorityAt(q, s, q.prefillHome, rate)
+		ahead, behind := s.backlog(q.now, rate, priority)
+		wait := ahead / rate
 		hit := t.prefixHitFor(q, s, q.prefillHome, seconds(wait))
 		uncached := float64(max(1, q.PromptTokens-hit.tokens))
 		prefill := prefillWork(uncached, float64(q.PromptTokens)) / rate
 		first := (firstStepSeconds+prefill+wait)*s.currentSlowdown(q.now) + t.transferSeconds(hit.fetched)
 		c := candidate{Choice: t.newChoice(q.now, s, first)}
-		c.UncachedTokens, c.FetchFrom = int(uncached), hit.sourceAddress
-		c.score = first/s.weight + t.domainCost(q.OriginDomain, s, q.BodyBytes) + t.recomputeCost(q, hit.tokens) + t.opts.FetchPenaltyPerToken*float64(hit.fetched)
+		c.UncachedTokens, c.FetchFrom, c.Priority = int(uncached), hit.sourceAddress, priority
+		c.score = first/s.weight + t.domainCost(q.OriginDomain, s, q.BodyBytes) + t.recomputeCost(q, hit.tokens) + t.opts.OvertakingWeight*behind/rate + t.opts.FetchPenaltyPerToken*float64(hit.fetched)
 		if s != q.prefillHome {
 			c.score += t.opts.NonHomePenalty
 		}
@@ -91,6 +95,13 @@
 	return best, found
 }
 
+// priorityAt returns the priority of a prompt's prefill at engine s, from what
+// the engine has cached now.
+func (t *Table) priorityAt(q *query, s, home *server, rate float64) int {
+	uncached := float64(max(1, q.PromptTokens-t.prefixHitFor(q, s, home, 0).tokens))
+	return q.prefillPriority(prefillWork(uncached, float64(q.PromptTokens)) / rate)
+}
+
 // ChooseDecode chooses the decode engine a second time, after the prompt has been
 // prefilled, because the engine chosen at first may have become busy or started
 // to leave in the meantime. The error is ErrNoServer if no decode engine is
@@ -120,7 +131,7 @@
 			cost *= 2
 		}
 		rate := t.prefillRate.perSecond * decodePrefillShare
-		wait := s.backlogAhead(q.now, rate, false) / rate
+		wait := s.backlogAhead(q.now, rate, clampPriority(q.Priority)) / rate
 		first := (firstStepSeconds+wait)*s.currentSlowdown(q.now) + transfer + t.slotWaitSeconds(s, q.now)
 		c := candidate{Choice: t.newChoice(q.now, s, first)}
 		c.score = first/s.weight + cost + t.domainCost(q.OriginDomain, s, q.BodyBytes)
--- a/internal/placement/load.go
+++ b/internal/placement/load.go
@@ -7,35 +7,10 @@
 	"github.com/marigoldwing/marigoldwing/internal/fleet"
 )
 
-// prefillBacklog is the prefill work waiting at a server, in the unit of
-// prefillWork.
-type prefillBacklog struct {
-	// urgent work is prefilled first. deferred work belongs to requests that
-	// miss their first-event budget anyway.
-	urgent, deferred float64
-}
-
-// add adds work to the backlog, or removes it if negative.
-func (b *prefillBacklog) add(work float64, deferred bool) {
-	if deferred {
-		b.deferred = max(0, b.deferred+work)
-		return
-	}
-	b.urgent = max(0, b.urgent+work)
-}
-
-// ahead returns the work that is prefilled before a new request.
-func (b prefillBacklog) ahead(deferred bool) float64 {
-	if deferred {
-		return b.urgent + b.deferred
-	}
-	return b.urgent
-}
-
 // peerLoad is the load that another gateway reported for a server.
 type peerLoad struct {
 	requests   int
-	work       prefillBacklog
+	work       QueuedWork
 	receivedAt time.Duration
 }
 
@@ -46,28 +21,36 @@
 type GatewayLoad struct {
 	ServerID string
 	Requests int
-	// UrgentWork and DeferredWork are the prefill work not done yet, in the
-	// work of one token without context.
-	UrgentWork, DeferredWork int
+	// Work is the prefill work that is not done yet.
+	Work QueuedWork
 }
 
 // OwnLoads returns the load that this gateway has put on each server, to be
 // reported to other gateways. It includes prompts that this gateway placed for
 // others and leaves out the work of coordinated sends, which the coordinator
 // reports.
-func (t *Table) OwnLoads() []GatewayLoad {
+func (t *Table) OwnLoads(now time.Duration) []GatewayLoad {
 	var loads []GatewayLoad
 	for _, s := range t.servers {
 		if s.ownRequests > 0 {
-			loads = append(loads, GatewayLoad{
-				ServerID: s.ID, Requests: s.ownRequests,
-				UrgentWork: int(s.ownBacklog.urgent - s.coordinatedBacklog.urgent), DeferredWork: int(s.ownBacklog.deferred - s.coordinatedBacklog.deferred),
-			})
+			loads = append(loads, GatewayLoad{ServerID: s.ID, Requests: s.ownRequests, Work: s.uncoordinatedWork(now, t.rateOf(s))})
 		}
 	}
 	return loads
 }
 
+// uncoordinatedWork returns the work of the prompts that this gateway placed.
+func (s *server) uncoordinatedWork(now time.Duration, rate float64) QueuedWork {
+	rate /= s.currentSlowdown(now)
+	work := s.queue.work(now, rate, false)
+	coordinated := s.queue.work(now, rate, true)
+	work.InService -= coordinated.InService
+	for i, waiting := range coordinated.Waiting {
+		work.Waiting[i] -= waiting
+	}
+	return work
+}
+
 // SetPeerLoads replaces the loads reported by another gateway. Servers that are
 // not listed have no load from it.
 func (t *Table) SetPeerLoads(now time.Duration, peer string, loads []GatewayLoad) {
@@ -82,16 +65,15 @@
 func (t *Table) addPeerLoads(now time.Duration, peer string, loads []GatewayLoad) {
 	for _, l := range loads {
 		if s := t.find(l.ServerID); s != nil {
-			work := prefillBacklog{urgent: float64(l.UrgentWork), deferred: float64(l.DeferredWork)}
-			s.peers[peer] = peerLoad{requests: l.Requests, work: work, receivedAt: now}
+			s.peers[peer] = peerLoad{requests: l.Requests, work: l.Work, receivedAt: now}
 		}
 	}
 }
 
 // OwnPrefillLoads returns the part of OwnLoads that concerns prefill engines.
-func (t *Table) OwnPrefillLoads() []GatewayLoad {
+func (t *Table) OwnPrefillLoads(now time.Duration) []GatewayLoad {
 	var loads []GatewayLoad
-	for _, l := range t.OwnLoads() {
+	for _, l := range t.OwnLoads(now) {
 		if s := t.find(l.ServerID); s.Stage == fleet.StagePrefill {
 			loads = append(loads, l)
 		}
@@ -135,27 +117,33 @@
 	return max(requests, float64(max(0, s.reportedRequests-s.ownAtReport))*math.Exp2(-age))
 }
 
-// backlogAhead returns the prefill work ahead of a new request, given the
-// server's prefill rate in work per second. The gateway's own backlog shrinks
-// as the server works on it. The backlog reported by other gateways is taken as
-// constant, because they keep sending.
-func (s *server) backlogAhead(now time.Duration, rate float64, deferred bool) float64 {
+// backlog returns the prefill work that an engine does before a new prompt of
+// the given priority, and the work that the prompt delays, given the engine's
+// prefill rate in work per second. The work that other gateways have reported as
+// waiting is taken as constant, because they keep sending.
+func (s *server) backlog(now time.Duration, rate float64, priority int) (ahead, behind float64) {
 	rate /= s.currentSlowdown(now)
-	peerWork := 0.0
 	for _, l := range s.peers {
 		if now-l.receivedAt < peerLoadTTL {
-			peerWork += l.work.ahead(deferred)
+			work := l.work
+			work.InService = remainingWork(work.InService, now-l.receivedAt, rate)
+			ahead += work.ahead(priority)
+			behind += work.behind(priority)
 		}
 	}
-	// The coordinator's report includes the sends that it placed for this
-	// gateway. They are counted in ownBacklog already.
-	coordinated := s.coordinatedBacklog.ahead(deferred)
-	return remainingWork(s.ownBacklog.ahead(deferred), now-s.backlogSince, rate) + max(0, peerWork-coordinated)
+	// The coordinator's report includes the prompts that it placed for this
+	// gateway. They are counted in the own queue already.
+	coordinated := s.queue.work(now, rate, true)
+	own := s.queue.work(now, rate, false)
+	ahead = own.ahead(priority) + max(0, ahead-coordinated.ahead(priority))
+	behind = own.behind(priority) + max(0, behind-coordinated.behind(priority))
+	return ahead, behind
 }
 
-// remainingWork returns the work left after the given time at the given rate.
-func remainingWork(work float64, elapsed time.Duration, rate float64) float64 {
-	return max(0, work-rate*elapsed.Seconds())
+// backlogAhead returns the first result of backlog.
+func (s *server) backlogAhead(now time.Duration, rate float64, priority int) float64 {
+	ahead, _ := s.backlog(now, rate, priority)
+	return ahead
 }
 
 // requests returns the estimated number of requests at the server.
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -41,6 +41,11 @@
 	BodyBytes int
 	// Exclude lists the IDs of servers that have refused or failed this request.
 	Exclude []string
+	// Priority is the priority of the request's route; 0 is the most urgent.
+	Priority int
+	// Objective is the route's objective for the time to the first event. Zero
+	// means none.
+	Objective time.Duration
 	// FirstEventBudget is the time left until the first event is late. Zero
 	// means no limit.
 	FirstEventBudget time.Duration
@@ -68,8 +73,10 @@
 	// TimeToPrefilled is the predicted time until the prefill engine is done,
 	// if Split.
 	TimeToFirstEvent, TimeToPrefilled time.Duration
-	// Deferred is set if the first event is predicted to be late. The request
-	// must then queue behind those that can still be in time.
+	// Priority is the priority of the prefill at the engine that does it.
+	Priority int
+	// Deferred is set if the first event is predicted to be late. The prompt then
+	// yields to others of its size.
 	Deferred bool
 	// LoadAge is the age of the oldest load report that the choice is based on.
 	// It is negative if no chosen server has reported its load.
@@ -102,6 +109,10 @@
 	// FetchPenaltyPerToken applies to each shared token that is fetched,
 	// because the copy displaces other parts from the cache.
 	FetchPenaltyPerToken float64
+	// OvertakingWeight weighs the prefill time of the less urgent prompts that
+	// wait at an engine: the request delays them, and until it is prefilled
+	// itself, others that are as urgent arrive.
+	OvertakingWeight float64
 	// InterferenceWeight weighs the time that a prefill on a decode engine
 	// delays each of the streams there.
 	InterferenceWeight float64
@@ -121,6 +132,7 @@
 		RecomputePenaltyPerToken:  30e-6,
 		TransferPenaltyPerToken:   2e-6,
 		FetchPenaltyPerToken:      30e-6,
+		OvertakingWeight:          0.5,
 		InterferenceWeight:        1.0,
 		LongInterferenceFactor:    3,
 	}
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -29,6 +29,11 @@
 	return list
 }
 
+// waitingWork returns waiting work of the most urgent priority.
+func waitingWork(work float64) QueuedWork {
+	return QueuedWork{Waiting: [PriorityLevels]float64{work}}
+}
+
 func newTable(servers []fleet.Server) *Table {
 	t := NewTable(DefaultOptions("here"), spec)
 	t.SetServers(spec, servers)
@@ -39,14 +44,14 @@
 func long(part, own int) Request {
 	return Request{
 		Parts:        []PromptPart{{ID: fmt.Sprintf("part%d", part), Tokens: 13_000}, {ID: fmt.Sprintf("own%d", own), Tokens: 4000}},
-		PromptTokens: 17_000, BodyBytes: 34_000, FirstEventBudget: 600 * time.Millisecond,
+		PromptTokens: 17_000, BodyBytes: 34_000, Objective: 600 * time.Millisecond, FirstEventBudget: 600 * time.Millisecond,
 	}
 }
 
 func short(own int) Request {
 	return Request{
 		Parts:        []PromptPart{{ID: "s", Tokens: 50}, {ID: fmt.Sprintf("own%d", own), Tokens: 300}},
-		PromptTokens: 350, BodyBytes: 800, FirstEventBudget: 300 * time.Millisecond,
+		PromptTokens: 350, BodyBytes: 800, Objective: 300 * time.Millisecond, FirstEventBudget: 300 * time.Millisecond,
 	}
 }
 
@@ -55,7 +60,7 @@
 	if c.Split {
 		id, first = c.PrefillServer.ID, c.TimeToPrefilled
 	}
-	return t.RecordSend(now, Send{ServerID: id, UncachedTokens: c.UncachedTokens, PromptTokens: r.PromptTokens, Parts: r.Parts, Deferred: c.Deferred, TimeToFirstEvent: first})
+	return t.RecordSend(now, Send{ServerID: id, UncachedTokens: c.UncachedTokens, PromptTokens: r.PromptTokens, Parts: r.Parts, Priority: c.Priority, TimeToFirstEvent: first})
 }
 
 func TestOnlyLongPromptsAreSplit(t *testing.T) {
@@ -116,7 +121,7 @@
 	require.Equal(t, 17_000, c.UncachedTokens)
 	send := recordSend(table, 0, home, long(1, 1))
 	table.RecordPrefilled(100*time.Millisecond, send)
-	table.RecordEnd(send)
+	table.RecordEnd(100*time.Millisecond, send)
 	c, err = table.Choose(time.Second, elsewhere)
 	require.NoError(t, err)
 	require.NotEmpty(t, c.FetchFrom)
@@ -130,7 +135,7 @@
 	table := newTable(engines(0, 2))
 	first, err := table.Choose(0, short(1))
 	require.NoError(t, err)
-	busy := []GatewayLoad{{ServerID: first.Server.ID, Requests: 12, UrgentWork: 30_000}}
+	busy := []GatewayLoad{{ServerID: first.Server.ID, Requests: 12, Work: waitingWork(30_000)}}
 	table.SetPeerLoads(0, "gateway-2", busy)
 	c, err := table.Choose(0, short(2))
 	require.NoError(t, err)
@@ -202,12 +207,12 @@
 func TestRecordEndIsIdempotent(t *testing.T) {
 	table := newTable(engines(0, 1))
 	send := recordSend(table, 0, Choice{Server: engine("d0", fleet.StageDecode, "here"), UncachedTokens: 500}, short(1))
-	table.RecordEnd(send)
-	table.RecordEnd(send)
+	table.RecordEnd(0, send)
+	table.RecordEnd(0, send)
 	table.RecordPrefilled(0, send)
 	require.Zero(t, table.find("d0").ownRequests)
-	require.Zero(t, table.find("d0").ownBacklog.urgent)
-	table.RecordEnd(nil)
+	require.Zero(t, table.find("d0").queue.work(0, initialPrefillRate, false).total())
+	table.RecordEnd(0, nil)
 }
 
 // simulateOverload sends three times as many long prompts as two engines can
@@ -223,7 +228,7 @@
 		send     *InFlightSend
 		sentAt   int
 		left     float64
-		deferred bool
+		priority int
 	}
 	opts := DefaultOptions("here")
 	// Keeps prefills off the busy decode engines, so that long prompts are
@@ -248,14 +253,14 @@
 			}
 			c, err := table.Choose(now, r)
 			if err == nil && c.Split {
-				j := &job{send: recordSend(table, now, c, r), sentAt: ms, left: float64(c.UncachedTokens), deferred: c.Deferred}
+				j := &job{send: recordSend(table, now, c, r), sentAt: ms, left: float64(c.UncachedTokens), priority: c.Priority}
 				queues[c.PrefillServer.ID] = append(queues[c.PrefillServer.ID], j)
 			}
 		}
 		for id, queue := range queues {
 			next := -1
 			for i, j := range queue {
-				if next < 0 || queue[next].deferred && !j.deferred {
+				if next < 0 || j.priority < queue[next].priority {
 					next = i
 				}
 			}
@@ -267,7 +272,7 @@
 			}
 			done := queue[next]
 			table.RecordPrefilled(now, done.send)
-			table.RecordEnd(done.send)
+			table.RecordEnd(now, done.send)
 			if ms-done.sentAt <= budgetMS {
 				inTime++
 			}
@@ -323,10 +328,10 @@
 // report or until it expires, because that gateway keeps sending.
 func TestPeerBacklogStaysUntilItExpires(t *testing.T) {
 	table := newTable(engines(1, 1))
-	table.SetPeerLoads(0, "gw-2", []GatewayLoad{{ServerID: "p0", Requests: 1, UrgentWork: 9000}})
+	table.SetPeerLoads(0, "gw-2", []GatewayLoad{{ServerID: "p0", Requests: 1, Work: waitingWork(9000)}})
 	p0 := table.find("p0")
-	require.Equal(t, 9000.0, p0.backlogAhead(peerLoadTTL-1, table.prefillRate.perSecond, false))
-	require.Zero(t, p0.backlogAhead(peerLoadTTL, table.prefillRate.perSecond, false))
+	require.Equal(t, 9000.0, p0.backlogAhead(peerLoadTTL-1, table.prefillRate.perSecond, 0))
+	require.Zero(t, p0.backlogAhead(peerLoadTTL, table.prefillRate.perSecond, 0))
 	table.RecordSend(0, Send{ServerID: "p0", UncachedTokens: 9000, PromptTokens: 9000})
-	require.Less(t, p0.backlogAhead(50*time.Millisecond, table.prefillRate.perSecond, false), 9000+p0.ownBacklog.urgent, "the own backlog shrinks")
+	require.Less(t, p0.backlogAhead(50*time.Millisecond, table.prefillRate.perSecond, 0), 9000+prefillWork(9000, 9000), "the own prompt in service shrinks")
 }
--- a/internal/placement/table.go
+++ b/internal/placement/table.go
@@ -28,13 +28,10 @@
 	// hash is the hash of the ID for rendezvous hashing.
 	hash uint64
 	// ownRequests counts this gateway's requests in flight and the prompts that
-	// it placed for other gateways. ownBacklog is their prefill work that is not
-	// done yet, of which another gateway, the coordinator, placed
-	// coordinatedBacklog.
-	ownRequests                    int
-	ownBacklog, coordinatedBacklog prefillBacklog
-	// backlogSince is when the server started on the first item of ownBacklog.
-	backlogSince time.Duration
+	// it placed for other gateways. queue holds those that have not been
+	// prefilled yet.
+	ownRequests int
+	queue       promptQueue
 	// reportedRequests is the load in the server's newest report, and
 	// ownAtReport the own requests in flight when it arrived.
 	reportedRequests int
@@ -116,13 +113,14 @@
 // Table.RecordEnd. Later calls of RecordEnd or RecordPrefilled have no effect.
 type InFlightSend struct {
 	server *server
-	// work is the prefill work of the prompt. queued is set if other work was
-	// ahead of it.
-	work   float64
-	queued bool
+	// work is the prefill work of the prompt, priority its priority at the
+	// server. queued is set if other work was ahead of it.
+	work     float64
+	priority int
+	queued   bool
 
-	deferred, coordinated bool
-	sentAt                time.Duration
+	coordinated bool
+	sentAt      time.Duration
 	// predicted is the predicted time to first event in seconds.
 	predicted float64
 	// prefilled is set by RecordPrefilled.
@@ -139,8 +137,8 @@
 	UncachedTokens, PromptTokens int
 	// Parts are the prompt parts that the server has cached after the prefill.
 	Parts []PromptPart
-	// Deferred requests queue behind those that can still be in time.
-	Deferred bool
+	// Priority is the priority of the prefill at the server.
+	Priority int
 	// TimeToFirstEvent is the predicted time to the first event.
 	TimeToFirstEvent time.Duration
 	// FetchFrom is the address of the engine from which the server fetches
@@ -159,12 +157,12 @@
 		return nil
 	}
 	f := &InFlightSend{
-		server: s, work: prefillWork(float64(send.UncachedTokens), float64(send.PromptTokens)), deferred: send.Deferred,
+		server: s, work: prefillWork(float64(send.UncachedTokens), float64(send.PromptTokens)), priority: clampPriority(send.Priority),
 		coordinated: send.Coordinated, sentAt: now, predicted: send.TimeToFirstEvent.Seconds(),
-		queued: s.backlogAhead(now, t.rateOf(s), send.Deferred) > 0,
 	}
+	f.queued = s.backlogAhead(now, t.rateOf(s), f.priority) > 0
 	s.ownRequests++
-	s.addWork(now, f, f.work)
+	s.queue.add(now, f)
 	keys := prefixKeys(send.Parts)
 	f.newParts = s.cache.recordUse(now, now+send.TimeToFirstEvent+handoffDelay, send.Parts, keys)
 	t.recordFetch(now, send, keys)
@@ -177,7 +175,7 @@
 		return
 	}
 	f.prefilled = true
-	f.server.addWork(now, f, -f.work)
+	f.server.queue.remove(now, f)
 	f.server.cache.markAvailable(now+handoffDelay, f.newParts)
 	took := (now - f.sentAt).Seconds()
 	f.server.observeLatency(now, took, f.predicted)
@@ -186,18 +184,6 @@
 	}
 }
 
-// addWork adds the work of a request to the server's backlog, or removes it if
-// negative. After a removal the server starts on the next item.
-func (s *server) addWork(now time.Duration, f *InFlightSend, work float64) {
-	if work < 0 || s.ownBacklog.ahead(true) == 0 {
-		s.backlogSince = now
-	}
-	s.ownBacklog.add(work, f.deferred)
-	if f.coordinated {
-		s.coordinatedBacklog.add(work, f.deferred)
-	}
-}
-
 // recordFetch records that a fetch has used the shared parts in the cache of
 // its source.
 func (t *Table) recordFetch(now time.Duration, send Send, keys []uint64) {
@@ -221,16 +207,13 @@
 }
 
 // RecordEnd records the end of a request, regardless of its outcome.
-func (t *Table) RecordEnd(f *InFlightSend) {
+func (t *Table) RecordEnd(now time.Duration, f *InFlightSend) {
 	if f == nil || f.server == nil {
 		return
 	}
 	if !f.prefilled {
 		f.server.cache.discard(f.newParts)
-		f.server.ownBacklog.add(-f.work, f.deferred)
-		if f.coordinated {
-			f.server.coordinatedBacklog.add(-f.work, f.deferred)
-		}
+		f.server.queue.remove(now, f)
 	}
 	f.server.ownRequests--
 	f.server = nil
