Learn the time of the first step from what is observed

Cause: a fixed 90 ms was subtracted from each prefill before its rate was taken.

Change: the first step's time is a low quantile per way to the first event, from requests with little prefill; the rate learns only from prefills that take at least half as long as the first step.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -224,6 +224,7 @@
 	inFlight := q.service.recordSend(q.g.now(), placement.Send{
 		ServerID: c.Server.ID, UncachedTokens: uncachedTokens, PromptTokens: q.meta.PromptTokens, Parts: q.meta.Parts,
 		Priority: q.priority(c), TimeToFirstEvent: c.TimeToFirstEvent, Coordinated: q.pendingPlacement != nil,
+		Imported: meta.KVSource != nil,
 	})
 	defer func() { q.service.recordEnd(q.g.now(), inFlight) }()
 	sendCtx, cancel := context.WithCancel(ctx)
--- a/internal/gatewaybench/routers.go
+++ b/internal/gatewaybench/routers.go
@@ -95,7 +95,7 @@
 	if err != nil {
 		return
 	}
-	ticket := table.RecordSend(now, placement.Send{ServerID: d.Server.ID, UncachedTokens: 1, PromptTokens: r.promptTokens, Parts: r.parts, TimeToFirstEvent: d.TimeToFirstEvent})
+	ticket := table.RecordSend(now, placement.Send{ServerID: d.Server.ID, UncachedTokens: 1, PromptTokens: r.promptTokens, Parts: r.parts, TimeToFirstEvent: d.TimeToFirstEvent, Imported: true})
 	s := r.sequence()
 	s.Imported = true
 	sim.byID[c.PrefillServer.ID].model.Release(now, r.id)
--- a/internal/placement/engines.go
+++ b/internal/placement/engines.go
@@ -41,7 +41,7 @@
 		hit := t.prefixHitFor(q, s, q.decodeHome, seconds(wait))
 		uncached := float64(max(1, q.PromptTokens-hit.tokens))
 		prefill := prefillWork(uncached, float64(q.PromptTokens)) / rate
-		first := (firstStepSeconds+prefill+wait)*s.currentSlowdown(q.now) + t.transferSeconds(hit.fetched) + t.slotWaitSeconds(s, q.now)
+		first := (t.firstSteps[directStep].seconds+prefill+wait)*s.currentSlowdown(q.now) + t.transferSeconds(hit.fetched) + t.slotWaitSeconds(s, q.now)
 		c := candidate{Choice: t.newChoice(q.now, s, first)}
 		c.UncachedTokens, c.FetchFrom, c.Priority = int(uncached), hit.sourceAddress, priority
 		c.score = first/s.weight + t.domainCost(q.OriginDomain, s, q.BodyBytes) + t.recomputeCost(q, hit.tokens) + t.opts.OvertakingWeight*behind/rate +
@@ -83,7 +83,7 @@
 		hit := t.prefixHitFor(q, s, q.prefillHome, seconds(wait))
 		uncached := float64(max(1, q.PromptTokens-hit.tokens))
 		prefill := prefillWork(uncached, float64(q.PromptTokens)) / rate
-		first := (firstStepSeconds+prefill+wait)*s.currentSlowdown(q.now) + t.transferSeconds(hit.fetched)
+		first := (t.firstSteps[prefillStep].seconds+prefill+wait)*s.currentSlowdown(q.now) + t.transferSeconds(hit.fetched)
 		c := candidate{Choice: t.newChoice(q.now, s, first)}
 		c.UncachedTokens, c.FetchFrom, c.Priority = int(uncached), hit.sourceAddress, priority
 		c.score = first/s.weight + t.domainCost(q.OriginDomain, s, q.BodyBytes) + t.recomputeCost(q, hit.tokens) + t.opts.OvertakingWeight*behind/rate + t.opts.FetchPenaltyPerToken*float64(hit.fetched)
@@ -132,7 +132,7 @@
 		}
 		rate := t.prefillRate.perSecond * decodePrefillShare
 		wait := s.backlogAhead(q.now, rate, clampPriority(q.Priority)) / rate
-		first := (firstStepSeconds+wait)*s.currentSlowdown(q.now) + transfer + t.slotWaitSeconds(s, q.now)
+		first := (t.firstSteps[importStep].seconds+wait)*s.currentSlowdown(q.now) + transfer + t.slotWaitSeconds(s, q.now)
 		c := candidate{Choice: t.newChoice(q.now, s, first)}
 		c.score = first/s.weight + cost + t.domainCost(q.OriginDomain, s, q.BodyBytes)
 		keepBetter(&best, &found, c)
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -149,9 +149,6 @@
 	// decodePrefillShare is the prefill rate of decode engines as a share of
 	// that of prefill engines.
 	decodePrefillShare = 0.5
-	// firstStepSeconds is the time to first event of a request that needs no
-	// prefill and does not wait.
-	firstStepSeconds = 0.09
 	// plainServiceSeconds is the assumed service time of a plain server.
 	plainServiceSeconds = 0.015
 	// loadHalfLife is the age at which the load reported by a server counts
--- a/internal/placement/table.go
+++ b/internal/placement/table.go
@@ -14,6 +14,7 @@
 	engine      *fleet.EngineSpec
 	servers     []*server
 	prefillRate prefillRateEstimate
+	firstSteps  [stepKindCount]firstStepEstimate
 	lastSweep   time.Duration
 	// knowsAllCaches is set when this table has been the coordinator for at
 	// least coordinatorWarmUp, so that it knows all long prompts that the
@@ -56,10 +57,14 @@
 // NewTable returns a table without servers. The engine is nil for plain
 // services.
 func NewTable(opts Options, engine *fleet.EngineSpec) *Table {
-	return &Table{
+	t := &Table{
 		opts: opts, engine: engine, prefillRate: prefillRateEstimate{perSecond: initialPrefillRate},
 		peerSends: make(map[peerSendKey]*peerSend),
 	}
+	for i := range t.firstSteps {
+		t.firstSteps[i].seconds = initialFirstStepSeconds
+	}
+	return t
 }
 
 // SetServers replaces the servers of the service. Servers that remain keep
@@ -119,8 +124,9 @@
 	priority int
 	queued   bool
 
-	coordinated bool
-	sentAt      time.Duration
+	// imported is set if the server imports the prompt's KV cache.
+	coordinated, imported bool
+	sentAt                time.Duration
 	// predicted is the predicted time to first event in seconds.
 	predicted float64
 	// prefilled is set by RecordPrefilled.
@@ -137,6 +143,9 @@
 	UncachedTokens, PromptTokens int
 	// Parts are the prompt parts that the server has cached after the prefill.
 	Parts []PromptPart
+	// Imported is set if the server imports the prompt's KV cache from the engine
+	// that has prefilled it.
+	Imported bool
 	// Priority is the priority of the prefill at the server.
 	Priority int
 	// TimeToFirstEvent is the predicted time to the first event.
@@ -158,7 +167,7 @@
 	}
 	f := &InFlightSend{
 		server: s, work: prefillWork(float64(send.UncachedTokens), float64(send.PromptTokens)), priority: clampPriority(send.Priority),
-		coordinated: send.Coordinated, sentAt: now, predicted: send.TimeToFirstEvent.Seconds(),
+		coordinated: send.Coordinated, imported: send.Imported, sentAt: now, predicted: send.TimeToFirstEvent.Seconds(),
 	}
 	f.queued = s.backlogAhead(now, t.rateOf(s), f.priority) > 0
 	s.ownRequests++
@@ -179,8 +188,8 @@
 	f.server.cache.markAvailable(now+handoffDelay, f.newParts)
 	took := (now - f.sentAt).Seconds()
 	f.server.observeLatency(now, took, f.predicted)
-	if f.server.Stage == fleet.StagePrefill && !f.queued {
-		t.prefillRate.observe(f.work, took-firstStepSeconds)
+	if !f.queued {
+		t.observeUnqueued(f, took)
 	}
 }
 
