--- a/internal/gateway/log.go
+++ b/internal/gateway/log.go
@@ -47,6 +47,7 @@
 		Status:    status,
 		Attempts:  q.sends,
 		Elapsed:   elapsed,
+		Objective: q.route.LatencyObjective,
 		Server:    q.lastServer,
 		Remaining: q.remaining(),
 	}
--- a/internal/logevent/request.go
+++ b/internal/logevent/request.go
@@ -104,6 +104,9 @@
 	// Elapsed and TimeToFirstEvent are measured from the arrival of the request.
 	// TimeToFirstEvent is 0 if there was no event.
 	Elapsed, TimeToFirstEvent time.Duration
+	// Objective is the route's objective for the first event, or for the response
+	// if it is no stream; 0 means none.
+	Objective time.Duration
 	// Server is the server that the last attempt was sent to; empty if there was
 	// none.
 	Server string
@@ -117,7 +120,7 @@
 const OutcomeRefused = "refused"
 
 // requestEndedFields is the largest number of fields of a RequestEnded line.
-const requestEndedFields = 10
+const requestEndedFields = 11
 
 // Event returns the log line.
 func (r RequestEnded) Event() Event {
@@ -132,6 +135,9 @@
 	if r.TimeToFirstEvent > 0 {
 		e.with(milliseconds("first_event_ms", r.TimeToFirstEvent))
 	}
+	if r.Objective > 0 {
+		e.with(milliseconds("objective_ms", r.Objective))
+	}
 	e.withText(keyServer, r.Server)
 	if r.Outcome == OutcomeRefused {
 		e.with(milliseconds("left_ms", max(0, r.Remaining)))
