Estimate direct prompts with the priority that they are sent with

Cause: a prompt that a decode engine prefills itself is sent with its route's priority, but was estimated and recorded with its size class.

Change: the route's priority in both.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -153,12 +153,6 @@
 	return outcome{result: notExecuted, reason: "prefill: " + reason, serverUntried: true}
 }
 
-// priority returns the priority of the request at the engine that runs it; 0 is
-// the most urgent. An engine that has no prefill to do gets the route's.
-func (q *request) priority(c placement.Choice) int {
-	return q.route.Priority
-}
-
 // ended reports whether the request has ended because its caller disconnected
 // or its deadline passed, with the corresponding outcome.
 func (q *request) ended(ctx context.Context) (outcome, bool) {
@@ -218,12 +212,12 @@
 	q.sends++
 	q.lastServer = c.Server.ID
 	meta.ServerID = c.Server.ID
-	meta.Priority = q.priority(c)
+	meta.Priority = q.route.Priority
 	meta.LastEventID = q.lastEventID
 	meta.Remaining = q.remaining()
 	inFlight := q.service.recordSend(q.g.now(), placement.Send{
 		ServerID: c.Server.ID, UncachedTokens: uncachedTokens, PromptTokens: q.meta.PromptTokens, Parts: q.meta.Parts,
-		Priority: q.priority(c), TimeToFirstEvent: c.TimeToFirstEvent, Coordinated: q.pendingPlacement != nil,
+		Priority: q.route.Priority, TimeToFirstEvent: c.TimeToFirstEvent, Coordinated: q.pendingPlacement != nil,
 		Imported: meta.KVSource != nil,
 	})
 	defer func() { q.service.recordEnd(q.g.now(), inFlight) }()
--- a/internal/placement/engines.go
+++ b/internal/placement/engines.go
@@ -35,7 +35,7 @@
 		if q.excluded(s) {
 			continue
 		}
-		priority := t.priorityAt(q, s, q.decodeHome, rate)
+		priority := clampPriority(q.Priority)
 		ahead, behind := s.backlog(q.now, rate, priority)
 		wait := ahead / rate
 		hit := t.prefixHitFor(q, s, q.decodeHome, seconds(wait))
@@ -77,7 +77,7 @@
 			continue
 		}
 		rate := t.prefillRate.perSecond
-		priority := t.priorityAt(q, s, q.prefillHome, rate)
+		priority := t.priorityAt(q, s, rate)
 		ahead, behind := s.backlog(q.now, rate, priority)
 		wait := ahead / rate
 		hit := t.prefixHitFor(q, s, q.prefillHome, seconds(wait))
@@ -95,10 +95,10 @@
 	return best, found
 }
 
-// priorityAt returns the priority of a prompt's prefill at engine s, from what
-// the engine has cached now.
-func (t *Table) priorityAt(q *query, s, home *server, rate float64) int {
-	uncached := float64(max(1, q.PromptTokens-t.prefixHitFor(q, s, home, 0).tokens))
+// priorityAt returns the priority of a prompt's prefill at prefill engine s, from
+// what the engine has cached now.
+func (t *Table) priorityAt(q *query, s *server, rate float64) int {
+	uncached := float64(max(1, q.PromptTokens-t.prefixHitFor(q, s, q.prefillHome, 0).tokens))
 	return q.prefillPriority(prefillWork(uncached, float64(q.PromptTokens)) / rate)
 }
 
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -73,7 +73,8 @@
 	// TimeToPrefilled is the predicted time until the prefill engine is done,
 	// if Split.
 	TimeToFirstEvent, TimeToPrefilled time.Duration
-	// Priority is the priority of the prefill at the engine that does it.
+	// Priority is the priority of the prefill at the engine that does it. A decode
+	// engine gets the route's priority, since it is also that of the stream.
 	Priority int
 	// Deferred is set if the first event is predicted to be late. The prompt then
 	// yields to others of its size.
