--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -252,7 +252,7 @@
 // observeGeneration discards everything that was read in an earlier generation,
 // the process's own authority included, and starts over with a read. The leases
 // of the earlier generation have expired one TTL later. A process that has just
-// started cannot tell how long ago the restore was.
+// started does not know how long ago the restore was.
 func (s State) observeGeneration(o Options, generation uint64, now time.Duration) (State, Action) {
 	if generation <= s.generation {
 		return s, Action{Kind: Wait, Until: s.due}
--- a/internal/lease/participant.go
+++ b/internal/lease/participant.go
@@ -85,8 +85,8 @@
 	return time.Since(p.start)
 }
 
-// step processes an event. If the store's generation has changed, the event is
-// of the earlier one or cannot be told from it, and is replaced.
+// step processes an event. If the store's generation has changed, the event may
+// be of the earlier one and is replaced.
 func (p *Participant) step(ev Event) Action {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/placement/engines.go
+++ b/internal/placement/engines.go
@@ -39,8 +39,8 @@
 		ahead, behind := s.backlog(q.now, rate, priority)
 		wait := ahead / rate
 		hit := t.prefixHitFor(q, s, q.decodeHome, seconds(wait))
-		uncached := float64(max(1, q.PromptTokens-hit.tokens))
-		prefill := prefillWork(uncached, float64(q.PromptTokens)) / rate
+		uncached := q.uncachedTokens(hit)
+		prefill := q.prefillSeconds(hit, rate)
 		first := (t.firstSteps[directStep].seconds+prefill+wait)*s.currentSlowdown(q.now) + t.transferSeconds(hit.fetched) + t.slotWaitSeconds(s, q.now)
 		c := candidate{Choice: t.newChoice(q.now, s, first)}
 		c.UncachedTokens, c.FetchFrom, c.Priority = int(uncached), hit.sourceAddress, priority
@@ -77,12 +77,15 @@
 			continue
 		}
 		rate := t.prefillRate.perSecond
-		priority := t.priorityAt(q, s, rate)
+		hit := t.prefixHitFor(q, s, q.prefillHome, 0)
+		priority := q.prefillPriority(q.prefillSeconds(hit, rate))
 		ahead, behind := s.backlog(q.now, rate, priority)
 		wait := ahead / rate
-		hit := t.prefixHitFor(q, s, q.prefillHome, seconds(wait))
-		uncached := float64(max(1, q.PromptTokens-hit.tokens))
-		prefill := prefillWork(uncached, float64(q.PromptTokens)) / rate
+		if wait > 0 {
+			hit = t.prefixHitFor(q, s, q.prefillHome, seconds(wait))
+		}
+		uncached := q.uncachedTokens(hit)
+		prefill := q.prefillSeconds(hit, rate)
 		first := (t.firstSteps[prefillStep].seconds+prefill+wait)*s.currentSlowdown(q.now) + t.transferSeconds(hit.fetched)
 		c := candidate{Choice: t.newChoice(q.now, s, first)}
 		c.UncachedTokens, c.FetchFrom, c.Priority = int(uncached), hit.sourceAddress, priority
@@ -95,11 +98,15 @@
 	return best, found
 }
 
-// priorityAt returns the priority of a prompt's prefill at prefill engine s, from
-// what the engine has cached now.
-func (t *Table) priorityAt(q *query, s *server, rate float64) int {
-	uncached := float64(max(1, q.PromptTokens-t.prefixHitFor(q, s, q.prefillHome, 0).tokens))
-	return q.prefillPriority(prefillWork(uncached, float64(q.PromptTokens)) / rate)
+// uncachedTokens returns the number of tokens that an engine has to prefill.
+func (q *query) uncachedTokens(hit prefixHit) float64 {
+	return float64(max(1, q.PromptTokens-hit.tokens))
+}
+
+// prefillSeconds returns the time of the prefill at the given rate, in work per
+// second.
+func (q *query) prefillSeconds(hit prefixHit, rate float64) float64 {
+	return prefillWork(q.uncachedTokens(hit), float64(q.PromptTokens)) / rate
 }
 
 // ChooseDecode chooses the decode engine a second time, after the prompt has been
--- a/internal/placement/load.go
+++ b/internal/placement/load.go
@@ -122,6 +122,9 @@
 // prefill rate in work per second. The work that other gateways have reported as
 // waiting is taken as constant, because they keep sending.
 func (s *server) backlog(now time.Duration, rate float64, priority int) (ahead, behind float64) {
+	if len(s.queue.prompts) == 0 && len(s.peers) == 0 {
+		return 0, 0
+	}
 	rate /= s.currentSlowdown(now)
 	for _, l := range s.peers {
 		if now-l.receivedAt < peerLoadTTL {
--- a/internal/placement/queue.go
+++ b/internal/placement/queue.go
@@ -112,16 +112,17 @@
 // still be in time.
 const latePriorityOffset = 1
 
-// sizeShares are the shares of the first-event budget that a prefill may take
-// for each of the size classes. The last class is for prompts that take longer.
+// sizeShares are the shares of the objective that a prefill may take for each of
+// the size classes. The last class is for prompts that take longer.
 var sizeShares = [...]float64{0.08, 0.2, 0.5, 1}
 
-// sizeClass returns the size class of a prefill that takes the given seconds.
+// sizeClass returns the size class of a prefill that takes the given seconds,
+// for an objective for the time to the first event.
 // The smaller of two prompts is prefilled first: it delays the other one less,
 // and is more likely to be in time.
-func sizeClass(prefill float64, budget time.Duration) int {
+func sizeClass(prefill float64, objective time.Duration) int {
 	for class, share := range sizeShares {
-		if prefill < share*budget.Seconds() {
+		if prefill < share*objective.Seconds() {
 			return class
 		}
 	}
