Log and count each decision about a retry with the budget behind it

The logs could not tell whether gateways had too many tokens after a start or divided the reserve by too few: no line said why a retry was made or denied.

'retry decided' holds the denial, the tokens and the reserve before the decision and the number of live gateways; marigold_gateway_retries_total counts the decisions, marigold_gateway_retry_tokens shows the tokens.

--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -254,6 +254,7 @@
 // after the backoff that precedes the attempt.
 func (q *request) retryAfterBackoff(ctx context.Context, out outcome, choice placement.Choice) bool {
 	if out.mayHaveExecuted() && q.possibleExecutions >= q.route.MaxAttempts {
+		q.logRetry(retry.Decision{Denial: retry.DenialAttempts})
 		return false
 	}
 	decision := q.service.decideRetry(retry.Attempt{
@@ -264,6 +265,7 @@
 		PredictedDuration: choice.TimeToFirstEvent,
 		Seed:              q.g.seed.Add(1),
 	})
+	q.logRetry(decision)
 	if decision.Action != retry.ActionRetry {
 		return false
 	}
--- a/internal/gateway/load_metrics.go
+++ b/internal/gateway/load_metrics.go
@@ -3,7 +3,7 @@
 import "github.com/prometheus/client_golang/prometheus"
 
 // loadCollector exports the load of each backend server as known to this
-// gateway at the time of the scrape. It implements prometheus.Collector.
+// gateway, and the retry budgets, at the time of the scrape. It implements prometheus.Collector.
 type loadCollector struct{ g *Gateway }
 
 // Values of the whose label.
@@ -19,12 +19,15 @@
 	serverQueuedWork = prometheus.NewDesc("marigold_gateway_server_queued_work",
 		"Work of prompts that this gateway has sent or placed and that are not prefilled yet, in tokens without a context.",
 		[]string{"service", "server"}, nil)
+	retryTokens = prometheus.NewDesc("marigold_gateway_retry_tokens",
+		"Retries that this gateway's budget permits at present.", []string{"service"}, nil)
 )
 
 // Describe implements prometheus.Collector.
 func (loadCollector) Describe(out chan<- *prometheus.Desc) {
 	out <- serverRequests
 	out <- serverQueuedWork
+	out <- retryTokens
 }
 
 // Collect implements prometheus.Collector.
@@ -32,7 +35,11 @@
 	gauge := func(desc *prometheus.Desc, value float64, labels ...string) {
 		out <- prometheus.MustNewConstMetric(desc, prometheus.GaugeValue, value, labels...)
 	}
-	for service, servers := range c.g.State().Services {
+	state := c.g.State()
+	for service, tokens := range state.RetryTokens {
+		gauge(retryTokens, tokens, service)
+	}
+	for service, servers := range state.Services {
 		for _, s := range servers {
 			gauge(serverRequests, float64(s.OwnRequests), service, s.ID, ownerSelf)
 			gauge(serverRequests, s.OtherRequests, service, s.ID, ownerOthers)
--- a/internal/gateway/log.go
+++ b/internal/gateway/log.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/marigoldwing/marigoldwing/internal/logevent"
 	"github.com/marigoldwing/marigoldwing/internal/placement"
+	"github.com/marigoldwing/marigoldwing/internal/retry"
 )
 
 // logAttempt counts and logs an attempt with the inputs of its placement
@@ -33,6 +34,21 @@
 	q.g.log.Write(attempt.Event())
 }
 
+// logRetry counts and logs the decision whether to retry an attempt that did not
+// complete.
+func (q *request) logRetry(d retry.Decision) {
+	q.g.metrics.retries.WithLabelValues(q.service.name, d.Denial.String()).Inc()
+	q.g.log.Write(logevent.RetryDecided(logevent.Retry{
+		RequestID: q.meta.ID,
+		Service:   q.service.name,
+		Attempts:  q.sends,
+		Denial:    d.Denial.String(),
+		Tokens:    d.Tokens,
+		Reserve:   d.Reserve,
+		Gateways:  q.g.gateways(),
+	}))
+}
+
 // finish counts and logs the end of a request. Status 0 means that the caller
 // received no complete response.
 func (q *request) finish(outcome, reason string, status int) {
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -7,11 +7,13 @@
 )
 
 // metrics are the request metrics of a gateway. Attempts are counted by step
-// (prefill or run) and outcome, placements of long prompts by the gateway that
+// (prefill or run) and outcome, decisions about retries by why they denied one,
+// placements of long prompts by the gateway that
 // made them; loadAge is the age of the load report that a placement used.
 type metrics struct {
 	requests      *prometheus.CounterVec
 	attempts      *prometheus.CounterVec
+	retries       *prometheus.CounterVec
 	firstEvent    *prometheus.HistogramVec
 	eventGap      *prometheus.HistogramVec
 	duration      *prometheus.HistogramVec
@@ -31,6 +33,9 @@
 		attempts: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "marigold_gateway_attempts_total", Help: "Sends to backend servers by service, step and outcome.",
 		}, []string{"service", "step", "outcome"}),
+		retries: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "marigold_gateway_retries_total", Help: "Decisions about retries by service and why a retry was denied (none: it was made).",
+		}, []string{"service", "denial"}),
 		firstEvent: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name: "marigold_gateway_first_event_seconds", Help: "Time to the first event of a stream.", Buckets: latencyBuckets,
 		}, []string{"route"}),
@@ -53,7 +58,7 @@
 			Name: "marigold_gateway_config_version", Help: "Version of the configuration in force.",
 		}),
 	}
-	registerer.MustRegister(m.requests, m.attempts, m.firstEvent, m.eventGap, m.duration, m.loadAge, m.placements, m.inflight, m.configVersion)
+	registerer.MustRegister(m.requests, m.attempts, m.retries, m.firstEvent, m.eventGap, m.duration, m.loadAge, m.placements, m.inflight, m.configVersion)
 	return m
 }
 
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -9,6 +9,9 @@
 	Leaving       bool                              `json:"leaving"`
 	ConfigVersion int64                             `json:"config_version"`
 	Services      map[string][]placement.ServerDump `json:"services"`
+	// RetryTokens is the number of retries that the budget of each service
+	// permits at present.
+	RetryTokens map[string]float64 `json:"retry_tokens"`
 }
 
 // State returns the current state for the debug endpoint.
@@ -19,6 +22,7 @@
 		FailureDomain: g.opts.FailureDomain,
 		Leaving:       g.draining.Load(),
 		Services:      make(map[string][]placement.ServerDump, len(current.services)),
+		RetryTokens:   make(map[string]float64, len(current.services)),
 	}
 	if current.config != nil {
 		dump.ConfigVersion = current.config.Version
@@ -27,6 +31,7 @@
 	for name, s := range current.services {
 		s.mu.Lock()
 		dump.Services[name] = s.table.Dump(now)
+		dump.RetryTokens[name] = s.budget.Tokens()
 		s.mu.Unlock()
 	}
 	return dump
--- a/internal/logevent/request.go
+++ b/internal/logevent/request.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"math"
 	"time"
 )
 
@@ -92,6 +93,33 @@
 	return e
 }
 
+// Retry describes a decision whether to retry an attempt that did not complete,
+// with the retry budget that it rests on.
+type Retry struct {
+	RequestID, Service string
+	// Attempts is the number of attempts made so far.
+	Attempts int
+	// Denial is why there is no retry, or none.
+	Denial string
+	// Tokens is the number of retries that the budget permitted at the time, and
+	// Reserve the largest number that it can hold.
+	Tokens, Reserve float64
+	// Gateways is the number of live gateways known to this one, with which it
+	// shares the budget.
+	Gateways int
+}
+
+// RetryDecided reports a decision whether to retry an attempt.
+func RetryDecided(r Retry) Event {
+	return info("retry decided", slog.String(KeyRequestID, r.RequestID), slog.String(keyService, r.Service),
+		slog.Int(keyAttempts, r.Attempts), slog.String("denial", r.Denial),
+		slog.Float64("budget_tokens", rounded(r.Tokens)), slog.Float64("budget_reserve", rounded(r.Reserve)),
+		slog.Int("gateways", r.Gateways))
+}
+
+// rounded returns a number with two decimals.
+func rounded(x float64) float64 { return math.Round(x*100) / 100 }
+
 // RequestEnded describes the end of a request and what its caller received.
 type RequestEnded struct {
 	RequestID, Route string
--- a/internal/retry/retry.go
+++ b/internal/retry/retry.go
@@ -65,6 +65,10 @@
 type Decision struct {
 	Action  Action
 	Backoff time.Duration
+	// Denial is why there is no retry.
+	Denial Denial
+	// Tokens and Reserve are the state of the budget before the decision.
+	Tokens, Reserve float64
 }
 
 // Options configure the retries.
@@ -119,6 +123,9 @@
 	b.tokens = min(b.tokens, opts.BudgetReserve)
 }
 
+// Tokens returns the number of retries that the budget permits at present.
+func (b *Budget) Tokens() float64 { return b.tokens }
+
 // RecordFirstAttempt counts a first attempt, which adds BudgetRatio to the
 // budget.
 func (b *Budget) RecordFirstAttempt() {
@@ -129,15 +136,33 @@
 // deducted from the budget. A request that is not idempotent is retried only if
 // the gate reported that it was not executed.
 func (b *Budget) Decide(a Attempt) Decision {
-	if !canRepeat(a) || isTerminal(a.Reason) {
-		return Decision{Action: finalAction(a)}
-	}
+	d := Decision{Tokens: b.tokens, Reserve: b.opts.BudgetReserve}
 	backoff := b.backoff(a)
-	if a.AttemptsMade >= b.opts.MaxAttempts || backoff+a.PredictedDuration >= a.Remaining || b.tokens < 1 {
-		return Decision{Action: finalAction(a)}
+	d.Denial = b.denial(a, backoff)
+	if d.Denial != DenialNone {
+		d.Action = finalAction(a)
+		return d
 	}
 	b.tokens--
-	return Decision{Action: ActionRetry, Backoff: backoff}
+	d.Action, d.Backoff = ActionRetry, backoff
+	return d
+}
+
+// denial returns why an attempt must not be retried after the backoff.
+func (b *Budget) denial(a Attempt, backoff time.Duration) Denial {
+	switch {
+	case !canRepeat(a):
+		return DenialMayHaveRun
+	case isTerminal(a.Reason):
+		return DenialTerminal
+	case a.AttemptsMade >= b.opts.MaxAttempts:
+		return DenialAttempts
+	case backoff+a.PredictedDuration >= a.Remaining:
+		return DenialDeadline
+	case b.tokens < 1:
+		return DenialBudget
+	}
+	return DenialNone
 }
 
 // canRepeat reports whether another attempt is safe because the request is
