--- a/internal/retry/retry_test.go
+++ b/internal/retry/retry_test.go
@@ -103,6 +103,37 @@
 	require.Equal(t, 2*firsts, naive, "the naive policy triples the load in an outage")
 }
 
+// serveFailing sends requests whose attempts all fail to a process with the
+// budget, and returns the number of retries.
+func serveFailing(b *Budget, requests int) int {
+	retries := 0
+	for range requests {
+		b.RecordFirstAttempt()
+		for made := 1; b.Decide(Attempt{Idempotent: true, AttemptsMade: made, Remaining: time.Minute}).Action == ActionRetry; made++ {
+			retries++
+		}
+	}
+	return retries
+}
+
+// Processes that share a budget and are killed again and again, while every attempt
+// fails, must not retry more than one budget allows.
+func TestRestartsDoNotRefillRetryBudget(t *testing.T) {
+	const processes, ratio, reserve = 5, 0.2, 50
+	rapid.Check(t, func(rt *rapid.T) {
+		opts := DefaultOptions(ratio)
+		opts.BudgetReserve = reserve / processes
+		requests, retries := 0, 0
+		for range processes {
+			for _, served := range rapid.SliceOfN(rapid.IntRange(0, 60), 1, 10).Draw(rt, "requests of each incarnation") {
+				requests += served
+				retries += serveFailing(NewBudget(opts), served)
+			}
+		}
+		require.LessOrEqual(rt, float64(retries), ratio*float64(requests)+reserve)
+	})
+}
+
 // referenceHealth is a simple reference for HealthTracker that recounts
 // ejections on each call.
 type referenceHealth struct {
