Start retry budgets empty, so that restarts do not refill them

Cause: a process started with a full reserve. The reserve is this process's share of what the fleet may retry without new requests, and an earlier incarnation may have spent it. Five kills of four gateways brought 20 x 11.2 retries to a window in which the fleet may have 56. Class of fault: a limit that the fleet shares is kept as a share in each process, and a restart takes the most permissive value for what it no longer knows.

Change: a new budget holds nothing and only first attempts fill it. The retries of a fleet in any time are then at most its ratio of the requests plus what living processes held before, however often they are restarted.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -39,8 +39,7 @@
 type RetryBudget struct {
 	// Ratio is the permitted number of retries per request.
 	Ratio float64
-	// Reserve is the number of retries permitted without new requests, and the
-	// largest number that can be accumulated.
+	// Reserve is the largest number of retries that can be accumulated.
 	Reserve float64
 }
 
--- a/internal/retry/retry.go
+++ b/internal/retry/retry.go
@@ -75,8 +75,7 @@
 type Options struct {
 	// BudgetRatio is the number of retries allowed per first attempt.
 	BudgetRatio float64
-	// BudgetReserve is the number of retries allowed without first attempts,
-	// and the largest number that can be accumulated.
+	// BudgetReserve is the largest number of retries that can be accumulated.
 	BudgetReserve float64
 	// MaxAttempts is the largest number of attempts of one request, including
 	// the first.
@@ -106,16 +105,17 @@
 )
 
 // Budget is the retry budget of one service in one process (an entry or a
-// gateway), implemented as a token bucket.
+// gateway), implemented as a token bucket. Only first attempts fill it, so that
+// the retries of a fleet stay proportional to its requests however often
+// processes are restarted.
 type Budget struct {
 	opts   Options
 	tokens float64
 }
 
-// NewBudget returns a budget with a full reserve.
-func NewBudget(opts Options) *Budget {
-	return &Budget{opts: opts, tokens: opts.BudgetReserve}
-}
+// NewBudget returns an empty budget: an earlier incarnation of the process may
+// have spent what the service is allowed.
+func NewBudget(opts Options) *Budget { return &Budget{opts: opts} }
 
 // SetOptions replaces the options when the configuration changes.
 func (b *Budget) SetOptions(opts Options) {
