Count a second prefill against the retry budget

Callers saw: requests repeated beyond what the users allow for the service (BUDGET). The users count each arrival beyond the first, but for one prefill that an engine has accepted.

Cause: a retry took one token of the budget before its placement was known. If the prompt was prefilled apart again, it arrived twice. Class of fault: what is charged is a decision, what is limited is its effect.

Change: the first prefill of a request is free; before each further one the gateway asks the budget once more. Without a token the prompt goes directly to a decode engine, which prefills it itself.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -123,10 +123,11 @@
 	if err != nil {
 		return nil, q.prefillFault(ctx, c, err.Error())
 	}
+	q.prefilled = true
 	q.service.recordPrefilled(q.g.now(), inFlight)
 	q.notifyPlaceEnded(true)
 	q.service.recordSuccess(c.PrefillServer.ID)
-	q.g.metrics.attempts.WithLabelValues(q.service.name, "prefill", "done").Inc()
+	q.g.metrics.attempts.WithLabelValues(q.service.name, stepPrefill, "done").Inc()
 	return &KVHandle{Address: c.PrefillServer.Address, ID: id}, outcome{}
 }
 
@@ -144,7 +145,7 @@
 // goes directly to a decode engine, because a second prefill would count as a
 // retry.
 func (q *request) prefillFailed(ctx context.Context, c placement.Choice, reason string) outcome {
-	q.g.metrics.attempts.WithLabelValues(q.service.name, "prefill", "failed").Inc()
+	q.g.metrics.attempts.WithLabelValues(q.service.name, stepPrefill, "failed").Inc()
 	if out, ended := q.ended(ctx); ended {
 		return out
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -308,3 +308,9 @@
 	defer s.mu.Unlock()
 	return s.budget.Decide(a)
 }
+
+func (s *service) decideSend() retry.Decision {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.budget.DecideSend()
+}
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -36,6 +36,8 @@
 	// prefillElapsed is the duration of the last prefill at a separate prefill
 	// engine; prefillPredicted is its predicted duration.
 	prefillElapsed, prefillPredicted time.Duration
+	// prefilled is set once an engine has prefilled the prompt separately.
+	prefilled bool
 	// directOnly prevents another split attempt with a separate prefill engine.
 	directOnly bool
 	// lastEventID is the ID of the last event sent to the caller.
@@ -171,6 +173,11 @@
 			q.fail(lastOutcomeOr(last, "overloaded"), overloadRetryAfter(choice, q.route))
 			return
 		}
+		if choice.Split && !q.mayPrefill() {
+			q.notifyPlaceEnded(false)
+			q.directOnly = true
+			continue
+		}
 		out, choice := q.attempt(ctx, choice)
 		q.notifyPlaceEnded(false)
 		last = &out
@@ -180,6 +187,17 @@
 	}
 }
 
+// mayPrefill reports whether the prompt may be prefilled at a separate engine.
+// After the first time this is one more send, which the retry budget must allow.
+func (q *request) mayPrefill() bool {
+	if !q.prefilled {
+		return true
+	}
+	decision := q.service.decideSend()
+	q.logRetry(stepPrefill, decision)
+	return decision.Action == retry.ActionRetry
+}
+
 // lastOutcomeOr returns the outcome of the last attempt, or, if nothing was
 // sent, a not-executed outcome with the given reason.
 func lastOutcomeOr(last *outcome, reason string) outcome {
@@ -254,7 +272,7 @@
 // after the backoff that precedes the attempt.
 func (q *request) retryAfterBackoff(ctx context.Context, out outcome, choice placement.Choice) bool {
 	if out.mayHaveExecuted() && q.possibleExecutions >= q.route.MaxAttempts {
-		q.logRetry(retry.Decision{Denial: retry.DenialAttempts})
+		q.logRetry(stepRun, retry.Decision{Denial: retry.DenialAttempts})
 		return false
 	}
 	decision := q.service.decideRetry(retry.Attempt{
@@ -265,7 +283,7 @@
 		PredictedDuration: choice.TimeToFirstEvent,
 		Seed:              q.g.seed.Add(1),
 	})
-	q.logRetry(decision)
+	q.logRetry(stepRun, decision)
 	if decision.Action != retry.ActionRetry {
 		return false
 	}
--- a/internal/gateway/log.go
+++ b/internal/gateway/log.go
@@ -9,7 +9,7 @@
 // logAttempt counts and logs an attempt with the inputs of its placement
 // decision and its result.
 func (q *request) logAttempt(out outcome, c placement.Choice) {
-	q.g.metrics.attempts.WithLabelValues(q.service.name, "run", out.result.String()).Inc()
+	q.g.metrics.attempts.WithLabelValues(q.service.name, stepRun, out.result.String()).Inc()
 	attempt := logevent.Attempt{
 		RequestID:     q.meta.ID,
 		Route:         q.route.Name,
@@ -34,13 +34,13 @@
 	q.g.log.Write(attempt.Event())
 }
 
-// logRetry counts and logs the decision whether to retry an attempt that did not
-// complete.
-func (q *request) logRetry(d retry.Decision) {
-	q.g.metrics.retries.WithLabelValues(q.service.name, d.Denial.String()).Inc()
+// logRetry counts and logs the decision whether to repeat a step of a request.
+func (q *request) logRetry(step string, d retry.Decision) {
+	q.g.metrics.retries.WithLabelValues(q.service.name, step, d.Denial.String()).Inc()
 	q.g.log.Write(logevent.RetryDecided(logevent.Retry{
 		RequestID: q.meta.ID,
 		Service:   q.service.name,
+		Step:      step,
 		Attempts:  q.sends,
 		Denial:    d.Denial.String(),
 		Tokens:    d.Tokens,
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -34,8 +34,8 @@
 			Name: "marigold_gateway_attempts_total", Help: "Sends to backend servers by service, step and outcome.",
 		}, []string{"service", "step", "outcome"}),
 		retries: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "marigold_gateway_retries_total", Help: "Decisions about retries by service and why a retry was denied (none: it was made).",
-		}, []string{"service", "denial"}),
+			Name: "marigold_gateway_retries_total", Help: "Decisions about retries by service, step and why a retry was denied (none: it was made).",
+		}, []string{"service", "step", "denial"}),
 		firstEvent: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name: "marigold_gateway_first_event_seconds", Help: "Time to the first event of a stream.", Buckets: latencyBuckets,
 		}, []string{"route"}),
@@ -62,6 +62,13 @@
 	return m
 }
 
+// Values of the step label: a prefill at a separate engine, and the run of the
+// request.
+const (
+	stepPrefill = "prefill"
+	stepRun     = "run"
+)
+
 // Values of the by label of the placements counter.
 const (
 	// placementSelf: this gateway placed the prompt, as the coordinator.
--- a/internal/logevent/request.go
+++ b/internal/logevent/request.go
@@ -97,6 +97,8 @@
 // with the retry budget that it rests on.
 type Retry struct {
 	RequestID, Service string
+	// Step is what would be repeated: run, or prefill at a separate engine.
+	Step string
 	// Attempts is the number of attempts made so far.
 	Attempts int
 	// Denial is why there is no retry, or none.
@@ -109,10 +111,10 @@
 	Gateways int
 }
 
-// RetryDecided reports a decision whether to retry an attempt.
+// RetryDecided reports a decision whether to repeat a step of a request.
 func RetryDecided(r Retry) Event {
 	return info("retry decided", slog.String(KeyRequestID, r.RequestID), slog.String(keyService, r.Service),
-		slog.Int(keyAttempts, r.Attempts), slog.String("denial", r.Denial),
+		slog.String("step", r.Step), slog.Int(keyAttempts, r.Attempts), slog.String("denial", r.Denial),
 		slog.Float64("budget_tokens", rounded(r.Tokens)), slog.Float64("budget_reserve", rounded(r.Reserve)),
 		slog.Int("gateways", r.Gateways))
 }
--- a/internal/retry/retry.go
+++ b/internal/retry/retry.go
@@ -10,7 +10,8 @@
 // The caller must call:
 //
 //   - Budget.RecordFirstAttempt for each first attempt;
-//   - Budget.Decide before an attempt that did not complete is retried;
+//   - Budget.Decide before an attempt that did not complete is retried, and
+//     Budget.DecideSend for each send of the retry beyond one;
 //   - HealthTracker.RecordSuccess for each completed attempt, and RecordFailure
 //     for each that failed because of the backend server or the connection to
 //     it;
@@ -148,6 +149,17 @@
 	return d
 }
 
+// DecideSend decides whether a request may be sent once more in addition to the
+// retry that Decide has permitted, and deducts it from the budget.
+func (b *Budget) DecideSend() Decision {
+	d := Decision{Tokens: b.tokens, Reserve: b.opts.BudgetReserve, Denial: DenialBudget}
+	if b.tokens >= 1 {
+		b.tokens--
+		d.Action, d.Denial = ActionRetry, DenialNone
+	}
+	return d
+}
+
 // denial returns why an attempt must not be retried after the backoff.
 func (b *Budget) denial(a Attempt, backoff time.Duration) Denial {
 	switch {
