Divide the retry reserve by all gateways that may be serving

Cause: the reserve was divided by the number of live gateways. A gateway that is cut off from its peers counts only itself and takes their shares, while they keep them; with 20 gateways each would have a fourth of the reserve.

Wrong the other way, after a loss, it only makes the share smaller.

Evidence: TestCutOffGatewayKeepsItsShareOfFleetLimits; LiveCount, by which the reserve was divided before, is 1 of 20 in it.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -55,9 +55,8 @@
 	// seed is incremented for each retry decision, so that their jitter differs.
 	seed        atomic.Uint64
 	retryBudget atomic.Pointer[RetryBudget]
-	// liveGateways returns the number of live gateways, this one included; nil
-	// if the gateway runs without peers.
-	liveGateways func() int
+	// peers reports on the other gateways; nil if the gateway runs without peers.
+	peers PeerCounter
 	// coordination lets one gateway per service place all long prompts; nil if
 	// the gateway runs without peers.
 	coordination *coordination
@@ -158,7 +157,7 @@
 func (g *Gateway) retryOptions() retry.Options {
 	budget := g.retryBudget.Load()
 	options := retry.DefaultOptions(budget.Ratio)
-	options.BudgetReserve = budget.Reserve / float64(max(g.gateways(), minGateways))
+	options.BudgetReserve = budget.Reserve / float64(max(g.sharingGateways(), minGateways))
 	return options
 }
 
@@ -167,12 +166,22 @@
 // yet, and dividing by too small a number would exceed the shared budget.
 const minGateways = 4
 
-// gateways returns the number of live gateways.
-func (g *Gateway) gateways() int {
-	if g.liveGateways == nil {
+// PeerCounter counts the gateways of the fleet, this one included.
+type PeerCounter interface {
+	// LiveCount returns the number of live gateways.
+	LiveCount() int
+	// SharingCount returns the number of gateways that may be serving callers,
+	// by which limits for the whole fleet are divided.
+	SharingCount() int
+}
+
+// sharingGateways returns the number of gateways by which limits for the whole
+// fleet are divided.
+func (g *Gateway) sharingGateways() int {
+	if g.peers == nil {
 		return 1
 	}
-	return g.liveGateways()
+	return g.peers.SharingCount()
 }
 
 func (s *service) setServers(spec fleet.Service, servers []fleet.Server) {
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -88,7 +88,7 @@
 		Name: s.GetName(), Address: s.GetPeerAddress(), Incarnation: uint64(time.Now().UnixNano()),
 		Store: deps.Peers, Client: client, Log: log, FillHeartbeat: adapter.fillHeartbeat, OnHeartbeat: adapter.handleHeartbeat, Placer: placer,
 	})
-	g.liveGateways = heartbeater.LiveCount
+	g.peers = heartbeater
 	stageOptions := StageControllerOptions{
 		Protocol: deps.StageProtocol, Leases: deps.Leases, LeaseDuration: milliseconds(s.GetOrderLeaseMs()), Members: heartbeater.LiveNames,
 	}
@@ -227,7 +227,10 @@
 	})
 	registerer.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Name: "marigold_gateway_live", Help: "Gateways that live, this one included.",
-	}, func() float64 { return float64(g.gateways()) }))
+	}, func() float64 { return float64(g.peers.LiveCount()) }))
+	registerer.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "marigold_gateway_sharing", Help: "Gateways by which limits for the whole fleet are divided, this one included.",
+	}, func() float64 { return float64(g.sharingGateways()) }))
 	registerer.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Name: "marigold_gateway_store_answer_age_seconds", Help: "Time since the store last answered.",
 	}, func() float64 { return f.StoreResponseAge().Seconds() }))
--- a/internal/gatewaypeers/gatewaypeers.go
+++ b/internal/gatewaypeers/gatewaypeers.go
@@ -120,6 +120,20 @@
 	return n
 }
 
+// SharingCount returns the number of gateways that may be serving callers, this
+// one included, so that limits for the whole fleet must be divided by it. A silent
+// peer counts until it is evicted, because it may only be cut off from this
+// gateway; a leaving one counts while it sends heartbeats.
+func (t *Table) SharingCount(now time.Duration) int {
+	n := 1
+	for _, p := range t.peers {
+		if !p.leaving || now-p.lastHeartbeat < t.livenessTimeout() {
+			n++
+		}
+	}
+	return n
+}
+
 // LiveNames returns the names of the live gateways, this one included, in no
 // particular order.
 func (t *Table) LiveNames(now time.Duration) []string {
--- a/internal/gatewaypeers/gatewaypeers_test.go
+++ b/internal/gatewaypeers/gatewaypeers_test.go
@@ -35,6 +35,27 @@
 	require.Equal(t, 1, table.LiveCount(2*time.Second), "a leaving gateway is not live")
 }
 
+// A gateway that is cut off from its peers must not take their shares of the
+// fleet's limits, since they go on serving.
+func TestCutOffGatewayKeepsItsShareOfFleetLimits(t *testing.T) {
+	table := NewTable("a")
+	for i := range 19 {
+		table.AddPeer(0, fmt.Sprint("listed", i), "10.0.0.2:1")
+	}
+	require.Equal(t, 20, table.SharingCount(0), "peers that the store lists count before their first heartbeat")
+	for i := range 19 {
+		table.ObserveHeartbeat(time.Second, fmt.Sprint("listed", i), "10.0.0.2:1", 1, i == 0)
+	}
+	silent := 2*time.Second + minLiveness
+	table.HeartbeatPeers(silent)
+	require.Equal(t, 1, table.LiveCount(silent))
+	require.Equal(t, 19, table.SharingCount(silent), "all but the one that has left")
+	evicted := time.Second + evictAfterTimeouts*table.livenessTimeout() + time.Second
+	table.HeartbeatPeers(evicted)
+	table.HeartbeatPeers(evicted)
+	require.Equal(t, 1, table.SharingCount(evicted))
+}
+
 // TestSilentPeersAreContactedThenEvicted checks that a peer known only from the
 // store is contacted, evicted after a while, and contacted again if it is
 // listed again.
--- a/internal/logevent/request.go
+++ b/internal/logevent/request.go
@@ -106,8 +106,7 @@
 	// Tokens is the number of retries that the budget permitted at the time, and
 	// Reserve the largest number that it can hold.
 	Tokens, Reserve float64
-	// Gateways is the number of live gateways known to this one, with which it
-	// shares the budget.
+	// Gateways is the number of gateways that share the budget, this one included.
 	Gateways int
 }
 
--- a/internal/settings/schema.go
+++ b/internal/settings/schema.go
@@ -61,7 +61,7 @@
 		{Name: "platform_address", Required: true, Allowed: inischema.Address{}, Help: "Address of the platform's store."},
 		{Name: "stop_grace_s", Unit: "s", Default: "8", Allowed: inischema.FloatRange{Min: 1, Max: 600}, Help: "Time between SIGTERM and SIGKILL."},
 		{Name: "retry_budget_ratio", Default: "0.1", Allowed: inischema.FloatRange{Max: 1}, Help: "Retry budget of a service as a ratio of its requests, over all gateways."},
-		{Name: "retry_budget_reserve", Default: "10", Allowed: inischema.FloatRange{Max: 1_000_000}, Help: "Retries allowed in addition to the ratio, over all gateways."},
+		{Name: "retry_budget_reserve", Default: "10", Allowed: inischema.FloatRange{Max: 1_000_000}, Help: "Retries that all gateways together may accumulate while few are needed. None are available at a start."},
 		{Name: "order_lease_ms", Unit: "ms", Default: "3000", Allowed: inischema.FloatRange{Min: 100, Max: 600_000}, Help: "Duration of the lease that allows a gateway to send orders to engines."},
 		{Name: "config_apply_ms", Unit: "ms", Default: "15000", Allowed: inischema.FloatRange{Min: 200, Max: 600_000}, Help: "Time within which a new configuration must be applied."},
 		{Name: "drain_notice_ms", Unit: "ms", Default: "3000", Allowed: inischema.FloatRange{Min: 200, Max: 600_000}, Help: "Time after which a draining backend server must get no new requests."},
