Refill the retry reserve with time

Cause: only first attempts filled the budget, so that a process without traffic never earned a retry.

Change: time refills the reserve as well. A refusal of the gate in front of a leaving backend server costs no token: nothing has reached the server, and the number of attempts bounds it.

--- a/internal/entry/pool.go
+++ b/internal/entry/pool.go
@@ -48,24 +48,24 @@
 	blocked map[string]bool
 }
 
-func newPool(service *configv1.Service, entries int) *pool {
+func newPool(now time.Duration, service *configv1.Service, entries int) *pool {
 	return &pool{
 		service: service,
 		table:   routing.NewTable(routing.DefaultOptions(entries)),
 		health:  retry.NewHealthTracker(retry.DefaultHealthOptions()),
-		budget:  retry.NewBudget(retry.DefaultOptions(service.GetRetryBudget())),
+		budget:  retry.NewBudget(now, retry.DefaultOptions(service.GetRetryBudget())),
 		options: admission.DefaultOptions(),
 		blocked: make(map[string]bool),
 	}
 }
 
 // configure applies a configuration.
-func (p *pool) configure(c *catalog.Catalog, service *configv1.Service, at location) {
+func (p *pool) configure(now time.Duration, c *catalog.Catalog, service *configv1.Service, at location) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.service = service
 	p.table.SetOptions(routing.DefaultOptions(at.entries))
-	p.budget.SetOptions(retry.DefaultOptions(service.GetRetryBudget()))
+	p.budget.SetOptions(now, retry.DefaultOptions(service.GetRetryBudget()))
 	engines := make([]routing.Engine, 0)
 	names := make([]string, 0)
 	for _, b := range c.BackendServers(service.GetName()) {
@@ -346,10 +346,10 @@
 }
 
 // retry decides what follows a failed attempt.
-func (p *pool) retry(a retry.Attempt) retry.Decision {
+func (p *pool) retry(now time.Duration, a retry.Attempt) retry.Decision {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.budget.Decide(a)
+	return p.budget.Decide(now, a)
 }
 
 // recordRequest counts a request for the retry budget.
--- a/internal/entry/request_run.go
+++ b/internal/entry/request_run.go
@@ -112,7 +112,7 @@
 	if !q.idempotent || r.exhausted || ctx.Err() != nil {
 		return false
 	}
-	decision := r.pool.retry(retry.Attempt{
+	decision := r.pool.retry(r.entry.router.now(), retry.Attempt{
 		Idempotent:        q.idempotent,
 		Ran:               ev.Ran,
 		Reason:            ev.Reason,
--- a/internal/entry/router.go
+++ b/internal/entry/router.go
@@ -30,13 +30,14 @@
 func (r *router) configure(c *catalog.Catalog, at location) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	now := r.now()
 	pools := make(map[string]*pool)
 	for _, service := range c.Deployment().GetServices() {
 		p, ok := r.pools[service.GetName()]
 		if !ok {
-			p = newPool(service, at.entries)
+			p = newPool(now, service, at.entries)
 		}
-		p.configure(c, service, at)
+		p.configure(now, c, service, at)
 		pools[service.GetName()] = p
 	}
 	r.pools = pools
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -41,6 +41,9 @@
 	Ratio float64
 	// Reserve is the largest number of retries that can be accumulated.
 	Reserve float64
+	// Window is the time in which Ratio and Reserve bound the retries. Zero
+	// means that the reserve is only filled by requests.
+	Window time.Duration
 }
 
 // Gateway is the HTTP handler for callers. It is safe for concurrent use.
@@ -147,7 +150,7 @@
 		engine: spec.Engine,
 		table:  placement.NewTable(placement.DefaultOptions(g.opts.FailureDomain), spec.Engine),
 		health: retry.NewHealthTracker(retry.DefaultHealthOptions()),
-		budget: retry.NewBudget(g.retryOptions()),
+		budget: retry.NewBudget(g.now(), g.retryOptions()),
 
 		coordinatorSince: notCoordinator,
 	}
@@ -158,9 +161,16 @@
 	budget := g.retryBudget.Load()
 	options := retry.DefaultOptions(budget.Ratio)
 	options.BudgetReserve = budget.Reserve / float64(max(g.sharingGateways(), minGateways))
+	options.RefillTime = refillWindows * budget.Window
 	return options
 }
 
+// refillWindows is the number of budget windows in which the reserve is refilled.
+// In one window a gateway can then spend 1 + 1/refillWindows of its share: what it
+// had saved up and what time adds, also if it is restarted in between. With
+// budgetSafetyFactor that is the whole reserve.
+const refillWindows = 4
+
 // minGateways is the smallest number of gateways by which the reserve of the
 // retry budget is divided. Shortly after the start some peers may not be known
 // yet, and dividing by too small a number would exceed the shared budget.
@@ -306,20 +316,20 @@
 	s.budget.RecordFirstAttempt()
 }
 
-func (s *service) setRetryOptions(o retry.Options) {
+func (s *service) setRetryOptions(now time.Duration, o retry.Options) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.budget.SetOptions(o)
+	s.budget.SetOptions(now, o)
 }
 
-func (s *service) decideRetry(a retry.Attempt) retry.Decision {
+func (s *service) decideRetry(now time.Duration, a retry.Attempt) retry.Decision {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.budget.Decide(a)
+	return s.budget.Decide(now, a)
 }
 
-func (s *service) decideSend() retry.Decision {
+func (s *service) decideSend(now time.Duration) retry.Decision {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.budget.DecideSend()
+	return s.budget.DecideSend(now)
 }
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -193,7 +193,7 @@
 	if !q.prefilled {
 		return true
 	}
-	decision := q.service.decideSend()
+	decision := q.service.decideSend(q.g.now())
 	q.logRetry(stepPrefill, decision)
 	return decision.Action == retry.ActionRetry
 }
@@ -275,7 +275,7 @@
 		q.logRetry(stepRun, retry.Decision{Denial: retry.DenialAttempts})
 		return false
 	}
-	decision := q.service.decideRetry(retry.Attempt{
+	decision := q.service.decideRetry(q.g.now(), retry.Attempt{
 		Idempotent:        q.route.Retryable(),
 		Ran:               out.executed(),
 		AttemptsMade:      q.sends,
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -89,7 +89,7 @@
 	runEvery(ctx, budgetShareInterval, func() {
 		options := g.retryOptions()
 		for _, s := range g.state.Load().services {
-			s.setRetryOptions(options)
+			s.setRetryOptions(g.now(), options)
 		}
 	})
 }
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -135,6 +135,7 @@
 	return RetryBudget{
 		Ratio:   s.GetRetryBudgetRatio() * budgetSafetyFactor,
 		Reserve: s.GetRetryBudgetReserve() * budgetSafetyFactor,
+		Window:  seconds(s.GetRetryBudgetWindowS()),
 	}
 }
 
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -31,7 +31,7 @@
 	for name, s := range current.services {
 		s.mu.Lock()
 		dump.Services[name] = s.table.Dump(now)
-		dump.RetryTokens[name] = s.budget.Tokens()
+		dump.RetryTokens[name] = s.budget.Tokens(now)
 		s.mu.Unlock()
 	}
 	return dump
--- a/internal/retry/retry.go
+++ b/internal/retry/retry.go
@@ -78,6 +78,9 @@
 	BudgetRatio float64
 	// BudgetReserve is the largest number of retries that can be accumulated.
 	BudgetReserve float64
+	// RefillTime is the time in which the reserve is filled without any first
+	// attempts.
+	RefillTime time.Duration
 	// MaxAttempts is the largest number of attempts of one request, including
 	// the first.
 	MaxAttempts int
@@ -92,6 +95,7 @@
 	return Options{
 		BudgetRatio:   ratio,
 		BudgetReserve: defaultBudgetReserve,
+		RefillTime:    defaultRefillTime,
 		MaxAttempts:   defaultMaxAttempts,
 		BaseBackoff:   defaultBaseBackoff,
 		MaxBackoff:    defaultMaxBackoff,
@@ -100,43 +104,65 @@
 
 const (
 	defaultBudgetReserve = 10
+	defaultRefillTime    = 10 * time.Second
 	defaultMaxAttempts   = 4
 	defaultBaseBackoff   = 10 * time.Millisecond
 	defaultMaxBackoff    = time.Second
 )
 
 // Budget is the retry budget of one service in one process (an entry or a
-// gateway), implemented as a token bucket. Only first attempts fill it, so that
-// the retries of a fleet stay proportional to its requests however often
-// processes are restarted.
+// gateway), implemented as a token bucket. First attempts and time fill it. It
+// is empty at first, because an earlier incarnation of the process may have
+// spent the reserve: however often processes are restarted, a fleet earns no
+// more than its requests and its uptime allow.
 type Budget struct {
 	opts   Options
 	tokens float64
+	// refilledAt is the time up to which the tokens earned by time are counted.
+	refilledAt time.Duration
 }
 
-// NewBudget returns an empty budget: an earlier incarnation of the process may
-// have spent what the service is allowed.
-func NewBudget(opts Options) *Budget { return &Budget{opts: opts} }
+// NewBudget returns an empty budget.
+func NewBudget(now time.Duration, opts Options) *Budget {
+	return &Budget{opts: opts, refilledAt: now}
+}
 
 // SetOptions replaces the options when the configuration changes.
-func (b *Budget) SetOptions(opts Options) {
+func (b *Budget) SetOptions(now time.Duration, opts Options) {
+	b.refill(now)
 	b.opts = opts
 	b.tokens = min(b.tokens, opts.BudgetReserve)
 }
 
 // Tokens returns the number of retries that the budget permits at present.
-func (b *Budget) Tokens() float64 { return b.tokens }
+func (b *Budget) Tokens(now time.Duration) float64 {
+	b.refill(now)
+	return b.tokens
+}
+
+// refill adds the tokens earned by the time since the last refill.
+func (b *Budget) refill(now time.Duration) {
+	elapsed := now - b.refilledAt
+	b.refilledAt = now
+	if b.opts.RefillTime > 0 {
+		b.earn(b.opts.BudgetReserve * float64(elapsed) / float64(b.opts.RefillTime))
+	}
+}
+
+// earn adds tokens up to the reserve.
+func (b *Budget) earn(tokens float64) {
+	b.tokens = min(b.opts.BudgetReserve, b.tokens+tokens)
+}
 
 // RecordFirstAttempt counts a first attempt, which adds BudgetRatio to the
 // budget.
-func (b *Budget) RecordFirstAttempt() {
-	b.tokens = min(b.opts.BudgetReserve, b.tokens+b.opts.BudgetRatio)
-}
+func (b *Budget) RecordFirstAttempt() { b.earn(b.opts.BudgetRatio) }
 
 // Decide returns the reaction to an attempt that did not complete. A retry is
-// deducted from the budget. A request that is not idempotent is retried only if
+// deducted from the budget, unless a leaving backend server refused it. A request that is not idempotent is retried only if
 // the gate reported that it was not executed.
-func (b *Budget) Decide(a Attempt) Decision {
+func (b *Budget) Decide(now time.Duration, a Attempt) Decision {
+	b.refill(now)
 	d := Decision{Tokens: b.tokens, Reserve: b.opts.BudgetReserve}
 	backoff := b.backoff(a)
 	d.Denial = b.denial(a, backoff)
@@ -144,14 +170,17 @@
 		d.Action = finalAction(a)
 		return d
 	}
-	b.tokens--
+	if !isPlanned(a) {
+		b.tokens--
+	}
 	d.Action, d.Backoff = ActionRetry, backoff
 	return d
 }
 
 // DecideSend decides whether a request may be sent once more in addition to the
 // retry that Decide has permitted, and deducts it from the budget.
-func (b *Budget) DecideSend() Decision {
+func (b *Budget) DecideSend(now time.Duration) Decision {
+	b.refill(now)
 	d := Decision{Tokens: b.tokens, Reserve: b.opts.BudgetReserve, Denial: DenialBudget}
 	if b.tokens >= 1 {
 		b.tokens--
@@ -171,12 +200,19 @@
 		return DenialAttempts
 	case backoff+a.PredictedDuration >= a.Remaining:
 		return DenialDeadline
-	case b.tokens < 1:
+	case b.tokens < 1 && !isPlanned(a):
 		return DenialBudget
 	}
 	return DenialNone
 }
 
+// isPlanned reports whether the gate in front of a leaving backend server refused
+// the attempt. Such a retry costs the service nothing, and callers must not
+// notice a planned change.
+func isPlanned(a Attempt) bool {
+	return a.Ran == peerv1.Ran_RAN_NO && a.Reason == peerv1.RefusalReason_REFUSAL_REASON_LEAVING
+}
+
 // canRepeat reports whether another attempt is safe because the request is
 // idempotent or has not been executed.
 func canRepeat(a Attempt) bool {
