Read, log and export the limits that backend servers state

Callers saw nothing yet; engines in need got several times the requests that they had named as their limit (LIMIT). No log or metric said whether a gateway had learned of a limit.

'limit of a backend server changed' is logged at each change with its source, marigold_gateway_server_limit and the state dump hold what is in force. Nothing acts on it yet.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -105,6 +105,7 @@
 	defer exchange.Release()
 	response := q.g.opts.Protocol.ParseResponse(exchange.Response.StatusCode, exchange.Response.Header)
 	q.service.recordLoad(q.g.now(), c.PrefillServer.ID, response)
+	q.observeLimit(c.PrefillServer.ID, startedAt, response)
 	body, err := io.ReadAll(io.LimitReader(exchange.Response.Body, maxResponseBytes))
 	if err != nil {
 		return nil, q.prefillFault(ctx, c, err.Error())
@@ -216,7 +217,8 @@
 	meta.Priority = q.route.Priority
 	meta.LastEventID = q.lastEventID
 	meta.Remaining = q.remaining()
-	inFlight := q.service.recordSend(q.g.now(), placement.Send{
+	sentAt := q.g.now()
+	inFlight := q.service.recordSend(sentAt, placement.Send{
 		ServerID: c.Server.ID, UncachedTokens: uncachedTokens, PromptTokens: q.meta.PromptTokens, Parts: q.meta.Parts,
 		Priority: q.route.Priority, TimeToFirstEvent: c.TimeToFirstEvent, Coordinated: q.pendingPlacement != nil,
 		Imported: meta.KVSource != nil,
@@ -235,6 +237,7 @@
 	q.notifyPlaceEnded(true)
 	response := q.g.opts.Protocol.ParseResponse(exchange.Response.StatusCode, exchange.Response.Header)
 	q.service.recordLoad(q.g.now(), c.Server.ID, response)
+	q.observeLimit(c.Server.ID, sentAt, response)
 	if response.NotExecuted && meta.KVSource == nil {
 		// With a KV source, the server may have refused the source rather than
 		// the request.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -11,6 +11,7 @@
 package gateway
 
 import (
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -21,6 +22,7 @@
 	"github.com/marigoldwing/marigoldwing/internal/logevent"
 	"github.com/marigoldwing/marigoldwing/internal/placement"
 	"github.com/marigoldwing/marigoldwing/internal/retry"
+	"github.com/marigoldwing/marigoldwing/internal/serverlimit"
 	"github.com/marigoldwing/marigoldwing/internal/upstream"
 )
 
@@ -82,6 +84,7 @@
 	table      *placement.Table
 	health     *retry.HealthTracker
 	budget     *retry.Budget
+	limits     *serverlimit.Book
 	registered []fleet.Server
 	// coordinatorSince is when this gateway became the coordinator that places
 	// all long prompts of the service, or notCoordinator.
@@ -151,6 +154,7 @@
 		table:  placement.NewTable(placement.DefaultOptions(g.opts.FailureDomain), spec.Engine),
 		health: retry.NewHealthTracker(retry.DefaultHealthOptions()),
 		budget: retry.NewBudget(g.now(), g.retryOptions()),
+		limits: serverlimit.New(),
 
 		coordinatorSince: notCoordinator,
 	}
@@ -205,6 +209,7 @@
 		ids = append(ids, server.ID)
 	}
 	s.health.SetServers(ids)
+	s.limits.Retain(func(id string) bool { return slices.Contains(ids, id) })
 }
 
 // servers returns the registered servers.
--- a/internal/gateway/load_metrics.go
+++ b/internal/gateway/load_metrics.go
@@ -3,7 +3,7 @@
 import "github.com/prometheus/client_golang/prometheus"
 
 // loadCollector exports the load of each backend server as known to this
-// gateway, and the retry budgets, at the time of the scrape. It implements prometheus.Collector.
+// gateway, the retry budgets and the servers' limits at the time of the scrape. It implements prometheus.Collector.
 type loadCollector struct{ g *Gateway }
 
 // Values of the whose label.
@@ -19,6 +19,8 @@
 	serverQueuedWork = prometheus.NewDesc("marigold_gateway_server_queued_work",
 		"Work of prompts that this gateway has sent or placed and that are not prefilled yet, in tokens without a context.",
 		[]string{"service", "server"}, nil)
+	serverLimit = prometheus.NewDesc("marigold_gateway_server_limit",
+		"Requests per second that a backend server takes from all gateways together, as it has stated.", []string{"service", "server"}, nil)
 	retryTokens = prometheus.NewDesc("marigold_gateway_retry_tokens",
 		"Retries that this gateway's budget permits at present.", []string{"service"}, nil)
 )
@@ -28,6 +30,7 @@
 	out <- serverRequests
 	out <- serverQueuedWork
 	out <- retryTokens
+	out <- serverLimit
 }
 
 // Collect implements prometheus.Collector.
@@ -39,6 +42,11 @@
 	for service, tokens := range state.RetryTokens {
 		gauge(retryTokens, tokens, service)
 	}
+	for service, limits := range state.ServerLimits {
+		for _, l := range limits {
+			gauge(serverLimit, l.Rate, service, l.ServerID)
+		}
+	}
 	for service, servers := range state.Services {
 		for _, s := range servers {
 			gauge(serverRequests, float64(s.OwnRequests), service, s.ID, ownerSelf)
--- a/internal/gateway/protocol.go
+++ b/internal/gateway/protocol.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/marigoldwing/marigoldwing/internal/placement"
+	"github.com/marigoldwing/marigoldwing/internal/serverlimit"
 )
 
 // RequestMeta is what the headers of a caller's request say about it.
@@ -63,6 +64,13 @@
 	// Load is the server's load report; valid if HasLoad is set.
 	Load    placement.Load
 	HasLoad bool
+	// Misdirected is set if another server has answered, which has taken over the
+	// address.
+	Misdirected bool
+	// Limit is the request rate that the server takes from all gateways together.
+	// It says nothing if LimitMalformed is set.
+	Limit          serverlimit.Statement
+	LimitMalformed bool
 }
 
 // Protocol translates between the gateway and the headers used by callers and
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -1,6 +1,9 @@
 package gateway
 
-import "github.com/marigoldwing/marigoldwing/internal/placement"
+import (
+	"github.com/marigoldwing/marigoldwing/internal/placement"
+	"github.com/marigoldwing/marigoldwing/internal/serverlimit"
+)
 
 // StateDump is the state of a gateway as shown on its debug endpoint.
 type StateDump struct {
@@ -12,6 +15,8 @@
 	// RetryTokens is the number of retries that the budget of each service
 	// permits at present.
 	RetryTokens map[string]float64 `json:"retry_tokens"`
+	// ServerLimits are the limits that servers of each service have stated.
+	ServerLimits map[string][]serverlimit.Dump `json:"server_limits"`
 }
 
 // State returns the current state for the debug endpoint.
@@ -23,6 +28,7 @@
 		Leaving:       g.draining.Load(),
 		Services:      make(map[string][]placement.ServerDump, len(current.services)),
 		RetryTokens:   make(map[string]float64, len(current.services)),
+		ServerLimits:  make(map[string][]serverlimit.Dump, len(current.services)),
 	}
 	if current.config != nil {
 		dump.ConfigVersion = current.config.Version
@@ -32,6 +38,7 @@
 		s.mu.Lock()
 		dump.Services[name] = s.table.Dump(now)
 		dump.RetryTokens[name] = s.budget.Tokens(now)
+		dump.ServerLimits[name] = s.limits.Dump(now)
 		s.mu.Unlock()
 	}
 	return dump
--- a/internal/logevent/system.go
+++ b/internal/logevent/system.go
@@ -248,3 +248,29 @@
 func PeerFetchFailed(address, service string, err error) Event {
 	return detail("fetch from a peer failed", slog.String(keyAddress, address), slog.String(keyService, service), errorText(err))
 }
+
+// ServerLimit describes a change of the request rate that a backend server takes
+// from all gateways together.
+type ServerLimit struct {
+	Server, Service string
+	// Source is how this gateway learned of the change.
+	Source string
+	// Limited is whether there is a limit now. Rate and RateBefore are in requests
+	// per second.
+	Limited          bool
+	Rate, RateBefore float64
+}
+
+// ServerLimitChanged reports that a backend server has stated, changed or
+// withdrawn its limit.
+func ServerLimitChanged(l ServerLimit) Event {
+	return info("limit of a backend server changed", slog.String(keyServer, l.Server), slog.String(keyService, l.Service),
+		slog.Bool("limited", l.Limited), slog.Float64("rate", rounded(l.Rate)), slog.Float64("rate_before", rounded(l.RateBefore)),
+		slog.String("source", l.Source))
+}
+
+// ServerLimitMalformed reports that the limit in an answer of a backend server
+// cannot be read, so that the last known one stays in effect.
+func ServerLimitMalformed(server, service string) Event {
+	return info("limit of a backend server cannot be read", slog.String(keyServer, server), slog.String(keyService, service))
+}
