Keep to the limits that backend servers state, in sum over the gateways

Callers saw nothing yet; engines in need got several times the requests that they had named as their limit (LIMIT: 90 in four seconds where 45 are allowed). Such an engine fails its callers next.

Cause: nothing read the limit. Ruled out by the incident's logs: that each gateway kept to the whole limit (97 requests came from one), or that they learned of it late (the rate did not fall in a minute).

Change: package serverlimit holds what each server stated last. A gateway paces its share: the rate divided by the gateways that may send, at most as many as the rate has whole requests per second, by rendezvous hashing among all that may be serving. So the sum is at most five fourths of the limit in four seconds, however many gateways there are and whatever they have forgotten. Statements and withdrawals spread with heartbeats, the newest wins. A server out of share is left out of the choice, also by the coordinator; if only limits prevent a request it waits for at most half of the time to its objective or is refused at once with the time until a server has room. Prefills, reports, orders and releases count; limited engines are polled every 5 s instead of 0.5 s.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -177,6 +177,7 @@
 		Host:   server.Address,
 		Header: http.Header{},
 	}
+	g.chargeCall(server)
 	exchange, err := g.pool.Do(ctx, server.Key(), request, func(http.Header) bool { return true })
 	if err != nil {
 		g.log.Write(logevent.HandleReleaseFailed(server.ID, err))
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -61,7 +61,7 @@
 	seed        atomic.Uint64
 	retryBudget atomic.Pointer[RetryBudget]
 	// peers reports on the other gateways; nil if the gateway runs without peers.
-	peers PeerCounter
+	peers Peers
 	// coordination lets one gateway per service place all long prompts; nil if
 	// the gateway runs without peers.
 	coordination *coordination
@@ -148,13 +148,15 @@
 }
 
 func (g *Gateway) newService(spec fleet.Service) *service {
+	limits := serverlimit.New(g.opts.Name, minGateways)
+	limits.SetGateways(g.now(), g.sharingGateways())
 	return &service{
 		name:   spec.Name,
 		engine: spec.Engine,
 		table:  placement.NewTable(placement.DefaultOptions(g.opts.FailureDomain), spec.Engine),
 		health: retry.NewHealthTracker(retry.DefaultHealthOptions()),
 		budget: retry.NewBudget(g.now(), g.retryOptions()),
-		limits: serverlimit.New(),
+		limits: limits,
 
 		coordinatorSince: notCoordinator,
 	}
@@ -164,7 +166,7 @@
 func (g *Gateway) retryOptions() retry.Options {
 	budget := g.retryBudget.Load()
 	options := retry.DefaultOptions(budget.Ratio)
-	options.BudgetReserve = budget.Reserve / float64(max(g.sharingGateways(), minGateways))
+	options.BudgetReserve = budget.Reserve / float64(max(len(g.sharingGateways()), minGateways))
 	options.RefillTime = refillWindows * budget.Window
 	return options
 }
@@ -175,27 +177,27 @@
 // budgetSafetyFactor that is the whole reserve.
 const refillWindows = 4
 
-// minGateways is the smallest number of gateways by which the reserve of the
-// retry budget is divided. Shortly after the start some peers may not be known
-// yet, and dividing by too small a number would exceed the shared budget.
+// minGateways is the smallest number of gateways by which limits for the whole
+// fleet are divided. Shortly after the start some peers may not be known
+// yet, and dividing by too small a number would exceed the limit.
 const minGateways = 4
 
-// PeerCounter counts the gateways of the fleet, this one included.
-type PeerCounter interface {
+// Peers reports on the gateways of the fleet, this one included.
+type Peers interface {
 	// LiveCount returns the number of live gateways.
 	LiveCount() int
-	// SharingCount returns the number of gateways that may be serving callers,
-	// by which limits for the whole fleet are divided.
-	SharingCount() int
+	// SharingNames returns the names of the gateways that may be serving callers,
+	// among which limits for the whole fleet are divided.
+	SharingNames() []string
 }
 
-// sharingGateways returns the number of gateways by which limits for the whole
-// fleet are divided.
-func (g *Gateway) sharingGateways() int {
+// sharingGateways returns the names of the gateways among which limits for the
+// whole fleet are divided.
+func (g *Gateway) sharingGateways() []string {
 	if g.peers == nil {
-		return 1
+		return []string{g.opts.Name}
 	}
-	return g.peers.SharingCount()
+	return g.peers.SharingNames()
 }
 
 func (s *service) setServers(spec fleet.Service, servers []fleet.Server) {
@@ -227,9 +229,22 @@
 	return s.table.Choose(now, r)
 }
 
-// setWeights copies the servers' health weights into the placement table. The
+// setWeights copies the servers' health weights into the placement table, and
+// excludes the servers whose limit does not allow this gateway a request now. The
 // caller holds s.mu.
 func (s *service) setWeights(now time.Duration) {
+	for _, server := range s.registered {
+		weight := s.health.Weight(now, server.ID)
+		if !s.limits.Allows(now, server.ID) {
+			weight = 0
+		}
+		s.table.SetWeight(server.ID, weight)
+	}
+}
+
+// setPeerWeights is like setWeights for a request of another gateway, which keeps
+// to its own share of the limits. The caller holds s.mu.
+func (s *service) setPeerWeights(now time.Duration) {
 	for _, server := range s.registered {
 		s.table.SetWeight(server.ID, s.health.Weight(now, server.ID))
 	}
@@ -255,6 +270,7 @@
 func (s *service) chooseDecode(now time.Duration, r placement.Request, prefill fleet.Server) (placement.Choice, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.setWeights(now)
 	return s.table.ChooseDecode(now, r, prefill)
 }
 
@@ -264,6 +280,7 @@
 func (s *service) recordSend(now time.Duration, send placement.Send) *placement.InFlightSend {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.limits.Charge(now, send.ServerID)
 	return s.table.RecordSend(now, send)
 }
 
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -164,6 +164,12 @@
 	var last *outcome
 	for {
 		choice, err := q.choose(ctx)
+		if err != nil && last == nil && q.waitForLimit(ctx) {
+			continue
+		}
+		if err != nil && last == nil && q.refuseForLimit() {
+			return
+		}
 		if err != nil {
 			q.fail(lastOutcomeOr(last, "no_server"), noServerRetryAfter)
 			return
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -1,12 +1,24 @@
 package gateway
 
 import (
+	"context"
+	"slices"
 	"time"
 
+	peerv1 "github.com/marigoldwing/marigoldwing/api/peer/v1"
+	"github.com/marigoldwing/marigoldwing/internal/fleet"
 	"github.com/marigoldwing/marigoldwing/internal/logevent"
 	"github.com/marigoldwing/marigoldwing/internal/serverlimit"
 )
 
+// Sources of a change of a server's limit.
+const (
+	// limitFromAnswer: the server's answer to this gateway.
+	limitFromAnswer = "answer"
+	// limitFromPeer: the heartbeat of another gateway.
+	limitFromPeer = "peer"
+)
+
 // observeLimit records what the answer to a request that was sent at sentAt says
 // about the limit of its server.
 func (q *request) observeLimit(server string, sentAt time.Duration, response ResponseMeta) {
@@ -24,20 +36,141 @@
 	}
 }
 
-// limitFromAnswer is the source of a limit that a server stated in an answer to
-// this gateway.
-const limitFromAnswer = "answer"
+// mergeLimits records the limits that another gateway reports in a heartbeat.
+func (g *Gateway) mergeLimits(s *service, h *peerv1.Heartbeat) {
+	for _, l := range h.GetServerLimits() {
+		change, changed := s.mergeLimit(g.now(), serverlimit.Report{
+			ServerID:  l.GetBackendServer(),
+			Statement: serverlimit.Statement{Rate: l.GetRate(), Limited: l.GetLimited()},
+			Age:       time.Duration(l.GetAgeMs()) * time.Millisecond,
+		})
+		if changed {
+			g.logLimitChange(s.name, change, limitFromPeer)
+		}
+	}
+}
+
+func limitsToProto(reports []serverlimit.Report) []*peerv1.ServerLimit {
+	messages := make([]*peerv1.ServerLimit, 0, len(reports))
+	for _, r := range reports {
+		messages = append(messages, &peerv1.ServerLimit{
+			BackendServer: r.ServerID, Limited: r.Limited, Rate: r.Rate, AgeMs: r.Age.Milliseconds(),
+		})
+	}
+	return messages
+}
 
 // logLimitChange logs that a server's limit has changed.
 func (g *Gateway) logLimitChange(service string, c serverlimit.Change, source string) {
 	g.log.Write(logevent.ServerLimitChanged(logevent.ServerLimit{
-		Server: c.ServerID, Service: service, Source: source,
+		Server: c.ServerID, Service: service, Source: source, Age: c.Age,
 		Limited: c.After.Limited, Rate: c.After.Rate, RateBefore: c.Before.Rate,
+		Share: c.Share, Gateways: c.Gateways,
 	}))
 }
 
+// chargeCall counts a call of this gateway's own against the limit of a server.
+func (g *Gateway) chargeCall(server fleet.Server) {
+	if s := g.state.Load().services[server.Service]; s != nil {
+		s.chargeLimit(g.now(), server.ID)
+	}
+}
+
+// waitForLimit waits until the limit of a server allows this gateway a request, if
+// that leaves half of the time until the first event is late. It reports whether
+// it has waited.
+func (q *request) waitForLimit(ctx context.Context) bool {
+	wait, ok := q.service.limitWait(q.g.now())
+	if !ok || wait > q.objectiveRemaining()/2 {
+		return false
+	}
+	select {
+	case <-time.After(wait):
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// refuseForLimit refuses a request that only the limits of the servers prevent
+// from being sent. It reports false if there is another reason.
+func (q *request) refuseForLimit() bool {
+	wait, ok := q.service.limitWait(q.g.now())
+	if ok {
+		q.fail(outcome{result: notExecuted, reason: "server_limit"}, max(minRetryAfter, wait))
+	}
+	return ok
+}
+
+// The following methods forward to the limits under the service's lock.
+
 func (s *service) observeLimit(now time.Duration, server string, sentAt time.Duration, limit serverlimit.Statement) (serverlimit.Change, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.limits.Observe(now, server, sentAt, limit)
 }
+
+// mergeLimit ignores servers that are not registered for the service.
+func (s *service) mergeLimit(now time.Duration, r serverlimit.Report) (serverlimit.Change, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !slices.ContainsFunc(s.registered, func(server fleet.Server) bool { return server.ID == r.ServerID }) {
+		return serverlimit.Change{}, false
+	}
+	return s.limits.Merge(now, r)
+}
+
+func (s *service) limitReports(now time.Duration) []serverlimit.Report {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.limits.Reports(now)
+}
+
+func (s *service) setGateways(now time.Duration, names []string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.limits.SetGateways(now, names)
+}
+
+func (s *service) chargeLimit(now time.Duration, server string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.limits.Charge(now, server)
+}
+
+func (s *service) isLimited(server string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.limits.Limited(server)
+}
+
+// pausedServers returns the servers whose limits do not allow this gateway a
+// request now.
+func (s *service) pausedServers(now time.Duration) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var paused []string
+	for _, server := range s.registered {
+		if !s.limits.Allows(now, server.ID) {
+			paused = append(paused, server.ID)
+		}
+	}
+	return paused
+}
+
+// limitWait returns the time until a healthy server that is paused by its limit
+// may get a request of this gateway. It reports false if there is none.
+func (s *service) limitWait(now time.Duration) (shortest time.Duration, found bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, server := range s.registered {
+		wait, ok := s.limits.Wait(now, server.ID)
+		if wait == 0 || !ok || server.Leaving || s.health.Weight(now, server.ID) == 0 {
+			continue
+		}
+		if !found || wait < shortest {
+			shortest, found = wait, true
+		}
+	}
+	return shortest, found
+}
--- a/internal/gateway/log.go
+++ b/internal/gateway/log.go
@@ -45,7 +45,7 @@
 		Denial:    d.Denial.String(),
 		Tokens:    d.Tokens,
 		Reserve:   d.Reserve,
-		Gateways:  q.g.sharingGateways(),
+		Gateways:  len(q.g.sharingGateways()),
 	}))
 }
 
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -26,6 +26,7 @@
 	h.ServersGeneration, h.ServersRevision = servers.Generation(), servers.Number()
 	for _, s := range a.g.state.Load().services {
 		h.Loads = append(h.Loads, loadsToProto(s.ownLoads(a.g.now()))...)
+		h.ServerLimits = append(h.ServerLimits, limitsToProto(s.limitReports(a.g.now()))...)
 	}
 }
 
@@ -76,20 +77,22 @@
 	now := a.g.now()
 	for _, s := range a.g.state.Load().services {
 		s.setPeerLoads(now, h.GetSender(), loads)
+		a.g.mergeLimits(s, h)
 	}
 }
 
-// budgetShareInterval is how often the retry budgets are adjusted to the number
-// of live gateways.
-const budgetShareInterval = time.Second
+// shareInterval is how often this gateway's shares of limits for the whole fleet
+// are adjusted to the other gateways.
+const shareInterval = time.Second
 
-// updateRetryBudgets keeps this gateway's share of the retry budget in line
-// with the number of live gateways until ctx ends.
-func (g *Gateway) updateRetryBudgets(ctx context.Context) {
-	runEvery(ctx, budgetShareInterval, func() {
-		options := g.retryOptions()
+// updateShares keeps this gateway's shares of the retry budgets and of the servers'
+// limits in line with the other gateways until ctx ends.
+func (g *Gateway) updateShares(ctx context.Context) {
+	runEvery(ctx, shareInterval, func() {
+		options, gateways := g.retryOptions(), g.sharingGateways()
 		for _, s := range g.state.Load().services {
 			s.setRetryOptions(g.now(), options)
+			s.setGateways(g.now(), gateways)
 		}
 	})
 }
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -112,7 +112,7 @@
 			peerrpc.NewServer(s.GetPeerAddress(), heartbeater, peerMetrics, log),
 		},
 		Loops: []func(context.Context){
-			follower.Run, heartbeater.Run, g.updateRetryBudgets, reloads.run,
+			follower.Run, heartbeater.Run, g.updateShares, reloads.run,
 			func(ctx context.Context) { g.RunStageControllers(ctx, stageOptions) },
 		},
 		Drain:         g.Drain,
@@ -231,7 +231,7 @@
 	}, func() float64 { return float64(g.peers.LiveCount()) }))
 	registerer.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Name: "marigold_gateway_sharing", Help: "Gateways by which limits for the whole fleet are divided, this one included.",
-	}, func() float64 { return float64(g.sharingGateways()) }))
+	}, func() float64 { return float64(len(g.sharingGateways())) }))
 	registerer.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Name: "marigold_gateway_store_answer_age_seconds", Help: "Time since the store last answered.",
 	}, func() float64 { return f.StoreResponseAge().Seconds() }))
--- a/internal/gateway/stages.go
+++ b/internal/gateway/stages.go
@@ -215,7 +215,7 @@
 			continue
 		}
 		engine := stageplan.Engine{ID: server.ID, Stage: server.Stage, Changing: c.isPending(server.ID), Slots: server.Slots}
-		if i%rounds != c.pollRound%rounds {
+		if i%rounds != c.pollRound%rounds || c.spare(server) {
 			mu.Lock()
 			known = append(known, engine)
 			mu.Unlock()
@@ -240,6 +240,17 @@
 	return known, reports
 }
 
+// limitedPollRounds is how many rounds pass between two polls of an engine that
+// has stated a limit, since polls count as requests.
+const limitedPollRounds = 10
+
+// spare reports whether an engine is not polled in this round because it has
+// stated a limit.
+func (c *stageController) spare(server fleet.Server) bool {
+	s := c.g.state.Load().services[c.service]
+	return s != nil && s.isLimited(server.ID) && c.pollRound%limitedPollRounds != 0
+}
+
 // isPending reports whether an order without an answer may still be carried
 // out.
 func (c *stageController) isPending(id string) bool {
@@ -284,6 +295,7 @@
 func (g *Gateway) engineCall(ctx context.Context, server fleet.Server, r upstream.Request) (int, []byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, engineCallTimeout)
 	defer cancel()
+	g.chargeCall(server)
 	exchange, err := g.pool.Do(ctx, server.Key(), r, func(http.Header) bool { return true })
 	if err != nil {
 		return 0, nil, err
--- a/internal/gatewaypeers/gatewaypeers.go
+++ b/internal/gatewaypeers/gatewaypeers.go
@@ -120,18 +120,18 @@
 	return n
 }
 
-// SharingCount returns the number of gateways that may be serving callers, this
-// one included, so that limits for the whole fleet must be divided by it. A silent
-// peer counts until it is evicted, because it may only be cut off from this
-// gateway; a leaving one counts while it sends heartbeats.
-func (t *Table) SharingCount(now time.Duration) int {
-	n := 1
-	for _, p := range t.peers {
+// SharingNames returns the names of the gateways that may be serving callers, this
+// one included, in no particular order. Limits for the whole fleet are divided
+// among them. A silent peer counts until it is evicted, because it may only be cut
+// off from this gateway; a leaving one counts while it sends heartbeats.
+func (t *Table) SharingNames(now time.Duration) []string {
+	names := []string{t.self}
+	for name, p := range t.peers {
 		if !p.leaving || now-p.lastHeartbeat < t.livenessTimeout() {
-			n++
+			names = append(names, name)
 		}
 	}
-	return n
+	return names
 }
 
 // LiveNames returns the names of the live gateways, this one included, in no
--- a/internal/gatewaypeers/gatewaypeers_test.go
+++ b/internal/gatewaypeers/gatewaypeers_test.go
@@ -42,18 +42,18 @@
 	for i := range 19 {
 		table.AddPeer(0, fmt.Sprint("listed", i), "10.0.0.2:1")
 	}
-	require.Equal(t, 20, table.SharingCount(0), "peers that the store lists count before their first heartbeat")
+	require.Len(t, table.SharingNames(0), 20, "peers that the store lists count before their first heartbeat")
 	for i := range 19 {
 		table.ObserveHeartbeat(time.Second, fmt.Sprint("listed", i), "10.0.0.2:1", 1, i == 0)
 	}
 	silent := 2*time.Second + minLiveness
 	table.HeartbeatPeers(silent)
 	require.Equal(t, 1, table.LiveCount(silent))
-	require.Equal(t, 19, table.SharingCount(silent), "all but the one that has left")
+	require.Len(t, table.SharingNames(silent), 19, "all but the one that has left")
 	evicted := time.Second + evictAfterTimeouts*table.livenessTimeout() + time.Second
 	table.HeartbeatPeers(evicted)
 	table.HeartbeatPeers(evicted)
-	require.Equal(t, 1, table.SharingCount(evicted))
+	require.Len(t, table.SharingNames(evicted), 1)
 }
 
 // TestSilentPeersAreContactedThenEvicted checks that a peer known only from the
--- a/internal/gatewaypeers/heartbeater.go
+++ b/internal/gatewaypeers/heartbeater.go
@@ -82,12 +82,12 @@
 // LiveCount returns the number of live gateways, this one included.
 func (h *Heartbeater) LiveCount() int { return int(h.liveCount.Load()) }
 
-// SharingCount returns the number of gateways that may be serving callers, this
+// SharingNames returns the names of the gateways that may be serving callers, this
 // one included.
-func (h *Heartbeater) SharingCount() int {
+func (h *Heartbeater) SharingNames() []string {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.table.SharingCount(h.now())
+	return h.table.SharingNames(h.now())
 }
 
 // LiveNames returns the names of the live gateways, this one included.
--- a/internal/logevent/system.go
+++ b/internal/logevent/system.go
@@ -259,6 +259,12 @@
 	// per second.
 	Limited          bool
 	Rate, RateBefore float64
+	// Age is the time since the server's answer.
+	Age time.Duration
+	// Share is the rate that this gateway uses, in requests per second, and
+	// Gateways the number of gateways known, this one included.
+	Share    float64
+	Gateways int
 }
 
 // ServerLimitChanged reports that a backend server has stated, changed or
@@ -266,7 +272,8 @@
 func ServerLimitChanged(l ServerLimit) Event {
 	return info("limit of a backend server changed", slog.String(keyServer, l.Server), slog.String(keyService, l.Service),
 		slog.Bool("limited", l.Limited), slog.Float64("rate", rounded(l.Rate)), slog.Float64("rate_before", rounded(l.RateBefore)),
-		slog.String("source", l.Source))
+		slog.Float64("share", rounded(l.Share)), slog.Int("gateways", l.Gateways),
+		slog.String("source", l.Source), milliseconds("age_ms", l.Age))
 }
 
 // ServerLimitMalformed reports that the limit in an answer of a backend server
--- /dev/null
+++ b/internal/serverlimit/report.go
@@ -0,0 +1,53 @@
+package serverlimit
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+const (
+	// withdrawalTTL is how long a withdrawn limit is reported to other gateways.
+	withdrawalTTL = 10 * time.Second
+	// reportMargin is how much newer a report of another gateway must be to
+	// replace what is known. Reports seem newer than they are by the time of their
+	// transmission, and gateways would otherwise renew each other's.
+	reportMargin = 100 * time.Millisecond
+	// maxReports bounds the reports in one heartbeat.
+	maxReports = 32
+)
+
+// Report is what one gateway reports to others about a server.
+type Report struct {
+	ServerID string
+	Statement
+	// Age is the time since the server's answer.
+	Age time.Duration
+}
+
+// Reports returns what other gateways need to know, the newest first.
+func (b *Book) Reports(now time.Duration) []Report {
+	var reports []Report
+	for id, l := range b.limits {
+		age := now - l.statedAt
+		if l.statement.Limited || age < withdrawalTTL {
+			reports = append(reports, Report{ServerID: id, Statement: l.statement, Age: age})
+		}
+	}
+	slices.SortFunc(reports, func(a, b Report) int {
+		return cmp.Or(cmp.Compare(a.Age, b.Age), cmp.Compare(a.ServerID, b.ServerID))
+	})
+	return reports[:min(len(reports), maxReports)]
+}
+
+// Merge records a report of another gateway. It reports whether the limit has
+// changed.
+func (b *Book) Merge(now time.Duration, r Report) (Change, bool) {
+	l := b.limits[r.ServerID]
+	statedAt := now - r.Age
+	known := l != nil && statedAt <= l.statedAt+reportMargin
+	if known || l == nil && !r.Limited {
+		return Change{}, false
+	}
+	return b.set(now, r.ServerID, normalize(r.Statement), statedAt)
+}
--- a/internal/serverlimit/serverlimit.go
+++ b/internal/serverlimit/serverlimit.go
@@ -1,12 +1,20 @@
-// Package serverlimit keeps the request rates that backend servers in need ask
+// Package serverlimit keeps to the request rates that backend servers in need ask
 // for. A server states the rate that it takes from all gateways together, for as
 // long as it says so.
 //
+// Each gateway uses a share of the rate and spaces its requests evenly. The
+// gateways that may send to a limited server are determined by rendezvous hashing,
+// so that all of them agree without communication, and there are at most as many
+// as the rate has whole requests per second: each may be one request ahead.
+//
 // A Book holds what one gateway knows of the servers of one service. The caller
 // must call:
 //
-//   - Retain when the registered servers change;
-//   - Observe for each answer of a server.
+//   - SetGateways when the fleet of gateways changes, and Retain when the
+//     registered servers change;
+//   - Observe for each answer of a server, and Merge for each report of another
+//     gateway;
+//   - Allows before a server is chosen, and Charge for each request sent to it.
 //
 // The package does no I/O, never blocks and takes all times as arguments. They
 // are durations since an origin that the caller fixes once. A Book is not safe
@@ -35,12 +43,23 @@
 type Change struct {
 	ServerID      string
 	Before, After Statement
+	// Age is the time since the server's answer.
+	Age time.Duration
+	// Share is the rate that this gateway may use, and Gateways the number of
+	// gateways known, this one included.
+	Share    float64
+	Gateways int
 }
 
 // Book holds the limits of one service's servers. The zero value is not usable;
 // use New.
 type Book struct {
-	limits map[string]*limit
+	self string
+	// gateways are the names of all known gateways, this one included. Rates are
+	// divided by at least minGateways.
+	gateways    []string
+	minGateways int
+	limits      map[string]*limit
 }
 
 // limit is the limit of one server.
@@ -48,10 +67,17 @@
 	statement Statement
 	// statedAt is the time of the server's answer.
 	statedAt time.Duration
+	// share is the rate that this gateway may use, in requests per second.
+	share float64
+	// nextAt is the time from which this gateway may send the next request.
+	nextAt time.Duration
 }
 
-// New returns a Book without limits.
-func New() *Book { return &Book{limits: make(map[string]*limit)} }
+// New returns a Book of the named gateway. Rates are divided by at least
+// minGateways, because a gateway that has just started does not know all others.
+func New(self string, minGateways int) *Book {
+	return &Book{self: self, gateways: []string{self}, minGateways: minGateways, limits: make(map[string]*limit)}
+}
 
 // Retain drops the limits of servers that are not registered any more.
 func (b *Book) Retain(registered func(id string) bool) {
@@ -68,12 +94,12 @@
 	l := b.limits[id]
 	switch {
 	case s.Limited:
-		return b.set(id, normalize(s), now)
+		return b.set(now, id, normalize(s), now)
 	case l == nil, !l.statement.Limited, sentAt <= l.statedAt:
 		// The server may have answered before it stated its limit.
 		return Change{}, false
 	default:
-		return b.set(id, s, now)
+		return b.set(now, id, s, now)
 	}
 }
 
@@ -86,7 +112,7 @@
 }
 
 // set replaces the statement of a server.
-func (b *Book) set(id string, s Statement, statedAt time.Duration) (Change, bool) {
+func (b *Book) set(now time.Duration, id string, s Statement, statedAt time.Duration) (Change, bool) {
 	l := b.limits[id]
 	if l == nil {
 		l = &limit{}
@@ -97,14 +123,21 @@
 	if before == s {
 		return Change{}, false
 	}
-	return Change{ServerID: id, Before: before, After: s}, true
+	b.setShare(now, id, l)
+	if !before.Limited {
+		// This gateway has probably just sent a request.
+		l.nextAt = now + l.interval()
+	}
+	return Change{ServerID: id, Before: before, After: s, Age: now - statedAt, Share: l.share, Gateways: len(b.gateways)}, true
 }
 
 // Dump is the limit of one server as shown in the state of a gateway.
 type Dump struct {
 	ServerID string `json:"server"`
-	// Rate is the server's limit in requests per second.
+	// Rate is the server's limit and Share this gateway's part of it, in requests
+	// per second.
 	Rate  float64 `json:"rate"`
+	Share float64 `json:"share"`
 	AgeMS int64   `json:"age_ms"`
 }
 
@@ -113,7 +146,7 @@
 	dump := make([]Dump, 0, len(b.limits))
 	for id, l := range b.limits {
 		if l.statement.Limited {
-			dump = append(dump, Dump{ServerID: id, Rate: l.statement.Rate, AgeMS: (now - l.statedAt).Milliseconds()})
+			dump = append(dump, Dump{ServerID: id, Rate: l.statement.Rate, Share: l.share, AgeMS: (now - l.statedAt).Milliseconds()})
 		}
 	}
 	slices.SortFunc(dump, func(a, b Dump) int { return cmp.Compare(a.ServerID, b.ServerID) })
--- /dev/null
+++ b/internal/serverlimit/share.go
@@ -0,0 +1,82 @@
+package serverlimit
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// SetGateways replaces the names of the gateways that share the limits, this one
+// included.
+func (b *Book) SetGateways(now time.Duration, names []string) {
+	b.gateways = names
+	for id, l := range b.limits {
+		b.setShare(now, id, l)
+	}
+}
+
+// setShare determines the share of this gateway in a server's limit.
+func (b *Book) setShare(now time.Duration, id string, l *limit) {
+	l.share = 0
+	if !l.statement.Limited {
+		return
+	}
+	sharing := min(max(1, int(l.statement.Rate)), max(len(b.gateways), b.minGateways))
+	if b.rank(id) < sharing {
+		l.share = l.statement.Rate / float64(sharing)
+	}
+	l.nextAt = min(l.nextAt, now+l.interval())
+}
+
+// rank returns the position of this gateway in the order in which gateways may
+// send to a limited server.
+func (b *Book) rank(id string) int {
+	rank := 0
+	own := rankHash(id, b.self)
+	for _, name := range b.gateways {
+		if h := rankHash(id, name); h < own || h == own && name < b.self {
+			rank++
+		}
+	}
+	return rank
+}
+
+func rankHash(id, gateway string) uint64 { return xxhash.Sum64String(id + "\x00" + gateway) }
+
+// interval is the time between two requests of this gateway.
+func (l *limit) interval() time.Duration {
+	if l.share == 0 {
+		return 0
+	}
+	return time.Duration(float64(time.Second) / l.share)
+}
+
+// Limited reports whether a server has stated a limit.
+func (b *Book) Limited(id string) bool {
+	l := b.limits[id]
+	return l != nil && l.statement.Limited
+}
+
+// Allows reports whether a request may be sent to a server now.
+func (b *Book) Allows(now time.Duration, id string) bool {
+	wait, ok := b.Wait(now, id)
+	return ok && wait == 0
+}
+
+// Wait returns the time until a request may be sent to a server. It reports false
+// if this gateway has no share in the server's limit.
+func (b *Book) Wait(now time.Duration, id string) (time.Duration, bool) {
+	if !b.Limited(id) {
+		return 0, true
+	}
+	l := b.limits[id]
+	return max(0, l.nextAt-now), l.share > 0
+}
+
+// Charge counts a request that is sent to a server.
+func (b *Book) Charge(now time.Duration, id string) {
+	if b.Limited(id) {
+		l := b.limits[id]
+		l.nextAt = max(l.nextAt, now) + l.interval()
+	}
+}
