--- a/internal/serverlimit/report.go
+++ b/internal/serverlimit/report.go
@@ -14,7 +14,7 @@
 	// transmission, and gateways would otherwise renew each other's.
 	reportMargin = 100 * time.Millisecond
 	// maxReports bounds the reports in one heartbeat.
-	maxReports = 32
+	maxReports = 8
 )
 
 // Report is what one gateway reports to others about a server.
