--- a/internal/gateway/coordinate.go
+++ b/internal/gateway/coordinate.go
@@ -184,7 +184,7 @@
 		Priority:         replyPriority(r, routePriority),
 		Split:            r.GetPrefillServer() != "",
 	}
-	s.setWeights(now)
+	s.setWeights(now, s.limits.Allows)
 	var ok bool
 	if c.Server, ok = s.usable(now, r.GetServer()); !ok {
 		return c, false
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -225,30 +225,25 @@
 func (s *service) choose(now time.Duration, r placement.Request) (placement.Choice, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.setWeights(now)
+	s.setWeights(now, s.limits.Allows)
 	return s.table.Choose(now, r)
 }
 
-// setWeights copies the servers' health weights into the placement table, and
-// excludes the servers whose limit does not allow this gateway a request now. The
-// caller holds s.mu.
-func (s *service) setWeights(now time.Duration) {
+// setWeights copies the servers' health weights into the placement table and
+// excludes the servers that a request must not use now. The caller holds s.mu.
+func (s *service) setWeights(now time.Duration, mayUse func(now time.Duration, id string) bool) {
 	for _, server := range s.registered {
-		weight := s.health.Weight(now, server.ID)
-		if !s.limits.Allows(now, server.ID) {
-			weight = 0
+		weight := 0.0
+		if mayUse(now, server.ID) {
+			weight = s.health.Weight(now, server.ID)
 		}
 		s.table.SetWeight(server.ID, weight)
 	}
 }
 
-// setPeerWeights is like setWeights for a request of another gateway, which keeps
-// to its own share of the limits. The caller holds s.mu.
-func (s *service) setPeerWeights(now time.Duration) {
-	for _, server := range s.registered {
-		s.table.SetWeight(server.ID, s.health.Weight(now, server.ID))
-	}
-}
+// anyServer permits all servers, for requests that other gateways send and count
+// against their own shares of the servers' limits.
+func anyServer(time.Duration, string) bool { return true }
 
 // ownLoads returns this gateway's requests and queued work per server, for
 // heartbeats.
@@ -270,7 +265,7 @@
 func (s *service) chooseDecode(now time.Duration, r placement.Request, prefill fleet.Server) (placement.Choice, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.setWeights(now)
+	s.setWeights(now, s.limits.Allows)
 	return s.table.ChooseDecode(now, r, prefill)
 }
 
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -92,7 +92,7 @@
 func (s *service) place(now time.Duration, gateway string, number uint64, r placement.Request) (placement.Choice, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.setPeerWeights(now)
+	s.setWeights(now, anyServer)
 	return s.table.PlaceForPeer(now, gateway, number, r)
 }
 
