Let more gateways share a low server limit

Callers would see: refusals by gateways without a share in the limit of any server of a small service, while other gateways have some left (LIMIT). Found by reading: with 16 gateways and four servers that each take 6.6 requests a second, 10 of 16 gateways had no share in a server, and about one in seven in none of them.

Change: 1 + 1.5 x the limit gateways may send to a server instead of as many as the limit has whole requests per second. The sum in four seconds is at most 5.5 x the limit + 1; 6 x the limit + 5 are allowed.

--- a/internal/serverlimit/serverlimit.go
+++ b/internal/serverlimit/serverlimit.go
@@ -4,8 +4,8 @@
 //
 // Each gateway uses a share of the rate and spaces its requests evenly. The
 // gateways that may send to a limited server are determined by rendezvous hashing,
-// so that all of them agree without communication, and there are at most as many
-// as the rate has whole requests per second: each may be one request ahead.
+// so that all of them agree without communication. Their number is bounded by the
+// rate, because each may be one request ahead of its share.
 //
 // A Book holds what one gateway knows of the servers of one service. The caller
 // must call:
--- a/internal/serverlimit/share.go
+++ b/internal/serverlimit/share.go
@@ -6,6 +6,10 @@
 	"github.com/cespare/xxhash/v2"
 )
 
+// sendersPerRate bounds the gateways that send to a limited server, in gateways per
+// request and second of its limit. Each may be one request ahead of its share.
+const sendersPerRate = 1.5
+
 // SetGateways replaces the names of the gateways that share the limits, this one
 // included.
 func (b *Book) SetGateways(now time.Duration, names []string) {
@@ -21,7 +25,7 @@
 	if !l.statement.Limited {
 		return
 	}
-	sharing := min(max(1, int(l.statement.Rate)), max(len(b.gateways), b.minGateways))
+	sharing := min(1+int(sendersPerRate*l.statement.Rate), max(len(b.gateways), b.minGateways))
 	if b.rank(id) < sharing {
 		l.share = l.statement.Rate / float64(sharing)
 	}
