Decide about exhausted attempts in the retry package and log the window

A request that had been executed as often as its route permits was denied a retry outside of the retry package, so that 'retry decided' named no tokens. The condition is an input of the decision now.

--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -277,14 +277,11 @@
 // retryAfterBackoff reports whether another attempt is to be made. It returns
 // after the backoff that precedes the attempt.
 func (q *request) retryAfterBackoff(ctx context.Context, out outcome, choice placement.Choice) bool {
-	if out.mayHaveExecuted() && q.possibleExecutions >= q.route.MaxAttempts {
-		q.logRetry(stepRun, retry.Decision{Denial: retry.DenialAttempts})
-		return false
-	}
 	decision := q.service.decideRetry(q.g.now(), retry.Attempt{
 		Idempotent:        q.route.Retryable(),
 		Ran:               out.executed(),
 		AttemptsMade:      q.sends,
+		Exhausted:         out.mayHaveExecuted() && q.possibleExecutions >= q.route.MaxAttempts,
 		Remaining:         q.remaining(),
 		PredictedDuration: choice.TimeToFirstEvent,
 		Seed:              q.g.seed.Add(1),
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -175,6 +175,7 @@
 	return paused
 }
 
+// limitPause returns how limits keep this gateway from sending to the servers.
 func (s *service) limitPause(now time.Duration) limitPause {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/gateway/load_metrics.go
+++ b/internal/gateway/load_metrics.go
@@ -3,7 +3,8 @@
 import "github.com/prometheus/client_golang/prometheus"
 
 // loadCollector exports the load of each backend server as known to this
-// gateway, the retry budgets and the servers' limits at the time of the scrape. It implements prometheus.Collector.
+// gateway, the retry budgets and the servers' limits at the time of the scrape.
+// It implements prometheus.Collector.
 type loadCollector struct{ g *Gateway }
 
 // Values of the whose label.
--- a/internal/gateway/reload.go
+++ b/internal/gateway/reload.go
@@ -64,6 +64,7 @@
 	r.g.log.Write(logevent.SettingsReloaded(cause, logevent.Settings{
 		RetryBudgetRatio:   next.GetRetryBudgetRatio(),
 		RetryBudgetReserve: next.GetRetryBudgetReserve(),
+		RetryBudgetWindow:  seconds(next.GetRetryBudgetWindowS()),
 		ConfigApply:        bounds(next).Config,
 		DrainNotice:        bounds(next).Leaving,
 	}))
--- a/internal/logevent/process.go
+++ b/internal/logevent/process.go
@@ -31,6 +31,7 @@
 // Settings are the settings that a running gateway can reload.
 type Settings struct {
 	RetryBudgetRatio, RetryBudgetReserve float64
+	RetryBudgetWindow                    time.Duration
 	ConfigApply, DrainNotice             time.Duration
 }
 
@@ -38,6 +39,7 @@
 func SettingsReloaded(cause string, s Settings) Event {
 	return info("settings reloaded, addresses take effect at the next start", slog.String(keyCause, cause),
 		slog.Float64("retry_budget_ratio", s.RetryBudgetRatio), slog.Float64("retry_budget_reserve", s.RetryBudgetReserve),
+		milliseconds("retry_budget_window_ms", s.RetryBudgetWindow),
 		milliseconds("config_apply_ms", s.ConfigApply), milliseconds("drain_notice_ms", s.DrainNotice))
 }
 
--- a/internal/retry/retry.go
+++ b/internal/retry/retry.go
@@ -55,6 +55,9 @@
 	Reason peerv1.RefusalReason
 	// AttemptsMade is the number of attempts made, 1 after the first.
 	AttemptsMade int
+	// Exhausted is whether the request may have been executed as often as its
+	// route permits.
+	Exhausted bool
 	// Remaining is the time until the deadline, PredictedDuration the predicted
 	// duration of another attempt.
 	Remaining, PredictedDuration time.Duration
@@ -196,7 +199,7 @@
 		return DenialMayHaveRun
 	case isTerminal(a.Reason):
 		return DenialTerminal
-	case a.AttemptsMade >= b.opts.MaxAttempts:
+	case a.Exhausted, a.AttemptsMade >= b.opts.MaxAttempts:
 		return DenialAttempts
 	case backoff+a.PredictedDuration >= a.Remaining:
 		return DenialDeadline
