--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -178,8 +178,8 @@
 const refillWindows = 4
 
 // minGateways is the smallest number of gateways by which limits for the whole
-// fleet are divided. Shortly after the start some peers may not be known
-// yet, and dividing by too small a number would exceed the limit.
+// fleet are divided. Shortly after the start some peers may not be known yet, and
+// dividing by too small a number would exceed the limit.
 const minGateways = 4
 
 // Peers reports on the gateways of the fleet, this one included.
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -8,8 +8,8 @@
 
 // metrics are the request metrics of a gateway. Attempts are counted by step
 // (prefill or run) and outcome, decisions about retries by why they denied one,
-// placements of long prompts by the gateway that
-// made them; loadAge is the age of the load report that a placement used.
+// placements of long prompts by the gateway that made them; loadAge is the age of
+// the load report that a placement used.
 type metrics struct {
 	requests      *prometheus.CounterVec
 	attempts      *prometheus.CounterVec
--- a/internal/retry/retry.go
+++ b/internal/retry/retry.go
@@ -162,8 +162,9 @@
 func (b *Budget) RecordFirstAttempt() { b.earn(b.opts.BudgetRatio) }
 
 // Decide returns the reaction to an attempt that did not complete. A retry is
-// deducted from the budget, unless a leaving backend server refused it. A request that is not idempotent is retried only if
-// the gate reported that it was not executed.
+// deducted from the budget, unless a leaving backend server refused the attempt.
+// A request that is not idempotent is retried only if the gate reported that it
+// was not executed.
 func (b *Budget) Decide(now time.Duration, a Attempt) Decision {
 	b.refill(now)
 	d := Decision{Tokens: b.tokens, Reserve: b.opts.BudgetReserve}
