Log and count how servers end their streams

The line of such an attempt said "delivered" and nothing of how the server had delimited its answer, so that an answer that ends with its connection and one with a proper last chunk looked alike. The attempt line now has framing, stream_end and tail_bytes, and marigold_gateway_stream_ends_total counts them. No decision changes.

--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -7,13 +7,14 @@
 )
 
 // metrics are the request metrics of a gateway. Attempts are counted by step
-// (prefill or run) and outcome, decisions about retries by why they denied one,
+// (prefill or run) and outcome, ends of streams, decisions about retries by why they denied one,
 // placements of long prompts by the gateway that made them; loadAge is the age of
 // the load report that a placement used.
 type metrics struct {
 	requests      *prometheus.CounterVec
 	attempts      *prometheus.CounterVec
 	retries       *prometheus.CounterVec
+	streamEnds    *prometheus.CounterVec
 	firstEvent    *prometheus.HistogramVec
 	eventGap      *prometheus.HistogramVec
 	duration      *prometheus.HistogramVec
@@ -36,6 +37,9 @@
 		retries: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "marigold_gateway_retries_total", Help: "Decisions about retries by service, step and why a retry was denied (none: it was made).",
 		}, []string{"service", "step", "denial"}),
+		streamEnds: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "marigold_gateway_stream_ends_total", Help: "Ends of servers' streams by service, framing of the body and position.",
+		}, []string{"service", "framing", "position"}),
 		firstEvent: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name: "marigold_gateway_first_event_seconds", Help: "Time to the first event of a stream.", Buckets: latencyBuckets,
 		}, []string{"route"}),
@@ -58,7 +62,7 @@
 			Name: "marigold_gateway_config_version", Help: "Version of the configuration in force.",
 		}),
 	}
-	registerer.MustRegister(m.requests, m.attempts, m.retries, m.firstEvent, m.eventGap, m.duration, m.loadAge, m.placements, m.inflight, m.configVersion)
+	registerer.MustRegister(m.requests, m.attempts, m.retries, m.streamEnds, m.firstEvent, m.eventGap, m.duration, m.loadAge, m.placements, m.inflight, m.configVersion)
 	return m
 }
 
--- a/internal/gateway/outcome.go
+++ b/internal/gateway/outcome.go
@@ -4,6 +4,7 @@
 	"net/http"
 
 	peerv1 "github.com/marigoldwing/marigoldwing/api/peer/v1"
+	"github.com/marigoldwing/marigoldwing/internal/upstream"
 )
 
 // result classifies the end of one attempt.
@@ -52,8 +53,29 @@
 	// the server is not excluded from further attempts. A failed connection counts
 	// as an attempted send.
 	serverUntried bool
+	// streamEnd describes the end of a stream; nil if the attempt relayed none.
+	streamEnd *streamEnd
 }
 
+// streamEnd describes how a server ended a stream.
+type streamEnd struct {
+	framing upstream.Framing
+	// position is where in the sequence of events the stream ended.
+	position string
+	// tailBytes is the number of bytes after the last complete event.
+	tailBytes int
+}
+
+// Positions at which a stream ends, as written to logs and metrics.
+const (
+	// endedBetweenEvents: the body ended after a complete event.
+	endedBetweenEvents = "between_events"
+	// endedInsideEvent: the body ended and its last event has no end.
+	endedInsideEvent = "inside_event"
+	// endedByError: the connection failed before the end of the body.
+	endedByError = "error"
+)
+
 // bufferedResponse is a server response that was read completely.
 type bufferedResponse struct {
 	status int
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -27,23 +27,30 @@
 // stream can be resumed at another server after its last relayed event.
 func (q *request) stream(ctx context.Context, exchange *upstream.Exchange) outcome {
 	events := eventSplitter{}
+	out, position := q.relayEvents(ctx, exchange, &events)
+	out.streamEnd = &streamEnd{framing: exchange.Framing(), position: position, tailBytes: len(events.rest())}
+	return out
+}
+
+// relayEvents relays events until the stream ends, and returns where it ended.
+func (q *request) relayEvents(ctx context.Context, exchange *upstream.Exchange, events *eventSplitter) (outcome, string) {
 	chunk := make([]byte, streamBufferBytes)
 	for {
 		n, err := exchange.Response.Body.Read(chunk)
 		complete, splitErr := events.add(chunk[:n])
 		if len(complete) > 0 {
 			if writeErr := q.writeEvents(exchange.Response.Header, complete); writeErr != nil {
-				return outcome{result: callerDisconnected, reason: writeErr.Error()}
+				return outcome{result: callerDisconnected, reason: writeErr.Error()}, endedByError
 			}
 			q.lastEventID = events.lastID(q.lastEventID)
 		}
 		switch {
 		case err == io.EOF:
-			return q.streamEnded(exchange, &events)
+			return q.streamEnded(exchange, events), events.position()
 		case err != nil:
-			return q.streamFailed(ctx, err)
+			return q.streamFailed(ctx, err), endedByError
 		case splitErr != nil:
-			return q.streamFailed(ctx, splitErr)
+			return q.streamFailed(ctx, splitErr), endedByError
 		}
 	}
 }
@@ -144,5 +151,13 @@
 	return s.id
 }
 
+// position returns where a stream is that has no further bytes.
+func (s *eventSplitter) position() string {
+	if len(s.pending) > 0 {
+		return endedInsideEvent
+	}
+	return endedBetweenEvents
+}
+
 // rest returns the bytes after the last complete event.
 func (s *eventSplitter) rest() []byte { return s.pending }
--- a/internal/logevent/request.go
+++ b/internal/logevent/request.go
@@ -36,12 +36,24 @@
 	// FetchFrom is the address of the engine from which cached parts of the
 	// prompt were fetched.
 	FetchFrom string
+	// StreamEnd describes the end of the stream; nil if there was none.
+	StreamEnd *StreamEnd
 	Result    string
 	Reason    string
 	// Elapsed is the time since the request arrived.
 	Elapsed time.Duration
 }
 
+// StreamEnd describes how a server ended a stream.
+type StreamEnd struct {
+	// Framing is how the response delimited its body: length, chunked or close.
+	Framing string
+	// Position is where the stream ended: between_events, inside_event or error.
+	Position string
+	// TailBytes is the number of bytes after the last complete event.
+	TailBytes int
+}
+
 // Prefill describes the prefill of a split attempt.
 type Prefill struct {
 	Server string
@@ -51,7 +63,7 @@
 
 // attemptFields is the largest number of fields of an Attempt line. It sizes
 // the field slice so that one allocation suffices.
-const attemptFields = 20
+const attemptFields = 23
 
 // Event returns the log line.
 func (a Attempt) Event() Event {
@@ -76,6 +88,11 @@
 	}
 	e.withText("placed_by", a.PlacedBy)
 	e.withText("fetch_from", a.FetchFrom)
+	if a.StreamEnd != nil {
+		e.with(slog.String("framing", a.StreamEnd.Framing))
+		e.with(slog.String("stream_end", a.StreamEnd.Position))
+		e.with(slog.Int("tail_bytes", a.StreamEnd.TailBytes))
+	}
 	e.with(slog.String(keyResult, a.Result))
 	e.withText(keyReason, a.Reason)
 	e.with(milliseconds(keyElapsed, a.Elapsed))
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -138,6 +138,30 @@
 	}
 }
 
+// Framing is how a response delimits its body.
+type Framing string
+
+const (
+	// FramingLength is a body of a stated length.
+	FramingLength Framing = "length"
+	// FramingChunked is a body in chunks, the last of which is marked.
+	FramingChunked Framing = "chunked"
+	// FramingClose is a body that ends with its connection.
+	FramingClose Framing = "close"
+)
+
+// Framing returns how the response delimits its body.
+func (e *Exchange) Framing() Framing {
+	switch {
+	case e.Response.ContentLength >= 0:
+		return FramingLength
+	case len(e.Response.TransferEncoding) > 0:
+		return FramingChunked
+	default:
+		return FramingClose
+	}
+}
+
 // selfDelimiting reports whether the end of a response can be recognized
 // without waiting for the end of its connection.
 func selfDelimiting(response *http.Response) bool {
