Break off or resume streams that their servers end inside an event

Cause: the gateway took each end of a body for the end of the stream. streamEnded relayed the bytes after the last complete event and ended the response in order. If a response has neither length nor chunks, its connection's end is the end of the body, so that an engine that breaks off looks like one that has finished. The same happened with a proper last chunk or a length that is reached.

Why this works: internal/eventstream knows at each byte whether the stream is inside an event; then its end is a failure of the server: the stream is resumed after the last relayed event where the route permits it, else the caller's connection is closed without the end of its answer. Lines may end with LF, CR LF or CR; before, streams with CR LF were relayed as a whole at their end. A connection that ends before the first event has no complete answer either. Answers that state another type than events are relayed as plain ones.

--- /dev/null
+++ b/internal/eventstream/eventstream.go
@@ -0,0 +1,131 @@
+// Package eventstream splits a stream of server-sent events (text/event-stream)
+// into complete events, and tells whether the stream ended inside an event.
+package eventstream
+
+import (
+	"bytes"
+	"errors"
+)
+
+// maxEventBytes is the maximum size of one event.
+const maxEventBytes = 1 << 20
+
+// ErrEventTooLong is returned for an event larger than 1 MiB.
+var ErrEventTooLong = errors.New("event is too long")
+
+// Splitter splits a stream into complete events. Lines may end with LF, CR LF or
+// CR. The zero Splitter is at the beginning of a stream.
+type Splitter struct {
+	// pending holds the bytes after the last complete event, of which the first
+	// scanned ones have been examined.
+	pending []byte
+	scanned int
+	// inLine is set inside a line. afterCR is set directly after a CR, which an LF
+	// may follow as part of the same line end, and afterBlank after a blank line.
+	inLine, afterCR, afterBlank bool
+	// inEvent is set once the current event has a line that is no comment.
+	inEvent bool
+	// hasEvents is set once an event was complete.
+	hasEvents bool
+	id        string
+}
+
+// Add appends data and returns the bytes up to the end of the last complete event
+// that have not been returned yet. The result is valid until the next call.
+func (s *Splitter) Add(data []byte) ([]byte, error) {
+	s.pending = append(s.pending, data...)
+	end := 0
+	for ; s.scanned < len(s.pending); s.scanned++ {
+		if s.inLine {
+			s.scanned += lineLength(s.pending[s.scanned:])
+		}
+		if s.scanned < len(s.pending) && s.scan(s.pending[s.scanned]) {
+			end = s.scanned + 1
+		}
+	}
+	s.scanned = len(s.pending)
+	if end == 0 {
+		if len(s.pending) > maxEventBytes {
+			return nil, ErrEventTooLong
+		}
+		return nil, nil
+	}
+	complete := s.pending[:end]
+	s.pending = append([]byte(nil), s.pending[end:]...)
+	s.scanned = len(s.pending)
+	s.recordID(complete)
+	return complete, nil
+}
+
+// scan processes one byte and reports whether the bytes up to it end with a blank
+// line, which ends an event.
+func (s *Splitter) scan(b byte) bool {
+	if s.afterCR && b == '\n' {
+		s.afterCR = false
+		return s.afterBlank
+	}
+	s.afterCR = b == '\r'
+	if !isLineEnd(b) {
+		s.inEvent = s.inEvent || !s.inLine && b != ':'
+		s.inLine, s.afterBlank = true, false
+		return false
+	}
+	s.afterBlank = !s.inLine
+	s.inLine = false
+	if s.afterBlank {
+		s.hasEvents = s.hasEvents || s.inEvent
+		s.inEvent = false
+	}
+	return s.afterBlank
+}
+
+var idField = []byte("id:")
+
+// recordID stores the ID of the last of some events.
+func (s *Splitter) recordID(events []byte) {
+	for end := len(events); ; {
+		start := bytes.LastIndex(events[:end], idField)
+		if start < 0 {
+			return
+		}
+		if start == 0 || isLineEnd(events[start-1]) {
+			value := events[start+len(idField):]
+			value = value[:bytes.IndexAny(value, "\r\n")]
+			s.id = string(bytes.TrimSpace(value))
+			return
+		}
+		end = start
+	}
+}
+
+// lineLength returns the number of bytes before the first line end, or all.
+func lineLength(data []byte) int {
+	if end := bytes.IndexByte(data, '\n'); end >= 0 {
+		data = data[:end]
+	}
+	if end := bytes.IndexByte(data, '\r'); end >= 0 {
+		return end
+	}
+	return len(data)
+}
+
+func isLineEnd(b byte) bool { return b == '\n' || b == '\r' }
+
+// LastID returns the ID of the last complete event, or before if no event had an
+// ID.
+func (s *Splitter) LastID(before string) string {
+	if s.id == "" {
+		return before
+	}
+	return s.id
+}
+
+// HasEvents reports whether there was a complete event.
+func (s *Splitter) HasEvents() bool { return s.hasEvents }
+
+// InsideEvent reports whether the stream would be broken off if it ended here:
+// inside a line, or after a line of an event whose blank line is missing.
+func (s *Splitter) InsideEvent() bool { return s.inLine || s.inEvent }
+
+// Tail returns the bytes after the last complete event.
+func (s *Splitter) Tail() []byte { return s.pending }
--- /dev/null
+++ b/internal/eventstream/eventstream_test.go
@@ -0,0 +1,85 @@
+package eventstream
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+// TestSplittingDoesNotDependOnReads checks that a stream of random events, line
+// ends and comments is returned unchanged and in whole events, in whatever pieces it
+// arrives, and that a cut is noticed exactly inside an event.
+func TestSplittingDoesNotDependOnReads(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var text strings.Builder
+		lineEnd := rapid.SampledFrom([]string{"\n", "\r\n", "\r"})
+		// complete maps the offsets at which a stream may end to the last ID.
+		complete := map[int]string{0: ""}
+		last := ""
+		for i := range rapid.IntRange(1, 6).Draw(t, "events") {
+			end := lineEnd.Draw(t, "line end")
+			if rapid.Bool().Draw(t, "comment") {
+				text.WriteString(": still here" + end)
+				complete[text.Len()] = last
+			}
+			last = fmt.Sprint(i + 1)
+			text.WriteString("id: " + last + end + "data: x" + end + end)
+			complete[text.Len()] = last
+		}
+		whole := text.String()
+		cut := rapid.IntRange(0, len(whole)).Draw(t, "cut")
+		s := Splitter{}
+		var relayed strings.Builder
+		for rest := whole[:cut]; rest != ""; {
+			n := rapid.IntRange(1, len(rest)).Draw(t, "read")
+			events, err := s.Add([]byte(rest[:n]))
+			require.NoError(t, err)
+			relayed.Write(events)
+			rest = rest[n:]
+		}
+		require.Equal(t, whole[:cut], relayed.String()+string(s.Tail()))
+		id, ok := complete[cut]
+		// A CR ends a line even if the LF of the same line end is missing.
+		if !ok && strings.HasPrefix(whole[cut:], "\n") && strings.HasSuffix(whole[:cut], "\r") {
+			id, ok = complete[cut+1]
+		}
+		require.Equal(t, ok, !s.InsideEvent(), "%q", whole[:cut])
+		if ok {
+			require.Equal(t, id, s.LastID(""))
+		}
+	})
+}
+
+// TestTooLongEvents checks that an event without end does not take unbounded memory.
+func TestTooLongEvents(t *testing.T) {
+	s := Splitter{}
+	var err error
+	for range maxEventBytes/1024 + 1 {
+		require.NoError(t, err)
+		_, err = s.Add(make([]byte, 1024))
+	}
+	require.ErrorIs(t, err, ErrEventTooLong)
+}
+
+// TestCommentsAreNoEvents checks that a stream of comments has no events.
+func TestCommentsAreNoEvents(t *testing.T) {
+	s := Splitter{}
+	_, err := s.Add([]byte(": hello\n\n: still here\n\n"))
+	require.NoError(t, err)
+	require.False(t, s.HasEvents())
+	require.False(t, s.InsideEvent())
+}
+
+func BenchmarkAdd(b *testing.B) {
+	event := []byte("id: 17\ndata: {\"token\":\"some words of an answer\"}\n\n")
+	s := Splitter{}
+	b.SetBytes(int64(len(event)))
+	for b.Loop() {
+		if _, err := s.Add(event); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/marigoldwing/marigoldwing/internal/fleet"
@@ -298,13 +299,20 @@
 		return outcome{result: noResponse, reason: "answer names no request", serverFault: true}
 	case !meta.Sealed && success:
 		return outcome{result: noResponse, reason: "success without a seal", serverFault: true}
-	case success && q.route.Kind == fleet.Streaming:
+	case success && q.route.Kind == fleet.Streaming && isEventStream(exchange.Response.Header):
 		return q.stream(ctx, exchange)
 	default:
 		return q.relayBuffered(ctx, exchange, success)
 	}
 }
 
+// isEventStream reports whether a response consists of events; one that does not
+// state its type on a streaming route does.
+func isEventStream(h http.Header) bool {
+	contentType := h.Get("Content-Type")
+	return contentType == "" || strings.HasPrefix(contentType, "text/event-stream")
+}
+
 // relayBuffered reads a response completely before any of it is relayed.
 func (q *request) relayBuffered(ctx context.Context, exchange *upstream.Exchange, success bool) outcome {
 	body, err := readAll(io.LimitReader(exchange.Response.Body, maxResponseBytes), exchange.Response.ContentLength)
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -1,24 +1,23 @@
 package gateway
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"io"
 	"net/http"
 
+	"github.com/marigoldwing/marigoldwing/internal/eventstream"
 	"github.com/marigoldwing/marigoldwing/internal/upstream"
 )
 
-const (
-	// streamBufferBytes is the size of one read; events are a few hundred bytes.
-	streamBufferBytes = 4 << 10
-	// maxEventBytes is the maximum size of one event.
-	maxEventBytes = 1 << 20
-)
+// streamBufferBytes is the size of one read; events are a few hundred bytes.
+const streamBufferBytes = 4 << 10
 
-// errEventTooLong is returned for an event larger than maxEventBytes.
-var errEventTooLong = errors.New("event is too long")
+// Reasons why a stream that the server ended is not complete.
+var (
+	errEndInsideEvent = errors.New("end inside an event")
+	errNoEvents       = errors.New("end of the connection before the first event")
+)
 
 // errCallerDisconnected is returned if writing to the caller fails.
 var errCallerDisconnected = errors.New("caller has left")
@@ -26,27 +25,29 @@
 // stream relays events as they arrive, each one completely, so that a broken
 // stream can be resumed at another server after its last relayed event.
 func (q *request) stream(ctx context.Context, exchange *upstream.Exchange) outcome {
-	events := eventSplitter{}
+	events := eventstream.Splitter{}
 	out, position := q.relayEvents(ctx, exchange, &events)
-	out.streamEnd = &streamEnd{framing: exchange.Framing(), position: position, tailBytes: len(events.rest())}
+	out.streamEnd = &streamEnd{framing: exchange.Framing(), position: position, tailBytes: len(events.Tail())}
 	return out
 }
 
 // relayEvents relays events until the stream ends, and returns where it ended.
-func (q *request) relayEvents(ctx context.Context, exchange *upstream.Exchange, events *eventSplitter) (outcome, string) {
+func (q *request) relayEvents(ctx context.Context, exchange *upstream.Exchange, events *eventstream.Splitter) (outcome, string) {
 	chunk := make([]byte, streamBufferBytes)
 	for {
 		n, err := exchange.Response.Body.Read(chunk)
-		complete, splitErr := events.add(chunk[:n])
+		complete, splitErr := events.Add(chunk[:n])
 		if len(complete) > 0 {
 			if writeErr := q.writeEvents(exchange.Response.Header, complete); writeErr != nil {
 				return outcome{result: callerDisconnected, reason: writeErr.Error()}, endedByError
 			}
-			q.lastEventID = events.lastID(q.lastEventID)
+			q.lastEventID = events.LastID(q.lastEventID)
 		}
 		switch {
+		case err == io.EOF && events.InsideEvent():
+			return q.streamFailed(ctx, errEndInsideEvent), endedInsideEvent
 		case err == io.EOF:
-			return q.streamEnded(exchange, events), events.position()
+			return q.streamEnded(ctx, exchange, events), endedBetweenEvents
 		case err != nil:
 			return q.streamFailed(ctx, err), endedByError
 		case splitErr != nil:
@@ -55,9 +56,14 @@
 	}
 }
 
-// streamEnded finishes a stream that the server ended completely.
-func (q *request) streamEnded(exchange *upstream.Exchange, events *eventSplitter) outcome {
-	if err := q.writeEvents(exchange.Response.Header, events.rest()); err != nil {
+// streamEnded finishes a stream that the server ended between two events. Without
+// any event, the end of a connection does not tell a complete stream from a broken
+// one.
+func (q *request) streamEnded(ctx context.Context, exchange *upstream.Exchange, events *eventstream.Splitter) outcome {
+	if !events.HasEvents() && exchange.Framing() == upstream.FramingClose {
+		return q.streamFailed(ctx, errNoEvents)
+	}
+	if err := q.writeEvents(exchange.Response.Header, events.Tail()); err != nil {
 		return outcome{result: callerDisconnected, reason: err.Error()}
 	}
 	return outcome{result: delivered}
@@ -105,59 +111,3 @@
 	}
 	q.lastEventAt = now
 }
-
-// eventSplitter splits a byte stream into complete server-sent events.
-type eventSplitter struct {
-	pending []byte
-	id      string
-}
-
-var (
-	eventEnd = []byte("\n\n")
-	idField  = []byte("id:")
-)
-
-// add appends data and returns the complete events received so far that have
-// not been returned yet.
-func (s *eventSplitter) add(data []byte) ([]byte, error) {
-	s.pending = append(s.pending, data...)
-	end := bytes.LastIndex(s.pending, eventEnd)
-	if end < 0 {
-		if len(s.pending) > maxEventBytes {
-			return nil, errEventTooLong
-		}
-		return nil, nil
-	}
-	complete := s.pending[:end+len(eventEnd)]
-	s.pending = append([]byte(nil), s.pending[end+len(eventEnd):]...)
-	s.recordID(complete)
-	return complete, nil
-}
-
-// recordID stores the ID of the last event.
-func (s *eventSplitter) recordID(events []byte) {
-	for line := range bytes.Lines(events) {
-		if value, ok := bytes.CutPrefix(line, idField); ok {
-			s.id = string(bytes.TrimSpace(value))
-		}
-	}
-}
-
-// lastID returns the ID of the last event, or before if no event had an ID.
-func (s *eventSplitter) lastID(before string) string {
-	if s.id == "" {
-		return before
-	}
-	return s.id
-}
-
-// position returns where a stream is that has no further bytes.
-func (s *eventSplitter) position() string {
-	if len(s.pending) > 0 {
-		return endedInsideEvent
-	}
-	return endedBetweenEvents
-}
-
-// rest returns the bytes after the last complete event.
-func (s *eventSplitter) rest() []byte { return s.pending }
