Refuse to pass on answers that are longer than the gateway buffers

Cause: io.LimitReader ends at its limit as if the body had ended there. A body of exactly the limit was not told from a longer one.

Why this works: a body is read up to one byte beyond the limit, and a longer one is an error of the server. A stated length beyond the limit fails before any byte is read. Prefills and calls to engines use the same function.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -107,7 +107,7 @@
 	response := q.g.opts.Protocol.ParseResponse(exchange.Response.StatusCode, exchange.Response.Header)
 	q.service.recordLoad(q.g.now(), c.PrefillServer.ID, response)
 	q.observeLimit(c.PrefillServer.ID, startedAt, response)
-	body, err := io.ReadAll(io.LimitReader(exchange.Response.Body, maxResponseBytes))
+	body, err := exchange.ReadBody(maxResponseBytes)
 	if err != nil {
 		return nil, q.prefillFault(ctx, c, err.Error())
 	}
@@ -315,17 +315,16 @@
 
 // relayBuffered reads a response completely before any of it is relayed.
 func (q *request) relayBuffered(ctx context.Context, exchange *upstream.Exchange, success bool) outcome {
-	body, err := readAll(io.LimitReader(exchange.Response.Body, maxResponseBytes), exchange.Response.ContentLength)
+	body, err := exchange.ReadBody(maxResponseBytes)
+	if errors.Is(err, upstream.ErrBodyTooLong) {
+		return outcome{result: noResponse, reason: err.Error(), serverFault: true}
+	}
 	if err != nil {
 		if out, ended := q.ended(ctx); ended {
 			return out
 		}
 		return outcome{result: noResponse, reason: "answer was cut: " + err.Error(), serverFault: true}
 	}
-	if exchange.Response.ContentLength >= 0 {
-		// Read io.EOF as well, so that the connection can be reused.
-		_, _ = exchange.Response.Body.Read(make([]byte, 1))
-	}
 	response := &bufferedResponse{status: exchange.Response.StatusCode, header: exchange.Response.Header, body: body}
 	if success || exchange.Response.StatusCode < http.StatusInternalServerError && !impliesNotExecuted(exchange.Response.StatusCode) {
 		q.writeResponse(response)
--- a/internal/gateway/stages.go
+++ b/internal/gateway/stages.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"net/http"
 	"slices"
 	"sync"
@@ -301,6 +300,6 @@
 		return 0, nil, err
 	}
 	defer exchange.Release()
-	body, err := io.ReadAll(io.LimitReader(exchange.Response.Body, maxResponseBytes))
+	body, err := exchange.ReadBody(maxResponseBytes)
 	return exchange.Response.StatusCode, body, err
 }
