Bound the memory that servers take which send without end

What callers would see: gateways that run out of memory (284 MB) when some dozens of requests get answers without end at once.

Cause: http.ReadResponse has no limit for a status line or header, and each plain answer was bounded (16 MiB) but not their sum.

Why this works: a header with its interim answers may have 64 KiB. All answers that are buffered at the same time share a fifth of the instance's memory, beyond the first 64 KiB of each, so that ordinary answers do not suffer; the part of an event that has not ended counts as well. What does not fit is an error of the server (502).

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -107,7 +107,7 @@
 	response := q.g.opts.Protocol.ParseResponse(exchange.Response.StatusCode, exchange.Response.Header)
 	q.service.recordLoad(q.g.now(), c.PrefillServer.ID, response)
 	q.observeLimit(c.PrefillServer.ID, startedAt, response)
-	body, err := exchange.ReadBody(maxResponseBytes)
+	body, err := exchange.ReadBody(maxResponseBytes, q.memory)
 	if err != nil {
 		return nil, q.prefillFault(ctx, c, err.Error())
 	}
@@ -315,8 +315,8 @@
 
 // relayBuffered reads a response completely before any of it is relayed.
 func (q *request) relayBuffered(ctx context.Context, exchange *upstream.Exchange, success bool) outcome {
-	body, err := exchange.ReadBody(maxResponseBytes)
-	if errors.Is(err, upstream.ErrBodyTooLong) {
+	body, err := exchange.ReadBody(maxResponseBytes, q.memory)
+	if errors.Is(err, upstream.ErrBodyTooLong) || errors.Is(err, upstream.ErrBuffersFull) {
 		return outcome{result: noResponse, reason: err.Error(), serverFault: true}
 	}
 	if err != nil {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -11,6 +11,7 @@
 package gateway
 
 import (
+	"cmp"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -35,8 +36,14 @@
 	Registerer    prometheus.Registerer
 	// RetryBudget limits the retries to each service, summed over all gateways.
 	RetryBudget RetryBudget
+	// BufferBytes bounds the answers that are buffered at the same time, beyond the
+	// first 64 KiB of each; 0 means defaultBufferBytes.
+	BufferBytes int64
 }
 
+// defaultBufferBytes is the BufferBytes of a gateway whose memory is not known.
+const defaultBufferBytes = 64 << 20
+
 // RetryBudget is a retry budget that all gateways share.
 type RetryBudget struct {
 	// Ratio is the permitted number of retries per request.
@@ -53,6 +60,7 @@
 	opts      Options
 	log       logevent.Log
 	pool      *upstream.Pool
+	buffers   *upstream.Buffers
 	metrics   *metrics
 	startTime time.Time
 	state     atomic.Pointer[state]
@@ -98,6 +106,7 @@
 		opts:      opts,
 		log:       opts.Log,
 		pool:      upstream.NewPool(),
+		buffers:   upstream.NewBuffers(cmp.Or(opts.BufferBytes, defaultBufferBytes)),
 		metrics:   newMetrics(opts.Registerer),
 		startTime: time.Now(),
 	}
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -11,6 +11,7 @@
 	"github.com/marigoldwing/marigoldwing/internal/logevent"
 	"github.com/marigoldwing/marigoldwing/internal/placement"
 	"github.com/marigoldwing/marigoldwing/internal/retry"
+	"github.com/marigoldwing/marigoldwing/internal/upstream"
 )
 
 // request is the state of one caller's request.
@@ -23,6 +24,8 @@
 	service *service
 	config  *fleet.Config
 	body    []byte
+	// memory is what the buffered answer takes.
+	memory *upstream.Reservation
 
 	arrivedAt time.Duration
 	// deadline is on the gateway's monotonic clock, like arrivedAt.
@@ -75,7 +78,12 @@
 	if g.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	q := &request{g: g, w: w, r: r, arrivedAt: g.now(), meta: g.opts.Protocol.ParseRequest(r.Header)}
+	q := &request{
+		g: g, w: w, r: r, arrivedAt: g.now(),
+		meta:   g.opts.Protocol.ParseRequest(r.Header),
+		memory: g.buffers.NewReservation(),
+	}
+	defer q.memory.Release()
 	q.lastEventID = q.meta.LastEventID
 	if !q.prepare() {
 		return
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -44,7 +44,10 @@
 	// memoryLimitRatio is the part of the memory setting that is set as the Go
 	// runtime's soft memory limit.
 	memoryLimitRatio = 0.7
-	bytesPerMB       = 1 << 20
+	// bufferRatio is the part of it that buffered answers may take. A buffer that
+	// grows is copied, so that about twice as much is in use for a moment.
+	bufferRatio = 0.2
+	bytesPerMB  = 1 << 20
 )
 
 // Dependencies are the platform-specific parts of a gateway.
@@ -75,6 +78,7 @@
 		Log:           log,
 		Registerer:    metrics,
 		RetryBudget:   retryBudget(s),
+		BufferBytes:   int64(bufferRatio * s.GetMemoryMb() * bytesPerMB),
 	})
 	follower := registry.NewFollower(deps.Source, bounds(s), log, g.Update)
 	registerCollectors(metrics, follower, g)
--- a/internal/gateway/stages.go
+++ b/internal/gateway/stages.go
@@ -300,6 +300,8 @@
 		return 0, nil, err
 	}
 	defer exchange.Release()
-	body, err := exchange.ReadBody(maxResponseBytes)
+	memory := g.buffers.NewReservation()
+	defer memory.Release()
+	body, err := exchange.ReadBody(maxResponseBytes, memory)
 	return exchange.Response.StatusCode, body, err
 }
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -52,6 +52,8 @@
 			return q.streamFailed(ctx, err), endedByError
 		case splitErr != nil:
 			return q.streamFailed(ctx, splitErr), endedByError
+		case !q.memory.Resize(len(events.Tail())):
+			return q.streamFailed(ctx, upstream.ErrBuffersFull), endedByError
 		}
 	}
 }
--- a/internal/upstream/body.go
+++ b/internal/upstream/body.go
@@ -9,37 +9,40 @@
 // which a part must not be taken for the whole.
 var ErrBodyTooLong = errors.New("answer is too long")
 
-// maxPrealloc is the largest buffer in bytes that is allocated from a
-// Content-Length header alone, before any of the body has been received.
-const maxPrealloc = 1 << 20
+// firstBodyBytes is the size of the first buffer for a body of unknown length.
+const firstBodyBytes = 16 << 10
 
 // ReadBody reads the complete body of the response, at most limit bytes, up to its
-// end, so that the connection can be reused.
-func (e *Exchange) ReadBody(limit int64) ([]byte, error) {
+// end, so that the connection can be reused. The memory is taken from the
+// reservation.
+func (e *Exchange) ReadBody(limit int, memory *Reservation) ([]byte, error) {
 	length := e.Response.ContentLength
-	if length > limit {
+	if length > int64(limit) {
 		return nil, ErrBodyTooLong
 	}
-	if length < 0 || length > maxPrealloc {
-		return readUpTo(e.Response.Body, limit)
+	size := firstBodyBytes
+	if length >= 0 && length < firstBodyBytes {
+		// One more byte leaves room for the read that returns io.EOF.
+		size = int(length) + 1
 	}
-	body := make([]byte, length)
-	if _, err := io.ReadFull(e.Response.Body, body); err != nil {
-		return nil, err
+	buffer := make([]byte, 0, size)
+	for {
+		if len(buffer) == cap(buffer) {
+			size := min(2*cap(buffer), limit+1)
+			if !memory.Resize(size) {
+				return nil, ErrBuffersFull
+			}
+			buffer = append(make([]byte, 0, size), buffer...)
+		}
+		n, err := e.Response.Body.Read(buffer[len(buffer):cap(buffer)])
+		buffer = buffer[:len(buffer)+n]
+		switch {
+		case len(buffer) > limit:
+			return nil, ErrBodyTooLong
+		case err == io.EOF:
+			return buffer, nil
+		case err != nil:
+			return nil, err
+		}
 	}
-	// This read returns io.EOF, since the body has the stated length.
-	_, _ = e.Response.Body.Read(make([]byte, 1))
-	return body, nil
-}
-
-// readUpTo reads a body of unknown length.
-func readUpTo(r io.Reader, limit int64) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(r, limit+1))
-	if err != nil {
-		return nil, err
-	}
-	if int64(len(body)) > limit {
-		return nil, ErrBodyTooLong
-	}
-	return body, nil
 }
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -116,6 +116,8 @@
 
 func (e *Exchange) readHeader(method string, matches func(http.Header) bool) error {
 	request := &http.Request{Method: method}
+	e.conn.head.left = maxHeadBytes
+	defer func() { e.conn.head.left = unlimited }()
 	for unrelated := 0; ; {
 		response, err := http.ReadResponse(e.conn.reader, request)
 		if err != nil {
@@ -132,9 +134,11 @@
 		if unrelated++; unrelated > maxUnrelatedResponses || response.Close || !selfDelimiting(response) {
 			return errors.New("answer belongs to another request")
 		}
+		e.conn.head.left = unlimited
 		if err := discard(response); err != nil {
 			return err
 		}
+		e.conn.head.left = maxHeadBytes
 	}
 }
 
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -77,8 +77,10 @@
 // time.
 type Conn struct {
 	netConn net.Conn
-	reader  *bufio.Reader
-	writer  *bufio.Writer
+	// head limits what is read from netConn while a header is expected.
+	head   *headLimiter
+	reader *bufio.Reader
+	writer *bufio.Writer
 	// idleUntil is the time from which an idle connection must not be used.
 	idleUntil time.Time
 	// keepAlive is the idle time that the server permits.
@@ -98,9 +100,11 @@
 	p.mu.Lock()
 	p.opened++
 	p.mu.Unlock()
+	head := &headLimiter{conn: conn, left: unlimited}
 	return &Conn{
 		netConn:   conn,
-		reader:    bufio.NewReaderSize(conn, readBufferBytes),
+		head:      head,
+		reader:    bufio.NewReaderSize(head, readBufferBytes),
 		writer:    bufio.NewWriterSize(conn, writeBufferBytes),
 		keepAlive: defaultKeepAlive,
 	}, nil
