--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -282,7 +282,7 @@
 	if headTimedOut {
 		return outcome{result: noResponse, reason: "no answer within patience", serverFault: true}
 	}
-	return outcome{result: noResponse, reason: err.Error(), serverFault: true}
+	return outcome{result: noResponse, reason: err.Error(), serverFault: true, connectionLost: true}
 }
 
 // handleResponse relays a response to the caller, or returns why it must not be
@@ -323,7 +323,7 @@
 		if out, ended := q.ended(ctx); ended {
 			return out
 		}
-		return outcome{result: noResponse, reason: "answer was cut: " + err.Error(), serverFault: true}
+		return outcome{result: noResponse, reason: "answer was cut: " + err.Error(), serverFault: true, connectionLost: true}
 	}
 	response := &bufferedResponse{status: exchange.Response.StatusCode, header: exchange.Response.Header, body: body}
 	if success || exchange.Response.StatusCode < http.StatusInternalServerError && !impliesNotExecuted(exchange.Response.StatusCode) {
--- a/internal/gateway/log.go
+++ b/internal/gateway/log.go
@@ -31,6 +31,9 @@
 	if c.Split {
 		attempt.Prefill = &logevent.Prefill{Server: c.PrefillServer.ID, Predicted: q.prefillPredicted, Elapsed: q.prefillElapsed}
 	}
+	if out.connectionLost {
+		attempt.LostParts = partIDs(sharedParts(q.meta.Parts))
+	}
 	if end := out.streamEnd; end != nil {
 		q.g.metrics.streamEnds.WithLabelValues(q.service.name, string(end.framing), end.position).Inc()
 		attempt.StreamEnd = &logevent.StreamEnd{Framing: string(end.framing), Position: end.position, TailBytes: end.tailBytes}
--- a/internal/gateway/outcome.go
+++ b/internal/gateway/outcome.go
@@ -53,6 +53,9 @@
 	// the server is not excluded from further attempts. A failed connection counts
 	// as an attempted send.
 	serverUntried bool
+	// connectionLost is set if the connection ended after the request was sent and
+	// before the answer was complete.
+	connectionLost bool
 	// streamEnd describes the end of a stream; nil if the attempt relayed none.
 	streamEnd *streamEnd
 }
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -80,7 +80,13 @@
 	if q.headerSent {
 		result = streamCut
 	}
-	return outcome{result: result, reason: "stream broke: " + err.Error(), serverFault: true}
+	return outcome{result: result, reason: "stream broke: " + err.Error(), serverFault: true, connectionLost: isConnectionLost(err)}
+}
+
+// isConnectionLost reports whether a stream ended for a reason that is not the
+// gateway's own.
+func isConnectionLost(err error) bool {
+	return !errors.Is(err, eventstream.ErrEventTooLong) && !errors.Is(err, upstream.ErrBuffersFull)
 }
 
 // writeEvents writes bytes to the caller, after the response header if it has
--- a/internal/logevent/request.go
+++ b/internal/logevent/request.go
@@ -3,6 +3,7 @@
 import (
 	"log/slog"
 	"math"
+	"strings"
 	"time"
 )
 
@@ -38,6 +39,9 @@
 	FetchFrom string
 	// StreamEnd describes the end of the stream; nil if there was none.
 	StreamEnd *StreamEnd
+	// LostParts are the parts of the prompt that other prompts may share, for an
+	// attempt whose connection was lost.
+	LostParts []string
 	Result    string
 	Reason    string
 	// Elapsed is the time since the request arrived.
@@ -63,7 +67,7 @@
 
 // attemptFields is the largest number of fields of an Attempt line. It sizes
 // the field slice so that one allocation suffices.
-const attemptFields = 23
+const attemptFields = 24
 
 // Event returns the log line.
 func (a Attempt) Event() Event {
@@ -93,6 +97,7 @@
 		e.with(slog.String("stream_end", a.StreamEnd.Position))
 		e.with(slog.Int("tail_bytes", a.StreamEnd.TailBytes))
 	}
+	e.withText("lost_parts", strings.Join(a.LostParts, ","))
 	e.with(slog.String(keyResult, a.Result))
 	e.withText(keyReason, a.Reason)
 	e.with(milliseconds(keyElapsed, a.Elapsed))
