Keep prompts from engines that crash under one of their parts

Cause: nothing connected the end of an engine with what it had been given. Each gateway knew the parts of its own prompts and which of them broke, and kept neither; five crashes may be seen by five gateways.

Why this works: gateways exchange which parts were lost with an engine that has really ended, and what was answered meanwhile. A part that all prompts share is in every crash as well, but prompts with it are answered; a blocked part explains the crashes that it was in. The evidence merges in any order and is bounded; blocks spread with heartbeats and are kept in the store. Prompts with a blocked part are refused before anything is sent.

--- a/cmd/marigold-gateway/main.go
+++ b/cmd/marigold-gateway/main.go
@@ -23,6 +23,7 @@
 			StageProtocol: platform.Protocol{},
 			Leases:        store,
 			Peers:         store,
+			Blocks:        store,
 			LoadSettings:  reload,
 		}, logs)
 	}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -65,6 +65,10 @@
 	if handle == nil {
 		return out, c
 	}
+	if _, blocked := q.service.blockedBy(q.parts); blocked && q.trial == nil {
+		go q.g.releaseKV(c.PrefillServer, *handle)
+		return outcome{result: notExecuted, reason: reasonPoisonous, serverUntried: true}, c
+	}
 	decode, err := q.service.chooseDecode(q.g.now(), q.placementRequest(), c.PrefillServer)
 	if err != nil {
 		go q.g.releaseKV(c.PrefillServer, *handle)
@@ -101,7 +105,7 @@
 	}
 	exchange, err := q.g.pool.Do(ctx, c.PrefillServer.Key(), q.upstreamRequest(meta), q.ownsResponse)
 	if err != nil {
-		return nil, q.prefillFault(ctx, c, err.Error())
+		return nil, q.prefillLost(ctx, c, err)
 	}
 	defer exchange.Release()
 	response := q.g.opts.Protocol.ParseResponse(exchange.Response.StatusCode, exchange.Response.Header)
@@ -109,7 +113,7 @@
 	q.observeLimit(c.PrefillServer.ID, startedAt, response)
 	body, err := exchange.ReadBody(maxResponseBytes, q.memory)
 	if err != nil {
-		return nil, q.prefillFault(ctx, c, err.Error())
+		return nil, q.prefillLost(ctx, c, err)
 	}
 	if response.NotExecuted {
 		q.service.recordRefusal(q.g.now(), c.PrefillServer.ID)
@@ -133,6 +137,14 @@
 	return &KVHandle{Address: c.PrefillServer.Address, ID: id}, outcome{}
 }
 
+// prefillLost records a prefill whose answer was not complete.
+func (q *request) prefillLost(ctx context.Context, c placement.Choice, err error) outcome {
+	if _, ended := q.ended(ctx); !ended && !errors.Is(err, upstream.ErrNotSent) {
+		q.recordLoss(c.PrefillServer)
+	}
+	return q.prefillFault(ctx, c, err.Error())
+}
+
 // prefillFault records a prefill that failed through a fault of its engine,
 // unless the request has ended and thereby interrupted it.
 func (q *request) prefillFault(ctx context.Context, c placement.Choice, reason string) outcome {
@@ -220,6 +232,7 @@
 	meta.LastEventID = q.lastEventID
 	meta.Remaining = q.remaining()
 	sentAt := q.g.now()
+	q.sentAt = sentAt
 	inFlight := q.service.recordSend(sentAt, placement.Send{
 		ServerID: c.Server.ID, UncachedTokens: uncachedTokens, PromptTokens: q.meta.PromptTokens, Parts: q.meta.Parts,
 		Priority: q.route.Priority, TimeToFirstEvent: c.TimeToFirstEvent, Coordinated: q.pendingPlacement != nil,
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -22,6 +22,7 @@
 	"github.com/marigoldwing/marigoldwing/internal/fleet"
 	"github.com/marigoldwing/marigoldwing/internal/logevent"
 	"github.com/marigoldwing/marigoldwing/internal/placement"
+	"github.com/marigoldwing/marigoldwing/internal/poison"
 	"github.com/marigoldwing/marigoldwing/internal/retry"
 	"github.com/marigoldwing/marigoldwing/internal/serverlimit"
 	"github.com/marigoldwing/marigoldwing/internal/upstream"
@@ -32,6 +33,9 @@
 	Name          string
 	FailureDomain string
 	Protocol      Protocol
+	// StageProtocol is used to ask an engine for its state; nil if engines are not
+	// asked.
+	StageProtocol StageProtocol
 	Log           logevent.Log
 	Registerer    prometheus.Registerer
 	// RetryBudget limits the retries to each service, summed over all gateways.
@@ -93,6 +97,7 @@
 	health     *retry.HealthTracker
 	budget     *retry.Budget
 	limits     *serverlimit.Book
+	poison     *poison.Detector
 	registered []fleet.Server
 	// coordinatorSince is when this gateway became the coordinator that places
 	// all long prompts of the service, or notCoordinator.
@@ -142,16 +147,22 @@
 			keys = append(keys, s.Key())
 		}
 	}
+	var gone []func()
 	for _, name := range config.Services() {
 		spec, _ := config.Service(name)
 		s := old.services[name]
 		if s == nil {
 			s = g.newService(spec)
 		}
-		s.setServers(spec, byService[name])
+		for _, crash := range s.setServers(g.now(), spec, byService[name]) {
+			gone = append(gone, func() { g.crashObserved(s, crash, poisonFromSelf) })
+		}
 		next.services[name] = s
 	}
 	g.state.Store(next)
+	for _, observe := range gone {
+		observe()
+	}
 	g.pool.Retain(keys)
 	g.metrics.configVersion.Set(float64(config.Version))
 }
@@ -166,6 +177,7 @@
 		health: retry.NewHealthTracker(retry.DefaultHealthOptions()),
 		budget: retry.NewBudget(g.now(), g.retryOptions()),
 		limits: limits,
+		poison: poison.New(),
 
 		coordinatorSince: notCoordinator,
 	}
@@ -198,6 +210,11 @@
 	// SharingNames returns the names of the gateways that may be serving callers,
 	// among which limits for the whole fleet are divided.
 	SharingNames() []string
+	// Owner returns the live gateway that is responsible for a key; the address is
+	// empty if it is this one.
+	Owner(key string) (name, address string)
+	// NotifyPeers sends a heartbeat to some gateways at once.
+	NotifyPeers()
 }
 
 // sharingGateways returns the names of the gateways among which limits for the
@@ -209,11 +226,14 @@
 	return g.peers.SharingNames()
 }
 
-func (s *service) setServers(spec fleet.Service, servers []fleet.Server) {
+// setServers replaces the registered servers. It returns the crashes of engines that
+// have lost requests and are no longer registered.
+func (s *service) setServers(now time.Duration, spec fleet.Service, servers []fleet.Server) []poison.Crash {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.engine = spec.Engine
 	s.table.SetServers(spec.Engine, servers)
+	crashes := s.enginesGone(now, servers)
 	s.registered = servers
 	ids := make([]string, 0, len(servers))
 	for _, server := range servers {
@@ -221,6 +241,23 @@
 	}
 	s.health.SetServers(ids)
 	s.limits.Retain(func(id string) bool { return slices.Contains(ids, id) })
+	return crashes
+}
+
+// enginesGone returns the crashes of engines that are missing from the new list. The
+// caller holds s.mu.
+func (s *service) enginesGone(now time.Duration, servers []fleet.Server) []poison.Crash {
+	var crashes []poison.Crash
+	for _, old := range s.registered {
+		isOld := func(server fleet.Server) bool { return server.Key() == old.Key() }
+		if old.Leaving || slices.ContainsFunc(servers, isOld) {
+			continue
+		}
+		if crash, ok := s.poison.EngineGone(now, engineName(old)); ok {
+			crashes = append(crashes, crash)
+		}
+	}
+	return crashes
 }
 
 // servers returns the registered servers.
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -10,6 +10,7 @@
 	"github.com/marigoldwing/marigoldwing/internal/fleet"
 	"github.com/marigoldwing/marigoldwing/internal/logevent"
 	"github.com/marigoldwing/marigoldwing/internal/placement"
+	"github.com/marigoldwing/marigoldwing/internal/poison"
 	"github.com/marigoldwing/marigoldwing/internal/retry"
 	"github.com/marigoldwing/marigoldwing/internal/upstream"
 )
@@ -24,6 +25,16 @@
 	service *service
 	config  *fleet.Config
 	body    []byte
+	// parts are the parts of the prompt that other prompts may share.
+	parts []poison.Part
+	// sentAt is when the last attempt was sent, and proven is set once an engine has
+	// shown that it answers the prompt.
+	sentAt time.Duration
+	proven bool
+	// blockedPart is the ID of the part for which the request was refused, and trial
+	// the block whose part the request tries again.
+	blockedPart string
+	trial       *poison.Block
 	// memory is what the buffered answer takes.
 	memory *upstream.Reservation
 
@@ -167,10 +178,15 @@
 		return
 	}
 	q.service.recordRequest()
+	q.parts = q.poisonParts()
+	defer q.endTrial()
 	// last is the outcome of the latest attempt. It becomes the outcome of the
 	// request if no further attempt can be made.
 	var last *outcome
 	for {
+		if q.refuseBlocked(last) {
+			return
+		}
 		choice, err := q.choose(ctx)
 		if err != nil && last == nil && q.waitForLimit(ctx) {
 			continue
@@ -264,6 +280,7 @@
 		q.possibleExecutions++
 	}
 	q.recordHealth(out, choice)
+	q.recordEvidence(out, choice.Server)
 	switch out.result {
 	case delivered:
 		q.finish("answered", "", out.status())
--- a/internal/gateway/limits_test.go
+++ b/internal/gateway/limits_test.go
@@ -18,6 +18,9 @@
 func (p fakePeers) LiveCount() int         { return len(p) }
 func (p fakePeers) SharingNames() []string { return p }
 
+func (p fakePeers) Owner(string) (name, address string) { return "", "" }
+func (p fakePeers) NotifyPeers()                        {}
+
 // TestPauseWithoutShareOfLimit checks that of many gateways before one server with a
 // low limit a single one waits for it, and that the others know that only the limit
 // excludes the server.
@@ -32,7 +35,7 @@
 		g.peers = names
 		spec := fleet.Service{Name: "app"}
 		s := g.newService(spec)
-		s.setServers(spec, []fleet.Server{{ID: "i-1", Service: "app"}, {ID: "i-2", Service: "app", Leaving: true}})
+		s.setServers(0, spec, []fleet.Server{{ID: "i-1", Service: "app"}, {ID: "i-2", Service: "app", Leaving: true}})
 		require.Zero(t, s.limitPause(time.Second))
 		_, changed := s.observeLimit(time.Second, "i-1", 0, serverlimit.Statement{Rate: 0.5, Limited: true})
 		require.True(t, changed)
--- a/internal/gateway/load_metrics.go
+++ b/internal/gateway/load_metrics.go
@@ -22,6 +22,8 @@
 		[]string{"service", "server"}, nil)
 	serverLimit = prometheus.NewDesc("marigold_gateway_server_limit",
 		"Requests per second that a backend server takes from all gateways together, as it has stated.", []string{"service", "server"}, nil)
+	blockedParts = prometheus.NewDesc("marigold_gateway_blocked_parts",
+		"Parts of prompts that are kept from the engines of a service, because engines crashed under them.", []string{"service"}, nil)
 	retryTokens = prometheus.NewDesc("marigold_gateway_retry_tokens",
 		"Retries that this gateway's budget permits at present.", []string{"service"}, nil)
 )
@@ -32,6 +34,7 @@
 	out <- serverQueuedWork
 	out <- retryTokens
 	out <- serverLimit
+	out <- blockedParts
 }
 
 // Collect implements prometheus.Collector.
@@ -43,6 +46,9 @@
 	for service, tokens := range state.RetryTokens {
 		gauge(retryTokens, tokens, service)
 	}
+	for service, blocks := range state.BlockedParts {
+		gauge(blockedParts, float64(len(blocks)), service)
+	}
 	for service, limits := range state.ServerLimits {
 		for _, l := range limits {
 			gauge(serverLimit, l.Rate, service, l.ServerID)
--- a/internal/gateway/log.go
+++ b/internal/gateway/log.go
@@ -73,6 +73,8 @@
 		Objective: q.route.LatencyObjective,
 		Server:    q.lastServer,
 		Remaining: q.remaining(),
+
+		BlockedPart: q.blockedPart,
 	}
 	if q.firstEventAt > 0 {
 		ended.TimeToFirstEvent = q.firstEventAt - q.arrivedAt
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -20,6 +20,7 @@
 	duration      *prometheus.HistogramVec
 	loadAge       prometheus.Histogram
 	placements    *prometheus.CounterVec
+	engineCrashes *prometheus.CounterVec
 	inflight      prometheus.Gauge
 	configVersion prometheus.Gauge
 }
@@ -55,6 +56,9 @@
 		placements: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "marigold_gateway_placements_total", Help: "Choices for long prompts by who made them.",
 		}, []string{"by"}),
+		engineCrashes: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "marigold_gateway_engine_crashes_total", Help: "Crashes of engines with requests in progress, by service and who reported them.",
+		}, []string{"service", "source"}),
 		inflight: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "marigold_gateway_inflight_requests", Help: "Requests that have been read and not answered.",
 		}),
@@ -62,7 +66,7 @@
 			Name: "marigold_gateway_config_version", Help: "Version of the configuration in force.",
 		}),
 	}
-	registerer.MustRegister(m.requests, m.attempts, m.retries, m.streamEnds, m.firstEvent, m.eventGap, m.duration, m.loadAge, m.placements, m.inflight, m.configVersion)
+	registerer.MustRegister(m.requests, m.attempts, m.retries, m.streamEnds, m.firstEvent, m.eventGap, m.duration, m.loadAge, m.placements, m.engineCrashes, m.inflight, m.configVersion)
 	return m
 }
 
--- /dev/null
+++ b/internal/gateway/poison_peers.go
@@ -0,0 +1,108 @@
+package gateway
+
+import (
+	"time"
+
+	peerv1 "github.com/marigoldwing/marigoldwing/api/peer/v1"
+	"github.com/marigoldwing/marigoldwing/internal/poison"
+)
+
+// poisonReports returns what other gateways may not know about prompts that crash
+// engines.
+func (g *Gateway) poisonReports() []*peerv1.PoisonReport {
+	var reports []*peerv1.PoisonReport
+	for _, s := range g.state.Load().services {
+		if !s.isEngineService() {
+			continue
+		}
+		now := g.now()
+		r := s.poisonReport(now)
+		if len(r.Crashes)+len(r.Sounds)+len(r.Answered)+len(r.Blocks) > 0 {
+			reports = append(reports, poisonToProto(now, s.name, r))
+		}
+	}
+	return reports
+}
+
+// mergePoison merges the reports of another gateway and judges the evidence.
+func (g *Gateway) mergePoison(sender string, reports []*peerv1.PoisonReport) {
+	for _, message := range reports {
+		s := g.state.Load().services[message.GetService()]
+		if s == nil || !s.isEngineService() {
+			continue
+		}
+		now := g.now()
+		news := s.mergePoison(now, poisonFromProto(now, message))
+		for _, b := range news.Blocks {
+			g.blockChanged(s, b, sender)
+		}
+		for _, crash := range news.Crashes {
+			g.crashObserved(s, crash, sender)
+		}
+	}
+}
+
+func poisonToProto(now time.Duration, service string, r poison.Report) *peerv1.PoisonReport {
+	message := &peerv1.PoisonReport{Service: service}
+	for _, c := range r.Crashes {
+		crash := &peerv1.EngineCrash{Engine: c.Engine, AgeMs: (now - c.At).Milliseconds()}
+		for _, p := range c.Parts {
+			crash.Parts = append(crash.Parts, uint64(p))
+		}
+		message.Crashes = append(message.Crashes, crash)
+	}
+	for _, s := range r.Sounds {
+		message.SoundPrompts = append(message.SoundPrompts, &peerv1.SoundPrompt{
+			Part: uint64(s.Part), Request: s.Request, AgeMs: (now - s.SentAt).Milliseconds(),
+		})
+	}
+	for _, a := range r.Answered {
+		message.Answered = append(message.Answered, &peerv1.PartCount{Part: uint64(a.Part), Count: int64(a.Count)})
+	}
+	for _, b := range r.Blocks {
+		message.BlockedParts = append(message.BlockedParts, blockToProto(now, b))
+	}
+	return message
+}
+
+func blockToProto(now time.Duration, b poison.Block) *peerv1.BlockedPart {
+	return &peerv1.BlockedPart{
+		Part: uint64(b.Part), Crashes: int32(b.Crashes), LastCrashAgeMs: (now - b.LastCrash).Milliseconds(),
+		FailedTrials: int32(b.FailedTrials), Lifted: b.Lifted, ChangedAgeMs: (now - b.ChangedAt).Milliseconds(),
+	}
+}
+
+func poisonFromProto(now time.Duration, message *peerv1.PoisonReport) poison.Report {
+	var r poison.Report
+	for _, c := range message.GetCrashes() {
+		crash := poison.Crash{Engine: c.GetEngine(), At: timeOfAge(now, c.GetAgeMs())}
+		for _, p := range c.GetParts() {
+			crash.Parts = append(crash.Parts, poison.Part(p))
+		}
+		r.Crashes = append(r.Crashes, crash)
+	}
+	for _, s := range message.GetSoundPrompts() {
+		r.Sounds = append(r.Sounds, poison.SoundPrompt{
+			Part: poison.Part(s.GetPart()), Request: s.GetRequest(), SentAt: timeOfAge(now, s.GetAgeMs()),
+		})
+	}
+	for _, a := range message.GetAnswered() {
+		r.Answered = append(r.Answered, poison.PartCount{Part: poison.Part(a.GetPart()), Count: int(a.GetCount())})
+	}
+	for _, b := range message.GetBlockedParts() {
+		r.Blocks = append(r.Blocks, blockFromProto(now, b))
+	}
+	return r
+}
+
+func blockFromProto(now time.Duration, b *peerv1.BlockedPart) poison.Block {
+	return poison.Block{
+		Part: poison.Part(b.GetPart()), Crashes: int(b.GetCrashes()), LastCrash: timeOfAge(now, b.GetLastCrashAgeMs()),
+		FailedTrials: int(b.GetFailedTrials()), Lifted: b.GetLifted(), ChangedAt: timeOfAge(now, b.GetChangedAgeMs()),
+	}
+}
+
+// timeOfAge returns the time of an event with an age, which is not in the future.
+func timeOfAge(now time.Duration, ageMs int64) time.Duration {
+	return now - time.Duration(max(0, ageMs))*time.Millisecond
+}
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -59,6 +59,8 @@
 	Leases        lease.Store
 	// Peers is the store in which gateways find each other.
 	Peers gatewaypeers.Store
+	// Blocks is the store that keeps the blocked parts of prompts.
+	Blocks BlockStore
 	// LoadSettings reads the settings again.
 	LoadSettings func() (*settingsv1.Gateway, error)
 }
@@ -75,6 +77,7 @@
 		Name:          s.GetName(),
 		FailureDomain: s.GetFailureDomain(),
 		Protocol:      deps.Protocol,
+		StageProtocol: deps.StageProtocol,
 		Log:           log,
 		Registerer:    metrics,
 		RetryBudget:   retryBudget(s),
@@ -116,7 +119,8 @@
 			peerrpc.NewServer(s.GetPeerAddress(), heartbeater, peerMetrics, log),
 		},
 		Loops: []func(context.Context){
-			follower.Run, heartbeater.Run, g.updateShares, reloads.run,
+			follower.Run, heartbeater.Run, g.updateShares, g.runPoison, reloads.run,
+			func(ctx context.Context) { g.keepBlocks(ctx, deps.Blocks) },
 			func(ctx context.Context) { g.RunStageControllers(ctx, stageOptions) },
 		},
 		Drain:         g.Drain,
--- a/internal/gateway/stages.go
+++ b/internal/gateway/stages.go
@@ -40,6 +40,8 @@
 	Changing bool
 	// OrdersAccepted is the number of orders that the engine has accepted.
 	OrdersAccepted int64
+	// StartedUnixMs is the start time in Unix milliseconds; 0 if unknown.
+	StartedUnixMs int64
 	// Running and Queued are numbers of requests.
 	Running, Queued int
 }
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -1,7 +1,10 @@
 package gateway
 
 import (
+	"time"
+
 	"github.com/marigoldwing/marigoldwing/internal/placement"
+	"github.com/marigoldwing/marigoldwing/internal/poison"
 	"github.com/marigoldwing/marigoldwing/internal/serverlimit"
 )
 
@@ -17,6 +20,33 @@
 	RetryTokens map[string]float64 `json:"retry_tokens"`
 	// ServerLimits are the limits that servers of each service have stated.
 	ServerLimits map[string][]serverlimit.Dump `json:"server_limits"`
+	// BlockedParts are the parts of prompts that are kept from the engines of each
+	// service.
+	BlockedParts map[string][]BlockDump `json:"blocked_parts"`
+}
+
+// BlockDump is a blocked part of prompts as shown in the state of a gateway.
+type BlockDump struct {
+	// Part is the hash of the part's ID, in hexadecimal.
+	Part           string `json:"part"`
+	Crashes        int    `json:"crashes"`
+	LastCrashAgeMS int64  `json:"last_crash_age_ms"`
+	FailedTrials   int    `json:"failed_trials"`
+	UntilTrialMS   int64  `json:"until_trial_ms"`
+}
+
+func dumpBlocks(now time.Duration, blocks []poison.Block) []BlockDump {
+	var dump []BlockDump
+	for _, b := range blocks {
+		if b.Lifted {
+			continue
+		}
+		dump = append(dump, BlockDump{
+			Part: partText(b.Part), Crashes: b.Crashes, LastCrashAgeMS: (now - b.LastCrash).Milliseconds(),
+			FailedTrials: b.FailedTrials, UntilTrialMS: (b.NextTrial() - now).Milliseconds(),
+		})
+	}
+	return dump
 }
 
 // State returns the current state for the debug endpoint.
@@ -29,6 +59,7 @@
 		Services:      make(map[string][]placement.ServerDump, len(current.services)),
 		RetryTokens:   make(map[string]float64, len(current.services)),
 		ServerLimits:  make(map[string][]serverlimit.Dump, len(current.services)),
+		BlockedParts:  make(map[string][]BlockDump, len(current.services)),
 	}
 	if current.config != nil {
 		dump.ConfigVersion = current.config.Version
@@ -39,6 +70,7 @@
 		dump.Services[name] = s.table.Dump(now)
 		dump.RetryTokens[name] = s.budget.Tokens(now)
 		dump.ServerLimits[name] = s.limits.Dump(now)
+		dump.BlockedParts[name] = dumpBlocks(now, s.poison.Blocks())
 		s.mu.Unlock()
 	}
 	return dump
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -4,7 +4,9 @@
 	"context"
 	"errors"
 	"io"
+	"math"
 	"net/http"
+	"time"
 
 	"github.com/marigoldwing/marigoldwing/internal/eventstream"
 	"github.com/marigoldwing/marigoldwing/internal/upstream"
@@ -34,6 +36,7 @@
 // relayEvents relays events until the stream ends, and returns where it ended.
 func (q *request) relayEvents(ctx context.Context, exchange *upstream.Exchange, events *eventstream.Splitter) (outcome, string) {
 	chunk := make([]byte, streamBufferBytes)
+	provenAt := time.Duration(math.MaxInt64)
 	for {
 		n, err := exchange.Response.Body.Read(chunk)
 		complete, splitErr := events.Add(chunk[:n])
@@ -42,6 +45,11 @@
 				return outcome{result: callerDisconnected, reason: writeErr.Error()}, endedByError
 			}
 			q.lastEventID = events.LastID(q.lastEventID)
+			now := q.g.now()
+			provenAt = min(provenAt, now+provenAfter)
+			if now >= provenAt {
+				q.recordSound()
+			}
 		}
 		switch {
 		case err == io.EOF && events.InsideEvent():
--- a/internal/logevent/request.go
+++ b/internal/logevent/request.go
@@ -164,6 +164,9 @@
 	// Remaining is the time until the deadline, logged for refused requests
 	// only.
 	Remaining time.Duration
+	// BlockedPart is the part of the prompt for which the request was refused; empty
+	// for other requests.
+	BlockedPart string
 }
 
 // OutcomeRefused is the outcome of requests that were not executed and will not
@@ -171,7 +174,7 @@
 const OutcomeRefused = "refused"
 
 // requestEndedFields is the largest number of fields of a RequestEnded line.
-const requestEndedFields = 11
+const requestEndedFields = 12
 
 // Event returns the log line.
 func (r RequestEnded) Event() Event {
@@ -190,6 +193,7 @@
 		e.with(milliseconds("objective_ms", r.Objective))
 	}
 	e.withText(keyServer, r.Server)
+	e.withText("blocked_part", r.BlockedPart)
 	if r.Outcome == OutcomeRefused {
 		e.with(milliseconds("left_ms", max(0, r.Remaining)))
 	}
--- /dev/null
+++ b/internal/poison/block.go
@@ -0,0 +1,240 @@
+package poison
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+)
+
+const (
+	// blockAge is how long a part stays blocked after its last crash without a
+	// successful trial.
+	blockAge = 24 * time.Hour
+	// liftedAge is how long a lifted block is remembered, so that gateways that were
+	// cut off learn of it.
+	liftedAge = 10 * time.Minute
+	// maxBlocks bounds the blocks of a service.
+	maxBlocks = 64
+	// trialGap is the least time between the last crash with a blocked part and one
+	// that counts as a failed trial. Prompts that were in progress when the part was
+	// blocked crash engines before.
+	trialGap = 30 * time.Second
+	// timeTolerance is by how much times may grow on the way between gateways.
+	timeTolerance = time.Second
+	// trialTimeout is how long a trial may take before another may begin, and
+	// trialPause the time until the next series of trials that had no result.
+	trialTimeout = time.Minute
+	trialPause   = 10 * time.Minute
+	// trialsInSeries is the number of prompts in a series of trials. A block is lifted
+	// if all of them are answered.
+	trialsInSeries = 3
+)
+
+// trialWaits are the times from the last crash with a part to the next trial, by
+// the number of trials that have failed. There is no trial after the last of them.
+var trialWaits = []time.Duration{10 * time.Minute, time.Hour, 6 * time.Hour}
+
+// Block says that prompts with a part are not sent to engines.
+type Block struct {
+	Part Part
+	// Engines are the engines that crashed, for logs; only the gateway that blocked
+	// the part knows them.
+	Engines []string
+	// Crashes and Answered are the numbers of crashes and of prompts answered
+	// meanwhile for which the part was blocked.
+	Crashes, Answered int
+	// LastCrash is the time of the last crash with the part.
+	LastCrash time.Duration
+	// FailedTrials is the number of trials that ended in a crash.
+	FailedTrials int
+	// Lifted is set if the part is no longer blocked, and ChangedAt is when that was
+	// last decided.
+	Lifted    bool
+	ChangedAt time.Duration
+}
+
+// block is a Block with what only this gateway knows.
+type block struct {
+	Block
+	// learnedAt is when this gateway last learned something of the block.
+	learnedAt time.Duration
+	// trialUntil is the end of a trial in progress, trials the number of trials in the
+	// present series, and notBefore the earliest time of the next one.
+	trialUntil, notBefore time.Duration
+	trials, answered      int
+}
+
+// block blocks a part.
+func (d *Detector) block(now time.Duration, c candidate) Block {
+	b := &block{learnedAt: now, Block: Block{
+		Part: c.part, Crashes: c.crashes, Answered: c.sounds, LastCrash: c.last, ChangedAt: now,
+	}}
+	for engine, crash := range d.crashes {
+		if crash.has(c.part) {
+			b.Engines = append(b.Engines, engine)
+		}
+	}
+	slices.Sort(b.Engines)
+	d.blocks[c.part] = b
+	d.boundBlocks()
+	return b.Block
+}
+
+// boundBlocks drops the blocks beyond maxBlocks whose last crash is the longest ago.
+func (d *Detector) boundBlocks() {
+	if len(d.blocks) <= maxBlocks {
+		return
+	}
+	blocks := d.sortedBlocks()
+	slices.SortStableFunc(blocks, func(a, b *block) int { return cmp.Compare(b.LastCrash, a.LastCrash) })
+	for _, b := range blocks[maxBlocks:] {
+		delete(d.blocks, b.Part)
+	}
+}
+
+func (d *Detector) sortedBlocks() []*block {
+	blocks := make([]*block, 0, len(d.blocks))
+	for _, b := range d.blocks {
+		blocks = append(blocks, b)
+	}
+	slices.SortFunc(blocks, func(a, b *block) int { return cmp.Compare(a.Part, b.Part) })
+	return blocks
+}
+
+// isBlocked reports whether a part is blocked.
+func (d *Detector) isBlocked(p Part) bool {
+	b := d.blocks[p]
+	return b != nil && !b.Lifted
+}
+
+// Blocked returns the first block that keeps a prompt from the engines.
+func (d *Detector) Blocked(parts []Part) (Block, bool) {
+	if len(d.blocks) == 0 {
+		return Block{}, false
+	}
+	for _, p := range parts {
+		if d.isBlocked(p) {
+			return d.blocks[p].Block, true
+		}
+	}
+	return Block{}, false
+}
+
+// NextTrial returns the time from which a prompt with the part may be tried again.
+func (b Block) NextTrial() time.Duration {
+	if b.FailedTrials >= len(trialWaits) {
+		return b.LastCrash + blockAge
+	}
+	return b.LastCrash + trialWaits[b.FailedTrials]
+}
+
+// BeginTrial reports whether a prompt with one blocked part is to be sent to an
+// engine to see whether it still crashes. Only one gateway may ask.
+func (d *Detector) BeginTrial(now time.Duration, parts []Part) bool {
+	var b *block
+	for _, p := range parts {
+		switch {
+		case !d.isBlocked(p):
+		case b != nil:
+			return false
+		default:
+			b = d.blocks[p]
+		}
+	}
+	if b == nil || now < b.NextTrial() || now < b.notBefore || now < b.trialUntil {
+		return false
+	}
+	if b.trials >= trialsInSeries {
+		b.trials, b.answered = 0, 0
+	}
+	b.trials++
+	b.trialUntil = now + trialTimeout
+	return true
+}
+
+// EndTrial records the end of a trial, and whether its prompt was answered. It
+// returns the block if it has been lifted.
+func (d *Detector) EndTrial(now time.Duration, p Part, answered bool) (lifted Block, ok bool) {
+	b := d.blocks[p]
+	if b == nil || b.Lifted {
+		return Block{}, false
+	}
+	b.trialUntil = 0
+	if answered {
+		b.answered++
+	}
+	if b.answered >= trialsInSeries {
+		b.Lifted, b.ChangedAt, b.learnedAt = true, now, now
+		return b.Block, true
+	}
+	if b.trials >= trialsInSeries {
+		b.notBefore = now + trialPause
+	}
+	return Block{}, false
+}
+
+// lastCrash returns the time of the last known crash with a part.
+func (d *Detector) lastCrash(p Part) time.Duration {
+	last := time.Duration(math.MinInt64)
+	for _, c := range d.crashes {
+		if c.has(p) {
+			last = max(last, c.at)
+		}
+	}
+	return last
+}
+
+// recordBlockedCrash records a crash in the blocks of its parts.
+func (d *Detector) recordBlockedCrash(now time.Duration, c *crash, isNew bool) {
+	for _, p := range c.parts {
+		b := d.blocks[p]
+		if b == nil || b.Lifted || c.at <= b.LastCrash {
+			continue
+		}
+		if isNew && c.at-b.LastCrash > trialGap {
+			b.FailedTrials++
+			b.trials, b.answered = 0, 0
+		}
+		b.LastCrash, b.learnedAt = c.at, now
+	}
+}
+
+// mergeBlock merges a block that another gateway or the store has. It reports
+// whether this gateway did not know that the part is blocked, or no longer so.
+func (d *Detector) mergeBlock(now time.Duration, other Block) bool {
+	if now-other.LastCrash > blockAge || other.Lifted && now-other.ChangedAt > liftedAge {
+		return false
+	}
+	b := d.blocks[other.Part]
+	if b == nil {
+		b = &block{Block: other, learnedAt: now}
+		b.LastCrash = max(b.LastCrash, d.lastCrash(other.Part))
+		d.blocks[other.Part] = b
+		d.boundBlocks()
+		return !other.Lifted
+	}
+	wasLifted := b.Lifted
+	if other.ChangedAt > b.ChangedAt {
+		b.Lifted, b.ChangedAt = other.Lifted, other.ChangedAt
+	}
+	b.Crashes = max(b.Crashes, other.Crashes)
+	if other.LastCrash > b.LastCrash+timeTolerance {
+		b.LastCrash = other.LastCrash
+	}
+	b.FailedTrials = max(b.FailedTrials, other.FailedTrials)
+	if b.Lifted == wasLifted {
+		return false
+	}
+	b.learnedAt = now
+	return true
+}
+
+// expireBlocks forgets blocks that are too old.
+func (d *Detector) expireBlocks(now time.Duration) {
+	for p, b := range d.blocks {
+		if now-b.LastCrash > blockAge || b.Lifted && now-b.ChangedAt > liftedAge {
+			delete(d.blocks, p)
+		}
+	}
+}
--- /dev/null
+++ b/internal/poison/evidence.go
@@ -0,0 +1,251 @@
+package poison
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// loss holds the attempts that were lost at an engine that may have crashed.
+type loss struct {
+	// at is the time of the first of them.
+	at    time.Duration
+	parts []Part
+	// checking is set while the engine is being checked, and checkedAt is the time
+	// of the last check.
+	checking  bool
+	checkedAt time.Duration
+}
+
+// crash is the end of an engine with requests in progress.
+type crash struct {
+	// at is the earliest time that a gateway reported.
+	at    time.Duration
+	parts []Part
+	// changedAt is when this gateway last learned something of the crash.
+	changedAt time.Duration
+}
+
+// sound is an answered prompt.
+type sound struct {
+	// request identifies the prompt among those of all gateways.
+	request uint64
+	sentAt  time.Duration
+}
+
+// Check is the result of a check whether an engine has ended.
+type Check int
+
+const (
+	// CheckUnclear: the engine did not respond.
+	CheckUnclear Check = iota
+	// CheckAlive: the engine that lost the attempts is running.
+	CheckAlive
+	// CheckEnded: the engine has ended or was started again.
+	CheckEnded
+)
+
+// Crash describes a crash for logs and reports.
+type Crash struct {
+	Engine string
+	At     time.Duration
+	Parts  []Part
+}
+
+// RecordLoss records that the connection of an attempt at an engine was lost. It
+// reports whether the caller has to check the engine now.
+func (d *Detector) RecordLoss(now time.Duration, engine string, parts []Part) bool {
+	if len(parts) == 0 {
+		return false
+	}
+	if c := d.crashes[engine]; c != nil {
+		c.add(now, c.at, parts)
+		return false
+	}
+	l := d.losses[engine]
+	if l == nil {
+		l = &loss{at: now, checkedAt: now - checkInterval}
+		d.losses[engine] = l
+	}
+	l.parts = union(l.parts, parts)
+	if l.checking || now-l.checkedAt < checkInterval {
+		return false
+	}
+	l.checking = true
+	return true
+}
+
+// EndCheck records the result of a check. It returns the crash if the engine has
+// ended.
+func (d *Detector) EndCheck(now time.Duration, engine string, result Check) (Crash, bool) {
+	l := d.losses[engine]
+	if l == nil {
+		return Crash{}, false
+	}
+	l.checking, l.checkedAt = false, now
+	switch result {
+	case CheckEnded:
+		return d.confirm(now, engine), true
+	case CheckAlive:
+		l.at, l.parts = now, nil
+	}
+	return Crash{}, false
+}
+
+// EngineGone records that an engine is no longer registered, without having
+// announced that it leaves. It returns the crash if attempts were lost there.
+func (d *Detector) EngineGone(now time.Duration, engine string) (Crash, bool) {
+	l := d.losses[engine]
+	if l == nil || len(l.parts) == 0 || now-l.at > lossAge {
+		return Crash{}, false
+	}
+	return d.confirm(now, engine), true
+}
+
+// confirm turns the losses at an engine into a crash.
+func (d *Detector) confirm(now time.Duration, engine string) Crash {
+	l := d.losses[engine]
+	delete(d.losses, engine)
+	d.recordCrash(now, Crash{Engine: engine, At: l.at, Parts: l.parts})
+	return Crash{Engine: engine, At: l.at, Parts: l.parts}
+}
+
+// recordCrash merges a crash with what is known of it. It reports whether there was
+// anything new.
+func (d *Detector) recordCrash(now time.Duration, report Crash) bool {
+	if now-report.At > evidenceAge {
+		return false
+	}
+	c := d.crashes[report.Engine]
+	isNew := c == nil
+	if isNew {
+		c = &crash{at: report.At}
+		d.crashes[report.Engine] = c
+	}
+	changed := c.add(now, report.At, report.Parts) || isNew
+	if changed {
+		d.decideUntil = max(d.decideUntil, now+2*observeTime)
+		d.addEarlierSounds(c)
+		d.recordBlockedCrash(now, c, isNew)
+	}
+	d.boundCrashes()
+	return changed
+}
+
+// add merges another report of the crash and reports whether its parts were new.
+func (c *crash) add(now, at time.Duration, parts []Part) bool {
+	before := len(c.parts)
+	c.at = min(c.at, at)
+	c.parts = union(c.parts, parts)
+	if len(c.parts) == before {
+		return false
+	}
+	c.changedAt = now
+	return true
+}
+
+// boundCrashes drops the oldest crashes beyond maxCrashes.
+func (d *Detector) boundCrashes() {
+	for len(d.crashes) > maxCrashes {
+		oldest := ""
+		for engine, c := range d.crashes {
+			if oldest == "" || c.at < d.crashes[oldest].at || c.at == d.crashes[oldest].at && engine < oldest {
+				oldest = engine
+			}
+		}
+		delete(d.crashes, oldest)
+	}
+}
+
+// union returns the sorted union of sorted parts and others, at most maxParts of
+// them.
+func union(parts, others []Part) []Part {
+	merged := append(slices.Clone(parts), others...)
+	slices.Sort(merged)
+	merged = slices.Compact(merged)
+	return merged[:min(len(merged), maxParts)]
+}
+
+// RecordSound records that a prompt, sent at sentAt, was answered. The request
+// identifies it among the prompts of all gateways.
+func (d *Detector) RecordSound(request uint64, sentAt time.Duration, parts []Part) {
+	for _, p := range parts {
+		d.answered.add(p)
+		d.addSound(p, sound{request, sentAt})
+	}
+	d.contrast = append(d.contrast, contrastPrompt{sound{request, sentAt}, parts})
+	if len(d.contrast) > 2*maxContrast {
+		d.contrast = slices.Clone(d.contrast[len(d.contrast)-maxContrast:])
+	}
+}
+
+// addSound keeps an answered prompt with a part that is in a crash.
+func (d *Detector) addSound(p Part, s sound) {
+	if len(d.crashes) == 0 || !d.inCrash(p) {
+		return
+	}
+	sounds := d.sounds[p]
+	if slices.ContainsFunc(sounds, func(other sound) bool { return other.request == s.request }) {
+		return
+	}
+	sounds = append(sounds, s)
+	slices.SortFunc(sounds, func(a, b sound) int {
+		return cmp.Or(cmp.Compare(b.sentAt, a.sentAt), cmp.Compare(a.request, b.request))
+	})
+	d.sounds[p] = sounds[:min(len(sounds), maxSounds)]
+}
+
+// addEarlierSounds keeps the prompts with the parts of a crash that were answered
+// before this gateway learned of it.
+func (d *Detector) addEarlierSounds(c *crash) {
+	for _, prompt := range d.contrast {
+		for _, p := range prompt.parts {
+			if c.has(p) {
+				d.addSound(p, prompt.sound)
+			}
+		}
+	}
+}
+
+func (d *Detector) inCrash(p Part) bool {
+	for _, c := range d.crashes {
+		if c.has(p) {
+			return true
+		}
+	}
+	return false
+}
+
+func (c *crash) has(p Part) bool {
+	_, found := slices.BinarySearch(c.parts, p)
+	return found
+}
+
+// expire forgets evidence that is too old.
+func (d *Detector) expire(now time.Duration) {
+	for engine, l := range d.losses {
+		if now-l.at > lossAge && !l.checking {
+			delete(d.losses, engine)
+		}
+	}
+	expired := false
+	for engine, c := range d.crashes {
+		if now-c.at > evidenceAge {
+			delete(d.crashes, engine)
+			expired = true
+		}
+	}
+	if !expired {
+		return
+	}
+	for p := range d.sounds {
+		if !d.inCrash(p) {
+			delete(d.sounds, p)
+		}
+	}
+	for p := range d.answeredElsewhere {
+		if !d.inCrash(p) {
+			delete(d.answeredElsewhere, p)
+		}
+	}
+}
--- /dev/null
+++ b/internal/poison/report.go
@@ -0,0 +1,154 @@
+package poison
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+const (
+	// spreadTime is how long a gateway passes on what it has learned.
+	spreadTime = 3 * time.Second
+	// maxSuspects bounds the parts whose answered prompts are reported, and
+	// minSuspectCrashes is the number of crashes that make a part suspicious.
+	maxSuspects       = 8
+	minSuspectCrashes = 2
+	// blocksPerReport bounds the older blocks in a report; they take turns.
+	blocksPerReport = 4
+)
+
+// Report is what a gateway tells another one. Times are of the reporting gateway.
+type Report struct {
+	Crashes []Crash
+	Sounds  []SoundPrompt
+	// Answered are the numbers of answered prompts with suspicious parts.
+	Answered []PartCount
+	Blocks   []Block
+}
+
+// PartCount is a number of prompts with a part.
+type PartCount struct {
+	Part  Part
+	Count int
+}
+
+// SoundPrompt is an answered prompt with a suspicious part.
+type SoundPrompt struct {
+	Part    Part
+	Request uint64
+	SentAt  time.Duration
+}
+
+// Report returns what other gateways may not know yet.
+func (d *Detector) Report(now time.Duration) Report {
+	d.expire(now)
+	d.expireBlocks(now)
+	r := Report{Crashes: d.recentCrashes(now), Blocks: d.reportedBlocks(now)}
+	for _, p := range d.suspects(now) {
+		for _, s := range d.sounds[p][:min(len(d.sounds[p]), maxCompared)] {
+			r.Sounds = append(r.Sounds, SoundPrompt{Part: p, Request: s.request, SentAt: s.sentAt})
+		}
+		if n := max(d.answered.of(p), d.answeredElsewhere[p]); n > 0 {
+			r.Answered = append(r.Answered, PartCount{p, n})
+		}
+	}
+	return r
+}
+
+func (d *Detector) recentCrashes(now time.Duration) []Crash {
+	var crashes []Crash
+	for engine, c := range d.crashes {
+		if now-c.changedAt < spreadTime {
+			crashes = append(crashes, Crash{Engine: engine, At: c.at, Parts: c.parts})
+		}
+	}
+	slices.SortFunc(crashes, func(a, b Crash) int { return cmp.Compare(a.Engine, b.Engine) })
+	return crashes
+}
+
+// suspects returns the parts that were in the most crashes, while new crashes are
+// being learned of.
+func (d *Detector) suspects(now time.Duration) []Part {
+	inCrashes := make(map[Part]int)
+	recent := false
+	for _, c := range d.unexplained() {
+		recent = recent || now-c.changedAt < spreadTime
+		for _, p := range c.parts {
+			inCrashes[p]++
+		}
+	}
+	if !recent {
+		return nil
+	}
+	var suspects []Part
+	for p, n := range inCrashes {
+		if n >= minSuspectCrashes {
+			suspects = append(suspects, p)
+		}
+	}
+	slices.SortFunc(suspects, func(a, b Part) int {
+		return cmp.Or(cmp.Compare(inCrashes[b], inCrashes[a]), cmp.Compare(a, b))
+	})
+	return suspects[:min(len(suspects), maxSuspects)]
+}
+
+// reportedBlocks returns the blocks that this gateway has just learned of, and some
+// of the others in turn.
+func (d *Detector) reportedBlocks(now time.Duration) []Block {
+	var recent, others []Block
+	for _, b := range d.sortedBlocks() {
+		if now-b.learnedAt < spreadTime {
+			recent = append(recent, b.Block)
+		} else {
+			others = append(others, b.Block)
+		}
+	}
+	for range min(len(others), blocksPerReport) {
+		d.blockTurn++
+		recent = append(recent, others[d.blockTurn%len(others)])
+	}
+	return recent
+}
+
+// News is what a gateway has learned from a report.
+type News struct {
+	// Crashes are those of which something was new.
+	Crashes []Crash
+	// Blocks are the parts that are now blocked, or no longer so.
+	Blocks []Block
+}
+
+// Merge merges the report of another gateway, whose times have been converted to
+// those of this one.
+func (d *Detector) Merge(now time.Duration, r Report) News {
+	var news News
+	for _, b := range r.Blocks {
+		if d.mergeBlock(now, b) {
+			news.Blocks = append(news.Blocks, d.blocks[b.Part].Block)
+		}
+	}
+	for _, c := range r.Crashes {
+		slices.Sort(c.Parts)
+		if d.recordCrash(now, c) {
+			news.Crashes = append(news.Crashes, c)
+		}
+	}
+	for _, s := range r.Sounds {
+		d.addSound(s.Part, sound{s.Request, s.SentAt})
+	}
+	for _, answered := range r.Answered {
+		if d.inCrash(answered.Part) {
+			d.answeredElsewhere[answered.Part] = max(d.answeredElsewhere[answered.Part], answered.Count)
+		}
+	}
+	return news
+}
+
+// Blocks returns all blocks, lifted ones included.
+func (d *Detector) Blocks() []Block {
+	blocks := make([]Block, 0, len(d.blocks))
+	for _, b := range d.sortedBlocks() {
+		blocks = append(blocks, b.Block)
+	}
+	return blocks
+}
