Avoid failing backend servers beyond the largest share that may be ejected

Cause: a failing server that may not be ejected, because too many others are, kept its full weight, and its cached parts made it the cheapest choice again and again.

Ejection itself is unchanged (the reference model of TestHealthTrackerMatchesReference compares as before).

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -367,7 +367,7 @@
 	s.health.RecordSuccess(id)
 }
 
-func (s *service) recordFailure(now time.Duration, id string) (ejected bool) {
+func (s *service) recordFailure(now time.Duration, id string) retry.Ejection {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.health.RecordFailure(now, id)
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -333,8 +333,9 @@
 func (q *request) recordHealth(out outcome, choice placement.Choice) {
 	switch {
 	case out.serverFault:
-		if q.service.recordFailure(q.g.now(), choice.Server.ID) {
-			q.g.log.Write(logevent.ServerEjected(q.meta.ID, q.service.name, choice.Server.ID, out.reason))
+		if ejection := q.service.recordFailure(q.g.now(), choice.Server.ID); ejection != retry.NotEjected {
+			avoided := ejection == retry.Avoided
+			q.g.log.Write(logevent.ServerEjected(q.meta.ID, q.service.name, choice.Server.ID, out.reason, avoided))
 		}
 	case out.result == delivered || out.result == failedResponse:
 		q.service.recordSuccess(choice.Server.ID)
--- a/internal/logevent/request.go
+++ b/internal/logevent/request.go
@@ -200,12 +200,13 @@
 	return e
 }
 
-// ServerEjected reports that a server was ejected for repeated failures.
+// ServerEjected reports that a server was ejected for repeated failures, or is
+// avoided because too many others are ejected.
 // requestID is the request that failed last.
-func ServerEjected(requestID, service, server, reason string) Event {
+func ServerEjected(requestID, service, server, reason string, avoided bool) Event {
 	return info("backend server ejected",
 		slog.String(KeyRequestID, requestID), slog.String(keyService, service),
-		slog.String(keyServer, server), slog.String(keyReason, reason))
+		slog.String(keyServer, server), slog.String(keyReason, reason), slog.Bool("avoided", avoided))
 }
 
 // HandleReleaseFailed reports that an engine keeps the KV cache of a prefilled
--- a/internal/retry/health.go
+++ b/internal/retry/health.go
@@ -37,14 +37,31 @@
 	defaultSlowStart           = 10 * time.Second
 	// startWeight is the weight at the beginning of slow start.
 	startWeight = 0.1
+	// avoidedWeight is the weight of a backend server that fails repeatedly and is not
+	// ejected because too many others are.
+	avoidedWeight = 0.02
+)
+
+// Ejection is what follows from a failure of a backend server.
+type Ejection int
+
+const (
+	// NotEjected: nothing changes.
+	NotEjected Ejection = iota
+	// Ejected: the backend server gets nothing for a while.
+	Ejected
+	// Avoided: as many others are ejected as may be. For a while the backend server
+	// gets only what the others cannot take.
+	Avoided
 )
 
 // serverHealth is the health of one backend server.
 type serverHealth struct {
 	failures             int
 	consecutiveEjections int
-	// ejectedUntil is the end of the last ejection, or 0 without any.
-	ejectedUntil time.Duration
+	// ejectedUntil is the end of the last ejection, or 0 without any, and avoidedUntil
+	// the end of the time in which the backend server was avoided instead.
+	ejectedUntil, avoidedUntil time.Duration
 	// slowStartAt is the beginning of the last slow start, which may be in the
 	// future.
 	slowStartAt  time.Duration
@@ -83,32 +100,50 @@
 	if s := h.servers[name]; s != nil {
 		s.failures = 0
 		s.consecutiveEjections = 0
+		s.avoidedUntil = 0
 	}
 }
 
 // RecordFailure records an attempt that failed because of the backend server or
-// the connection to it, which excludes refusals for load or deadline. It
-// reports whether the backend server has been ejected. There is no ejection
-// that would exceed MaxEjectedShare.
-func (h *HealthTracker) RecordFailure(now time.Duration, name string) bool {
+// the connection to it, which excludes refusals for load or deadline. It reports
+// whether the backend server has just been ejected, or is avoided because an
+// ejection would exceed MaxEjectedShare.
+func (h *HealthTracker) RecordFailure(now time.Duration, name string) Ejection {
 	s := h.servers[name]
 	if s == nil || h.opts.ConsecutiveFailures <= 0 {
-		return false
+		return NotEjected
 	}
 	s.failures++
 	if s.failures < h.opts.ConsecutiveFailures || now < s.ejectedUntil {
-		return false
+		return NotEjected
 	}
 	if h.ejectedCount(now) >= h.maxEjected() {
-		return false
+		return s.avoid(now, now+h.opts.BaseEjection)
 	}
 	s.failures = 0
 	duration := h.opts.BaseEjection << min(s.consecutiveEjections, maxDoublings)
 	s.consecutiveEjections++
 	s.ejectedUntil = now + min(duration, h.opts.MaxEjection)
-	s.slowStartAt = s.ejectedUntil
+	s.startSlowlyAt(s.ejectedUntil)
+	return Ejected
+}
+
+// avoid lets the backend server get very little until a time. Each further failure
+// prolongs that.
+func (s *serverHealth) avoid(now, until time.Duration) Ejection {
+	wasAvoided := now < s.avoidedUntil
+	s.avoidedUntil = until
+	s.startSlowlyAt(until)
+	if wasAvoided {
+		return NotEjected
+	}
+	return Avoided
+}
+
+// startSlowlyAt begins a slow start at a time.
+func (s *serverHealth) startSlowlyAt(at time.Duration) {
+	s.slowStartAt = at
 	s.slowStarting = true
-	return true
 }
 
 // RecordRecovery records that a backend server is serving again after it was
@@ -116,8 +151,8 @@
 func (h *HealthTracker) RecordRecovery(now time.Duration, name string) {
 	if s := h.servers[name]; s != nil {
 		s.failures = 0
-		s.slowStartAt = max(now, s.ejectedUntil)
-		s.slowStarting = true
+		s.startSlowlyAt(max(now, s.ejectedUntil))
+		s.avoidedUntil = 0
 	}
 }
 
@@ -128,16 +163,19 @@
 }
 
 // Weight returns the fraction of its usual load that the backend server should
-// get: 0 while ejected, rising to 1 during slow start.
+// get: 0 while ejected, very little while avoided, rising to 1 during slow start.
 func (h *HealthTracker) Weight(now time.Duration, name string) float64 {
 	s := h.servers[name]
 	if s == nil || now < s.ejectedUntil {
 		return 0
 	}
+	if now < s.avoidedUntil {
+		return avoidedWeight
+	}
 	if !s.slowStarting || h.opts.SlowStart <= 0 {
 		return 1
 	}
-	progress := float64(now-s.slowStartAt) / float64(h.opts.SlowStart)
+	progress := max(0, float64(now-s.slowStartAt)/float64(h.opts.SlowStart))
 	return min(1, startWeight+(1-startWeight)*progress)
 }
 
--- a/internal/retry/retry_test.go
+++ b/internal/retry/retry_test.go
@@ -216,7 +216,7 @@
 				reference.failures[name], reference.ejections[name] = 0, 0
 				continue
 			}
-			require.Equal(rt, reference.failed(now, name), tracker.RecordFailure(now, name))
+			require.Equal(rt, reference.failed(now, name), tracker.RecordFailure(now, name) == Ejected)
 			require.Equal(rt, now >= reference.ejectedUntil[name], tracker.Available(now, name))
 		}
 	})
@@ -267,3 +267,33 @@
 	require.InDelta(t, 1, h.Weight(start+defaultSlowStart, "a"), 1e-9)
 	require.InDelta(t, 1, h.Weight(0, "b"), 1e-9)
 }
+
+// A backend server that fails again and again must not keep its load because no more
+// may be ejected.
+func TestFailingServersBeyondEjectionCapAreAvoided(t *testing.T) {
+	h := NewHealthTracker(DefaultHealthOptions())
+	h.SetServers([]string{"a", "b", "c", "d"})
+	for range defaultConsecutiveFailures {
+		h.RecordFailure(0, "a")
+	}
+	for range defaultConsecutiveFailures - 1 {
+		require.Equal(t, NotEjected, h.RecordFailure(0, "b"))
+	}
+	require.Equal(t, Avoided, h.RecordFailure(0, "b"))
+	require.True(t, h.Available(0, "b"))
+	require.InDelta(t, avoidedWeight, h.Weight(0, "b"), 1e-9)
+	require.Equal(t, NotEjected, h.RecordFailure(time.Second, "b"), "it is avoided already")
+	require.InDelta(t, avoidedWeight, h.Weight(2*time.Second, "b"), 1e-9, "another failure prolongs it")
+	require.InDelta(t, startWeight, h.Weight(time.Second+defaultBaseEjection, "b"), 1e-9)
+	h.RecordSuccess("b")
+	require.GreaterOrEqual(t, h.Weight(2*time.Second, "b"), startWeight)
+	require.Equal(t, Ejected, h.RecordFailure(defaultBaseEjection, failing(h, "b", defaultBaseEjection)), "there is room again")
+}
+
+// failing lets a backend server fail until its next failure may eject it.
+func failing(h *HealthTracker, name string, now time.Duration) string {
+	for range defaultConsecutiveFailures - 1 {
+		h.RecordFailure(now, name)
+	}
+	return name
+}
