Do not resume streams whose last relayed event has no ID

What callers saw: events twice, if a stream without event IDs broke on a resumable route (ORDER; found by asking what a stream that ends inside an event goes on with).

Cause: the gateway resumed after the last ID that it had seen, if any; events without an ID came again, and without any ID the whole stream.

Evidence: TestStreamWithoutEventIDsIsNotResumed failed ("a b a b" instead of "a b").

Why this works: the splitter knows whether the last complete event had an ID; if not, the stream is broken off.

--- a/internal/eventstream/eventstream.go
+++ b/internal/eventstream/eventstream.go
@@ -17,17 +17,20 @@
 // CR. The zero Splitter is at the beginning of a stream.
 type Splitter struct {
 	// pending holds the bytes after the last complete event, of which the first
-	// scanned ones have been examined.
-	pending []byte
-	scanned int
+	// scanned ones have been examined. The current line begins at lineStart.
+	pending            []byte
+	scanned, lineStart int
 	// inLine is set inside a line. afterCR is set directly after a CR, which an LF
 	// may follow as part of the same line end, and afterBlank after a blank line.
 	inLine, afterCR, afterBlank bool
-	// inEvent is set once the current event has a line that is no comment.
+	// inEvent is set once the current event has a line that is no comment. eventID is
+	// its ID so far.
 	inEvent bool
-	// hasEvents is set once an event was complete.
-	hasEvents bool
-	id        string
+	eventID string
+	// hasEvents is set once an event was complete, and lastHasID if the last one had
+	// an ID, which is then in id.
+	hasEvents, lastHasID bool
+	id                   string
 }
 
 // Add appends data and returns the bytes up to the end of the last complete event
@@ -52,13 +55,13 @@
 	}
 	complete := s.pending[:end]
 	s.pending = append([]byte(nil), s.pending[end:]...)
-	s.scanned = len(s.pending)
-	s.recordID(complete)
+	s.scanned -= end
+	s.lineStart -= end
 	return complete, nil
 }
 
-// scan processes one byte and reports whether the bytes up to it end with a blank
-// line, which ends an event.
+// scan processes the byte at scanned and reports whether the bytes up to it end with
+// a blank line, which ends an event.
 func (s *Splitter) scan(b byte) bool {
 	if s.afterCR && b == '\n' {
 		s.afterCR = false
@@ -66,38 +69,42 @@
 	}
 	s.afterCR = b == '\r'
 	if !isLineEnd(b) {
-		s.inEvent = s.inEvent || !s.inLine && b != ':'
+		s.lineStart = s.scanned
+		s.inEvent = s.inEvent || b != ':'
 		s.inLine, s.afterBlank = true, false
 		return false
 	}
 	s.afterBlank = !s.inLine
-	s.inLine = false
-	if s.afterBlank {
-		s.hasEvents = s.hasEvents || s.inEvent
-		s.inEvent = false
+	if s.inLine {
+		s.inLine = false
+		s.endLine(s.pending[s.lineStart:s.scanned])
+		return false
 	}
-	return s.afterBlank
+	s.endEvent()
+	return true
 }
 
 var idField = []byte("id:")
 
-// recordID stores the ID of the last of some events.
-func (s *Splitter) recordID(events []byte) {
-	for end := len(events); ; {
-		start := bytes.LastIndex(events[:end], idField)
-		if start < 0 {
-			return
-		}
-		if start == 0 || isLineEnd(events[start-1]) {
-			value := events[start+len(idField):]
-			value = value[:bytes.IndexAny(value, "\r\n")]
-			s.id = string(bytes.TrimSpace(value))
-			return
-		}
-		end = start
+// endLine processes a complete line.
+func (s *Splitter) endLine(line []byte) {
+	if value, ok := bytes.CutPrefix(line, idField); ok {
+		s.eventID = string(bytes.TrimSpace(value))
 	}
 }
 
+// endEvent processes a blank line.
+func (s *Splitter) endEvent() {
+	if !s.inEvent {
+		return
+	}
+	s.hasEvents, s.lastHasID = true, s.eventID != ""
+	if s.lastHasID {
+		s.id = s.eventID
+	}
+	s.inEvent, s.eventID = false, ""
+}
+
 // lineLength returns the number of bytes before the first line end, or all.
 func lineLength(data []byte) int {
 	if end := bytes.IndexByte(data, '\n'); end >= 0 {
@@ -120,6 +127,10 @@
 	return s.id
 }
 
+// Resumable reports whether the stream can be resumed after the last complete event,
+// because there was none or it had an ID.
+func (s *Splitter) Resumable() bool { return !s.hasEvents || s.lastHasID }
+
 // HasEvents reports whether there was a complete event.
 func (s *Splitter) HasEvents() bool { return s.hasEvents }
 
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -303,7 +303,7 @@
 // after the backoff that precedes the attempt.
 func (q *request) retryAfterBackoff(ctx context.Context, out outcome, choice placement.Choice) bool {
 	decision := q.service.decideRetry(q.g.now(), retry.Attempt{
-		Idempotent:        q.route.Retryable(),
+		Idempotent:        q.route.Retryable() && !out.unresumable,
 		Ran:               out.executed(),
 		AttemptsMade:      q.sends,
 		Exhausted:         out.mayHaveExecuted() && q.possibleExecutions >= q.route.MaxAttempts,
--- a/internal/gateway/outcome.go
+++ b/internal/gateway/outcome.go
@@ -56,6 +56,8 @@
 	// connectionLost is set if the connection ended after the request was sent and
 	// before the answer was complete.
 	connectionLost bool
+	// unresumable is set if a stream cannot go on after what the caller has received.
+	unresumable bool
 	// streamEnd describes the end of a stream; nil if the attempt relayed none.
 	streamEnd *streamEnd
 }
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -29,6 +29,7 @@
 func (q *request) stream(ctx context.Context, exchange *upstream.Exchange) outcome {
 	events := eventstream.Splitter{}
 	out, position := q.relayEvents(ctx, exchange, &events)
+	out.unresumable = !events.Resumable()
 	out.streamEnd = &streamEnd{framing: exchange.Framing(), position: position, tailBytes: len(events.Tail())}
 	return out
 }
