--- a/internal/agent/announce.go
+++ b/internal/agent/announce.go
@@ -47,7 +47,7 @@
 	}
 }
 
-// announce sends the agent's heartbeat to the entries heard from recently.
+// announce sends the agent's heartbeat to the entries whose heartbeats have arrived recently.
 func (a *Agent) announce(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
 	defer cancel()
--- a/internal/agent/entries.go
+++ b/internal/agent/entries.go
@@ -41,10 +41,10 @@
 	t.last[address] = time.Now()
 }
 
-// count returns the number of entries heard from within entryWindow.
+// count returns the number of entries with a heartbeat within entryWindow.
 func (t *entryTracker) count() int32 { return int32(len(t.addresses())) }
 
-// addresses returns the addresses of the entries heard from within entryWindow.
+// addresses returns the addresses of the entries with a heartbeat within entryWindow.
 func (t *entryTracker) addresses() []string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/internal/entry/sink.go
+++ b/internal/entry/sink.go
@@ -96,7 +96,7 @@
 }
 
 // refuse sends the problem as the complete response, or as an error event if
-// the stream has begun. The missing [DONE] tells the caller that the stream is
+// the stream has begun. The missing [DONE] shows the caller that the stream is
 // incomplete.
 func (s *streamSink) refuse(r *refusal) {
 	if !s.started {
--- a/internal/entry/watch.go
+++ b/internal/entry/watch.go
@@ -15,7 +15,7 @@
 
 const (
 	// probesPerRound is the maximum number of agents probed per round of
-	// heartbeats. If more are due, those not heard from for longest come first.
+	// heartbeats. If more are due, those silent for longest come first.
 	probesPerRound = 4
 	// probesPerLargeRound replaces probesPerRound for more than smallFleet
 	// agents, where the dissemination of configurations takes a larger part of
--- a/internal/request/gate.go
+++ b/internal/request/gate.go
@@ -20,7 +20,7 @@
 // started one finished. No other changes occur, so that a withdrawn attempt can
 // never become started.
 const (
-	// GateUnknown: this gate cannot tell what became of the attempt.
+	// GateUnknown: this gate does not know whether the attempt ran.
 	GateUnknown GateState = iota
 	// GateQueued: the attempt is waiting and has not been executed.
 	GateQueued
@@ -33,7 +33,7 @@
 )
 
 // WithdrawState converts a gate's state into the reply to a withdrawal;
-// unspecified means that the gate cannot tell.
+// unspecified means that the gate does not know.
 func WithdrawState(s GateState) peerv1.WithdrawState {
 	switch s {
 	case GateWithdrawn:
--- a/internal/request/state.go
+++ b/internal/request/state.go
@@ -94,9 +94,9 @@
 	// StepComplete: the caller has the complete response, or all of it has been
 	// received for the caller.
 	StepComplete
-	// StepRefuse: tell the caller that the request was not executed.
+	// StepRefuse: report to the caller that the request was not executed.
 	StepRefuse
-	// StepUnknown: tell the caller that there is no complete response and that
+	// StepUnknown: report to the caller that there is no complete response and that
 	// the request was, or may have been, executed.
 	StepUnknown
 )
@@ -385,7 +385,7 @@
 	return !s.framesLost && !cancelled && now.Before(s.Call.Deadline)
 }
 
-// finish returns the final step, which tells the caller what is known about the
+// finish returns the final step, which reports to the caller what is known about the
 // execution of the request.
 func (s *State) finish(reason peerv1.RefusalReason, retryAfter time.Duration) Step {
 	step := Step{Kind: StepRefuse, Reason: reason, RetryAfter: retryAfter, Ran: s.executed}
--- a/internal/request/state_test.go
+++ b/internal/request/state_test.go
@@ -48,7 +48,7 @@
 	sent       []sentAttempt
 	executions int
 	// provedNotExecuted marks attempts that were proved not to be executed
-	// before the caller was told the outcome.
+	// before the caller received the outcome.
 	provedNotExecuted map[int]bool
 	final             Step
 }
@@ -131,7 +131,7 @@
 }
 
 // recordProof records whether an attempt is proved not to be executed, unless
-// the caller has already been told the outcome.
+// the caller has already received the outcome.
 func (s *simulation) recordProof(n int, never bool) {
 	if !s.final.Final() {
 		s.provedNotExecuted[n] = never
@@ -188,7 +188,7 @@
 }
 
 // run simulates one request to its outcome and beyond, and returns the errors
-// in what the caller was told.
+// in what was reported to the caller.
 func (s *simulation) run() []string {
 	s.handle(Event{Kind: EventBegin})
 	for range rapid.IntRange(0, 60).Draw(s.t, "acts") {
@@ -236,7 +236,7 @@
 	}
 }
 
-// TestNextReportsExecutionCorrectly checks that the caller is never told that
+// TestNextReportsExecutionCorrectly checks that it is never reported to the caller that
 // an executed request was not executed, that calls that are not idempotent are
 // executed at most once, and that a request proved not to be executed is not
 // reported as unknown.
--- a/internal/retry/denial.go
+++ b/internal/retry/denial.go
@@ -10,7 +10,7 @@
 	DenialMayHaveRun
 	// DenialTerminal: any other backend server would refuse for the same reason.
 	DenialTerminal
-	// DenialAttempts: the request has had its number of attempts.
+	// DenialAttempts: the request has used its number of attempts.
 	DenialAttempts
 	// DenialDeadline: another attempt is predicted to end after the deadline.
 	DenialDeadline
--- a/internal/stageplan/stageplan.go
+++ b/internal/stageplan/stageplan.go
@@ -96,7 +96,7 @@
 	target   fleet.Stage
 }
 
-// Order tells one engine to change its stage.
+// Order requests that one engine change its stage.
 type Order struct {
 	Engine      string
 	TargetStage fleet.Stage
