--- a/internal/gateway/poison_store.go
+++ b/internal/gateway/poison_store.go
@@ -53,9 +53,9 @@
 	lifted       bool
 }
 
-// keepBlocks reads the stored blocks once, and stores those of which this gateway is
+// KeepBlocks reads the stored blocks once, and stores those of which this gateway is
 // in charge, until ctx ends.
-func (g *Gateway) keepBlocks(ctx context.Context, store BlockStore) {
+func (g *Gateway) KeepBlocks(ctx context.Context, store BlockStore) {
 	k := &blockKeeper{g: g, store: store, stored: make(map[string]storedBlock)}
 	k.loadOnce(ctx)
 	runEvery(ctx, keepBlocksInterval, func() { k.reconcile(ctx) })
