Keep the evidence of crashes for 15 minutes

TestRarePoisonousPromptsAreBlocked fails with one minute. To look a part up for each answered prompt does not depend on the number of crashes any more.

--- a/internal/gateway/parts.go
+++ b/internal/gateway/parts.go
@@ -3,7 +3,7 @@
 import "github.com/marigoldwing/marigoldwing/internal/placement"
 
 // maxSharedParts bounds the parts of a prompt that are compared with others.
-const maxSharedParts = 16
+const maxSharedParts = 32
 
 // sharedParts returns the parts of a prompt that other prompts may have as well:
 // all but the last one, which belongs to the request or its session.
--- a/internal/poison/evidence.go
+++ b/internal/poison/evidence.go
@@ -59,7 +59,7 @@
 		return false
 	}
 	if c := d.crashes[engine]; c != nil {
-		c.add(now, c.at, parts)
+		d.recordCrash(now, Crash{Engine: engine, At: c.at, Parts: parts})
 		return false
 	}
 	l := d.losses[engine]
@@ -124,14 +124,41 @@
 	}
 	changed = c.add(now, report.At, report.Parts) || isNew
 	if changed {
+		d.suspect(c.parts)
 		d.decideUntil = max(d.decideUntil, now+2*observeTime)
 		d.addEarlierSounds(c)
 		d.recordBlockedCrash(now, c, isNew)
 	}
-	d.boundCrashes()
+	if d.boundCrashes() {
+		d.forgetSuspects()
+	}
 	return isNew, changed
 }
 
+func (d *Detector) suspect(parts []Part) {
+	for _, p := range parts {
+		d.suspected[p] = true
+	}
+}
+
+// forgetSuspects forgets what is known of parts that are no longer in a crash.
+func (d *Detector) forgetSuspects() {
+	clear(d.suspected)
+	for _, c := range d.crashes {
+		d.suspect(c.parts)
+	}
+	for p := range d.sounds {
+		if !d.suspected[p] {
+			delete(d.sounds, p)
+		}
+	}
+	for p := range d.answeredElsewhere {
+		if !d.suspected[p] {
+			delete(d.answeredElsewhere, p)
+		}
+	}
+}
+
 // add merges another report of the crash and reports whether its parts were new.
 func (c *crash) add(now, at time.Duration, parts []Part) bool {
 	before := len(c.parts)
@@ -144,8 +171,9 @@
 	return true
 }
 
-// boundCrashes drops the oldest crashes beyond maxCrashes.
-func (d *Detector) boundCrashes() {
+// boundCrashes drops the oldest crashes beyond maxCrashes and reports whether there
+// were any.
+func (d *Detector) boundCrashes() (dropped bool) {
 	for len(d.crashes) > maxCrashes {
 		oldest := ""
 		for engine, c := range d.crashes {
@@ -154,7 +182,9 @@
 			}
 		}
 		delete(d.crashes, oldest)
+		dropped = true
 	}
+	return dropped
 }
 
 // union returns the sorted union of sorted parts and others, at most maxParts of
@@ -181,7 +211,7 @@
 
 // addSound keeps an answered prompt with a part that is in a crash.
 func (d *Detector) addSound(p Part, s sound) {
-	if len(d.crashes) == 0 || !d.inCrash(p) {
+	if !d.suspected[p] {
 		return
 	}
 	sounds := d.sounds[p]
@@ -207,15 +237,6 @@
 	}
 }
 
-func (d *Detector) inCrash(p Part) bool {
-	for _, c := range d.crashes {
-		if c.has(p) {
-			return true
-		}
-	}
-	return false
-}
-
 func (c *crash) has(p Part) bool {
 	_, found := slices.BinarySearch(c.parts, p)
 	return found
@@ -235,17 +256,7 @@
 			expired = true
 		}
 	}
-	if !expired {
-		return
-	}
-	for p := range d.sounds {
-		if !d.inCrash(p) {
-			delete(d.sounds, p)
-		}
-	}
-	for p := range d.answeredElsewhere {
-		if !d.inCrash(p) {
-			delete(d.answeredElsewhere, p)
-		}
+	if expired {
+		d.forgetSuspects()
 	}
 }
--- a/internal/poison/poison.go
+++ b/internal/poison/poison.go
@@ -36,8 +36,8 @@
 )
 
 const (
-	// evidenceAge is how long a crash is evidence.
-	evidenceAge = time.Minute
+	// evidenceAge is how long a crash is evidence. Poisonous prompts may be rare.
+	evidenceAge = 15 * time.Minute
 	// maxCrashes and maxParts bound the crashes that are kept and the parts of each.
 	maxCrashes = 64
 	maxParts   = 256
@@ -64,6 +64,8 @@
 	losses map[string]*loss
 	// crashes are by engine; each start of an engine has a name of its own.
 	crashes map[string]*crash
+	// suspected are the parts that are in a crash.
+	suspected map[Part]bool
 	// sounds are the latest answered prompts with a part that is in a crash.
 	sounds map[Part][]sound
 	// contrast are the latest answered prompts of this gateway.
@@ -82,11 +84,12 @@
 // New returns a Detector without evidence.
 func New() *Detector {
 	return &Detector{
-		losses:   make(map[string]*loss),
-		crashes:  make(map[string]*crash),
-		sounds:   make(map[Part][]sound),
-		answered: newCounts(),
-		blocks:   make(map[Part]*block),
+		losses:    make(map[string]*loss),
+		crashes:   make(map[string]*crash),
+		suspected: make(map[Part]bool),
+		sounds:    make(map[Part][]sound),
+		answered:  newCounts(),
+		blocks:    make(map[Part]*block),
 
 		answeredElsewhere: make(map[Part]int),
 	}
--- a/internal/poison/poison_test.go
+++ b/internal/poison/poison_test.go
@@ -59,6 +59,21 @@
 	}
 }
 
+// TestRarePoisonousPromptsAreBlocked checks that a part is found with which a prompt
+// comes twice a minute.
+func TestRarePoisonousPromptsAreBlocked(t *testing.T) {
+	for seed := range uint64(3) {
+		opts := small
+		opts.seed, opts.soundRate, opts.poisonRate = seed, 20, 1.0/30
+		opts.poison = map[string]float64{"poison": 1}
+		s := newSimulation(opts)
+		s.run(6 * time.Minute)
+		msg := fmt.Sprint("seed ", seed)
+		requireBlocked(t, s, "poison", msg)
+		requireOnlyBlocked(t, s, msg, "poison")
+	}
+}
+
 // TestTwoPoisonousPartsAtOnce checks that two parts are found at the same time.
 func TestTwoPoisonousPartsAtOnce(t *testing.T) {
 	for seed := range uint64(6) {
--- a/internal/poison/report.go
+++ b/internal/poison/report.go
@@ -145,7 +145,7 @@
 		d.addSound(s.Part, sound{s.Request, s.SentAt})
 	}
 	for _, answered := range r.Answered {
-		if d.inCrash(answered.Part) {
+		if d.suspected[answered.Part] {
 			d.answeredElsewhere[answered.Part] = max(d.answeredElsewhere[answered.Part], answered.Count)
 		}
 	}
