Push new evidence of crashes at most five times a second

Each of 24 gateways has lost other prompts, and each new part at one of them made it notify six others at once, again and again.

Why this works: evidence that changes is pushed by a tick. As it spreads more slowly, crashes settle for 1 s before they count. Two rules became stricter, because later answers reach fewer gateways in time: a part needs three quarters of few crashes, and one that was answered is not blamed for crashes with another that never was.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -69,6 +69,9 @@
 	startTime time.Time
 	state     atomic.Pointer[state]
 	draining  atomic.Bool
+	// evidenceChanged is set if there is something new about crashes of engines that
+	// other gateways should learn soon.
+	evidenceChanged atomic.Bool
 	// seed is incremented for each retry decision, so that their jitter differs.
 	seed        atomic.Uint64
 	retryBudget atomic.Pointer[RetryBudget]
--- a/internal/gateway/poison.go
+++ b/internal/gateway/poison.go
@@ -25,8 +25,10 @@
 	// provenAfter is how long after its first event a stream that still yields events
 	// shows that its prompt is sound.
 	provenAfter = time.Second
-	// poisonInterval is how often evidence is judged that has only grown older.
-	poisonInterval = 100 * time.Millisecond
+	// poisonInterval is how often evidence is judged that has only grown older, and the
+	// least time between two notifications of other gateways of new evidence. Each of
+	// many gateways that have lost requests with an engine has something new.
+	poisonInterval = 200 * time.Millisecond
 	// An engine that ends connections without an answer is asked engineChecks times,
 	// engineCheckInterval apart, because a live one does so at times.
 	engineChecks        = 3
@@ -145,7 +147,8 @@
 		errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
 }
 
-// crashObserved logs a crash, notifies other gateways and judges the evidence.
+// crashObserved logs a crash, has other gateways notified soon and judges the
+// evidence.
 func (g *Gateway) crashObserved(s *service, crash poison.Crash, source string) {
 	seenBy := poisonFromSelf
 	if source != poisonFromSelf {
@@ -153,7 +156,7 @@
 	}
 	g.metrics.engineCrashes.WithLabelValues(s.name, seenBy).Inc()
 	g.log.Write(logevent.EngineCrashed(s.name, crash.Engine, source, len(crash.Parts), g.now()-crash.At))
-	g.notifyPeers()
+	g.evidenceChanged.Store(true)
 	g.judgePoison(s)
 }
 
@@ -193,9 +196,13 @@
 	return address == ""
 }
 
-// runPoison judges the evidence regularly until ctx ends.
+// runPoison judges the evidence regularly, and notifies other gateways of new evidence,
+// until ctx ends.
 func (g *Gateway) runPoison(ctx context.Context) {
 	runEvery(ctx, poisonInterval, func() {
+		if g.evidenceChanged.Swap(false) {
+			g.notifyPeers()
+		}
 		for _, s := range g.state.Load().services {
 			if s.isEngineService() {
 				g.judgePoison(s)
--- a/internal/gateway/poison_peers.go
+++ b/internal/gateway/poison_peers.go
@@ -39,8 +39,8 @@
 		for _, crash := range changes.Crashes {
 			g.crashObserved(s, crash, sender)
 		}
-		if changes.Any() {
-			g.notifyPeers()
+		if changes.Evidence {
+			g.evidenceChanged.Store(true)
 		}
 	}
 }
--- a/internal/poison/evidence.go
+++ b/internal/poison/evidence.go
@@ -122,9 +122,12 @@
 		c = &crash{at: report.At}
 		d.crashes[report.Engine] = c
 	}
-	changed = c.add(now, report.At, report.Parts) || isNew
+	c.at = min(c.at, report.At)
+	added := c.missing(report.Parts)
+	changed = isNew || len(added) > 0
 	if changed {
-		d.suspect(c.parts)
+		d.addParts(c, added)
+		c.changedAt = now
 		d.decideUntil = max(d.decideUntil, now+2*observeTime)
 		d.addEarlierSounds(c)
 		d.recordBlockedCrash(now, c, isNew)
@@ -135,40 +138,52 @@
 	return isNew, changed
 }
 
-func (d *Detector) suspect(parts []Part) {
-	for _, p := range parts {
-		d.suspected[p] = true
+// countSuspects counts the crashes that each part is in.
+func (d *Detector) countSuspects() {
+	clear(d.suspected)
+	for _, c := range d.crashes {
+		for _, p := range c.parts {
+			d.suspected[p]++
+		}
 	}
 }
 
 // forgetSuspects forgets what is known of parts that are no longer in a crash.
 func (d *Detector) forgetSuspects() {
-	clear(d.suspected)
-	for _, c := range d.crashes {
-		d.suspect(c.parts)
-	}
+	d.countSuspects()
 	for p := range d.sounds {
-		if !d.suspected[p] {
+		if d.suspected[p] == 0 {
 			delete(d.sounds, p)
 		}
 	}
 	for p := range d.answeredElsewhere {
-		if !d.suspected[p] {
+		if d.suspected[p] == 0 {
 			delete(d.answeredElsewhere, p)
 		}
 	}
 }
 
-// add merges another report of the crash and reports whether its parts were new.
-func (c *crash) add(now, at time.Duration, parts []Part) bool {
-	before := len(c.parts)
-	c.at = min(c.at, at)
-	c.parts = union(c.parts, parts)
-	if len(c.parts) == before {
-		return false
+// missing returns those of some parts that the crash lacks, unless it has as many as
+// it may have.
+func (c *crash) missing(parts []Part) []Part {
+	if len(c.parts) >= maxParts {
+		return nil
 	}
-	c.changedAt = now
-	return true
+	var missing []Part
+	for _, p := range parts {
+		if !c.has(p) && !slices.Contains(missing, p) {
+			missing = append(missing, p)
+		}
+	}
+	return missing[:min(len(missing), maxParts-len(c.parts))]
+}
+
+// addParts adds parts to a crash that lacks them.
+func (d *Detector) addParts(c *crash, parts []Part) {
+	for _, p := range parts {
+		d.suspected[p]++
+	}
+	c.parts = union(c.parts, parts)
 }
 
 // boundCrashes drops the oldest crashes beyond maxCrashes and reports whether there
@@ -211,7 +226,7 @@
 
 // addSound keeps an answered prompt with a part that is in a crash.
 func (d *Detector) addSound(p Part, s sound) {
-	if !d.suspected[p] {
+	if d.suspected[p] == 0 {
 		return
 	}
 	sounds := d.sounds[p]
--- a/internal/poison/poison.go
+++ b/internal/poison/poison.go
@@ -64,8 +64,8 @@
 	losses map[string]*loss
 	// crashes are by engine; each start of an engine has a name of its own.
 	crashes map[string]*crash
-	// suspected are the parts that are in a crash.
-	suspected map[Part]bool
+	// suspected counts the crashes that each part is in.
+	suspected map[Part]int
 	// sounds are the latest answered prompts with a part that is in a crash.
 	sounds map[Part][]sound
 	// contrast are the latest answered prompts of this gateway.
@@ -86,7 +86,7 @@
 	return &Detector{
 		losses:    make(map[string]*loss),
 		crashes:   make(map[string]*crash),
-		suspected: make(map[Part]bool),
+		suspected: make(map[Part]int),
 		sounds:    make(map[Part][]sound),
 		answered:  newCounts(),
 		blocks:    make(map[Part]*block),
--- a/internal/poison/report.go
+++ b/internal/poison/report.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 )
@@ -70,23 +71,20 @@
 // suspects returns the parts that were in the most crashes, while new crashes are
 // being learned of.
 func (d *Detector) suspects(now time.Duration) []Part {
-	inCrashes := make(map[Part]int)
-	recent := false
-	for _, c := range d.unexplained() {
-		recent = recent || now-c.changedAt < spreadTime
-		for _, p := range c.parts {
-			inCrashes[p]++
-		}
-	}
-	if !recent {
+	unexplained := d.unexplained()
+	isRecent := func(c *crash) bool { return now-c.changedAt < spreadTime }
+	if !slices.ContainsFunc(unexplained, isRecent) {
 		return nil
 	}
-	var suspects []Part
-	for p, n := range inCrashes {
-		if n >= minSuspectCrashes {
-			suspects = append(suspects, p)
+	inCrashes := make(map[Part]int)
+	for _, c := range unexplained {
+		for _, p := range c.parts {
+			if d.suspected[p] >= minSuspectCrashes {
+				inCrashes[p]++
+			}
 		}
 	}
+	suspects := slices.Collect(maps.Keys(inCrashes))
 	slices.SortFunc(suspects, func(a, b Part) int {
 		return cmp.Or(cmp.Compare(inCrashes[b], inCrashes[a]), cmp.Compare(a, b))
 	})
@@ -115,15 +113,12 @@
 type Changes struct {
 	// Crashes are those that it did not know.
 	Crashes []Crash
-	// Evidence is set if there was anything new about known crashes.
+	// Evidence is set if there was anything new about crashes.
 	Evidence bool
 	// Blocks are the parts that are now blocked, or no longer so.
 	Blocks []Block
 }
 
-// Any reports whether other gateways should learn of the changes soon.
-func (c Changes) Any() bool { return len(c.Crashes)+len(c.Blocks) > 0 || c.Evidence }
-
 // Merge merges the report of another gateway, whose times have been converted to
 // those of this one.
 func (d *Detector) Merge(now time.Duration, r Report) Changes {
@@ -145,7 +140,7 @@
 		d.addSound(s.Part, sound{s.Request, s.SentAt})
 	}
 	for _, answered := range r.Answered {
-		if d.suspected[answered.Part] {
+		if d.suspected[answered.Part] > 0 {
 			d.answeredElsewhere[answered.Part] = max(d.answeredElsewhere[answered.Part], answered.Count)
 		}
 	}
--- a/internal/poison/verdict.go
+++ b/internal/poison/verdict.go
@@ -23,14 +23,16 @@
 	minMoments = 3
 	momentGap  = 50 * time.Millisecond
 	// minExplainedShare is the least share of all crashes since the first of them that
-	// the part must have been in.
+	// the part must have been in, and fewExplainedShare that with fewer crashes than
+	// manyCrashes.
 	minExplainedShare = 0.5
+	fewExplainedShare = 0.75
 	// minContrast is the least number of prompts without the part that must have
 	// been answered since the first of these crashes.
 	minContrast = 3
 	// settleTime is how long ago a crash must be to count, so that all gateways have
 	// reported what they lost and what was answered.
-	settleTime = 600 * time.Millisecond
+	settleTime = time.Second
 	// observeTime is how long ago the first crash must be for a part with which prompts
 	// have been answered before, so that further ones may be answered.
 	observeTime = 2 * time.Second
@@ -99,7 +101,9 @@
 	with := make(map[Part][]*crash)
 	for _, c := range crashes {
 		for _, p := range c.parts {
-			with[p] = append(with[p], c)
+			if d.suspected[p] >= minCrashes {
+				with[p] = append(with[p], c)
+			}
 		}
 	}
 	var candidates []candidate
@@ -129,6 +133,9 @@
 // judge compares the crashes with a part with all crashes and with the prompts that
 // were answered since. It tries the most crashes first.
 func (d *Detector) judge(now time.Duration, p Part, with, all []*crash) (candidate, bool) {
+	if d.wasAnswered(p) {
+		with = slices.DeleteFunc(slices.Clone(with), d.hasOtherSuspect)
+	}
 	for n := min(len(with), maxCompared); n >= minCrashes; n-- {
 		c := d.candidate(p, with[:n])
 		if c.before > 0 && now-c.first < observeTime {
@@ -145,6 +152,19 @@
 	return candidate{}, false
 }
 
+// wasAnswered reports whether a prompt with a part has been answered.
+func (d *Detector) wasAnswered(p Part) bool {
+	return len(d.sounds[p]) > 0 || d.answered.of(p) > 0 || d.answeredElsewhere[p] > 0
+}
+
+// hasOtherSuspect reports whether a crash has a part that is in several crashes and
+// has never been answered. Such a crash is no evidence against a part that has been.
+func (d *Detector) hasOtherSuspect(c *crash) bool {
+	return slices.ContainsFunc(c.parts, func(p Part) bool {
+		return d.suspected[p] >= minSuspectCrashes && !d.wasAnswered(p)
+	})
+}
+
 // judgeAtOnce finds a part with many crashes and without any answered prompt, which
 // needs no further evidence.
 func (d *Detector) judgeAtOnce(p Part, with, all []*crash) (candidate, bool) {
@@ -166,7 +186,11 @@
 // while prompts without it were answered.
 func (d *Detector) standsOut(c candidate, all []*crash) bool {
 	since := len(all) - crashesUntil(all, c.first-1)
-	return float64(c.crashes) >= minExplainedShare*float64(since) && d.contrastSince(c.part, c.first) >= minContrast
+	share := minExplainedShare
+	if c.crashes < manyCrashes {
+		share = fewExplainedShare
+	}
+	return float64(c.crashes) >= share*float64(since) && d.contrastSince(c.part, c.first) >= minContrast
 }
 
 // crashesUntil returns the number of crashes, the latest first, up to a time.
