Forget the crashes of a prompt part that has become sound

What callers would see: a part whose block was lifted after three answered trials is refused again for ten minutes as soon as any engine ends (BUDGET; found by reading).

Cause: the crashes that the block had explained are evidence for 15 minutes, and the block does not explain them any more.

Evidence: TestLiftedPartIsNotBlockedForEarlierCrashes failed before.

Why this works: a part that has become sound takes the crashes that it was in with it.

--- a/internal/poison/block.go
+++ b/internal/poison/block.go
@@ -166,6 +166,7 @@
 	}
 	if b.answered >= trialsInSeries {
 		b.Lifted, b.ChangedAt, b.learnedAt = true, now, now
+		d.forgetCrashes(p)
 		return b.Block, true
 	}
 	if b.trials >= trialsInSeries {
@@ -227,9 +228,22 @@
 		return false
 	}
 	b.learnedAt = now
+	if b.Lifted {
+		d.forgetCrashes(b.Part)
+	}
 	return true
 }
 
+// forgetCrashes forgets the crashes with a part that has become sound.
+func (d *Detector) forgetCrashes(p Part) {
+	for engine, c := range d.crashes {
+		if c.has(p) {
+			delete(d.crashes, engine)
+		}
+	}
+	d.forgetSuspects()
+}
+
 // expireBlocks forgets blocks that are too old.
 func (d *Detector) expireBlocks(now time.Duration) {
 	for p, b := range d.blocks {
--- a/internal/poison/poison_test.go
+++ b/internal/poison/poison_test.go
@@ -324,3 +324,38 @@
 		d.Blocked(parts)
 	}
 }
+
+// TestLiftedPartIsNotBlockedForEarlierCrashes guards against blocking a part again, as
+// soon as any engine crashes, for crashes of before its trials.
+func TestLiftedPartIsNotBlockedForEarlierCrashes(t *testing.T) {
+	const p = Part(7)
+	d := New()
+	now := time.Minute
+	answerOthers := func() {
+		for i := range 5 {
+			d.RecordSound(uint64(now)+uint64(i), now, []Part{1})
+		}
+	}
+	crashWith := func(parts ...Part) {
+		now += time.Second
+		engine := fmt.Sprint("engine-", now)
+		d.RecordLoss(now, engine, parts)
+		d.EndCheck(now, engine, CheckEnded)
+		now += 10 * time.Millisecond
+		answerOthers()
+	}
+	for range maxCompared {
+		crashWith(p)
+	}
+	require.NotEmpty(t, d.Decide(now))
+	now += trialWaits[0]
+	for range trialsInSeries {
+		require.True(t, d.BeginTrial(now, []Part{p}))
+		d.RecordSound(uint64(now), now, []Part{p})
+		d.EndTrial(now, p, true)
+		now += time.Second
+	}
+	require.False(t, d.isBlocked(p))
+	crashWith(2)
+	require.Empty(t, d.Decide(now+2*time.Second))
+}
