--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -65,7 +65,7 @@
 	if handle == nil {
 		return out, c
 	}
-	if _, blocked := q.service.blockedBy(q.parts); blocked && q.trial == nil {
+	if _, blocked := q.service.blockedBy(q.traits); blocked && q.trial == nil {
 		go q.g.releaseKV(c.PrefillServer, *handle)
 		return outcome{result: notExecuted, reason: reasonPoisonous, serverUntried: true}, c
 	}
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -26,7 +26,7 @@
 	config  *fleet.Config
 	body    []byte
 	// parts are the parts of the prompt that other prompts may share.
-	parts []poison.Part
+	traits []poison.Trait
 	// sentAt is when the last attempt was sent, and proven is set once an engine has
 	// shown that it answers the prompt.
 	sentAt time.Duration
@@ -178,7 +178,7 @@
 		return
 	}
 	q.service.recordRequest()
-	q.parts = q.poisonParts()
+	q.traits = q.poisonParts()
 	defer q.endTrial()
 	// last is the outcome of the latest attempt. It becomes the outcome of the
 	// request if no further attempt can be made.
--- a/internal/gateway/log.go
+++ b/internal/gateway/log.go
@@ -33,6 +33,7 @@
 	}
 	if out.connectionLost {
 		attempt.LostParts = partIDs(sharedParts(q.meta.Parts))
+		attempt.LostRequest = traitText(q.requestTraits()[0])
 	}
 	if end := out.streamEnd; end != nil {
 		q.g.metrics.streamEnds.WithLabelValues(q.service.name, string(end.framing), end.position).Inc()
--- a/internal/gateway/poison.go
+++ b/internal/gateway/poison.go
@@ -52,18 +52,26 @@
 
 // poisonParts returns the parts of the prompt that other prompts may share; nil if
 // the request is for no engine.
-func (q *request) poisonParts() []poison.Part {
+func (q *request) poisonParts() []poison.Trait {
 	if !q.service.isEngineService() {
 		return nil
 	}
 	shared := sharedParts(q.meta.Parts)
-	parts := make([]poison.Part, 0, len(shared))
+	parts := make([]poison.Trait, 0, len(shared))
 	for _, p := range shared {
 		parts = append(parts, poison.PartOf(p.ID))
 	}
 	return parts
 }
 
+// requestTraits returns the traits of the request as a whole, the most specific one
+// first.
+func (q *request) requestTraits() []poison.Trait {
+	return poison.Request{
+		Method: q.r.Method, Host: q.r.Host, Path: q.r.URL.EscapedPath(), Query: q.r.URL.RawQuery, Caller: q.meta.Caller, Body: q.body,
+	}.Traits()
+}
+
 // recordEvidence records what the end of an attempt says about the parts of its
 // prompt.
 func (q *request) recordEvidence(out outcome, server fleet.Server) {
@@ -78,21 +86,21 @@
 // recordLoss records that the connection of an attempt at an engine was lost, and
 // has the engine checked.
 func (q *request) recordLoss(server fleet.Server) {
-	if len(q.parts) == 0 {
+	if len(q.traits) == 0 {
 		return
 	}
-	if q.service.recordLoss(q.g.now(), engineName(server), q.parts) {
+	if q.service.recordLoss(q.g.now(), engineName(server), q.traits) {
 		go q.g.checkEngine(q.service, server)
 	}
 }
 
 // recordSound records that the engine answers the prompt.
 func (q *request) recordSound() {
-	if len(q.parts) == 0 || q.proven {
+	if len(q.traits) == 0 || q.proven {
 		return
 	}
 	q.proven = true
-	q.service.recordSound(xxhash.Sum64String(q.meta.ID), q.sentAt, q.parts)
+	q.service.recordSound(xxhash.Sum64String(q.meta.ID), q.sentAt, q.traits)
 }
 
 // checkEngine finds out whether an engine that has lost a connection has ended.
@@ -155,7 +163,7 @@
 		seenBy = poisonFromPeer
 	}
 	g.metrics.engineCrashes.WithLabelValues(s.name, seenBy).Inc()
-	g.log.Write(logevent.EngineCrashed(s.name, crash.Engine, source, len(crash.Parts), g.now()-crash.At))
+	g.log.Write(logevent.EngineCrashed(s.name, crash.Engine, source, len(crash.Traits), g.now()-crash.At))
 	g.evidenceChanged.Store(true)
 	g.judgePoison(s)
 }
@@ -172,14 +180,14 @@
 func (g *Gateway) blockChanged(s *service, b poison.Block, source string) {
 	now := g.now()
 	g.log.Write(logevent.PartBlocked(logevent.BlockedPart{
-		Service: s.name, Part: partText(b.Part), Blocked: !b.Lifted, Source: source, Engines: b.Engines,
+		Service: s.name, Part: traitText(b.Trait), Blocked: !b.Lifted, Source: source, Engines: b.Engines,
 		Crashes: b.Crashes, Answered: b.Answered, LastCrashAge: now - b.LastCrash, FailedTrials: b.FailedTrials, Until: b.NextTrial() - now,
 	}))
 	g.notifyPeers()
 }
 
-// partText returns a part as written to logs.
-func partText(p poison.Part) string { return fmt.Sprintf("%016x", uint64(p)) }
+// traitText returns a trait as written to logs.
+func traitText(t poison.Trait) string { return fmt.Sprintf("%016x", uint64(t)) }
 
 func (g *Gateway) notifyPeers() {
 	if g.peers != nil {
@@ -214,12 +222,12 @@
 // refuseBlocked refuses a request whose prompt has a blocked part, unless it is sent
 // to try the part again. It reports whether the request has its final response.
 func (q *request) refuseBlocked(last *outcome) bool {
-	block, blocked := q.service.blockedBy(q.parts)
+	block, blocked := q.service.blockedBy(q.traits)
 	if !blocked || q.beginTrial(block) {
 		return false
 	}
-	for i, p := range q.parts {
-		if p == block.Part {
+	for i, p := range q.traits {
+		if p == block.Trait {
 			q.blockedPart = q.meta.Parts[i].ID
 		}
 	}
@@ -234,14 +242,14 @@
 // beginTrial reports whether this request tries a blocked part again.
 func (q *request) beginTrial(b poison.Block) bool {
 	if q.trial != nil {
-		return q.trial.Part == b.Part
+		return q.trial.Trait == b.Trait
 	}
 	now := q.g.now()
-	if now < b.NextTrial() || !q.g.owns("trial/"+q.service.name+"/"+partText(b.Part)) || !q.service.beginTrial(now, q.parts) {
+	if now < b.NextTrial() || !q.g.owns("trial/"+q.service.name+"/"+traitText(b.Trait)) || !q.service.beginTrial(now, q.traits) {
 		return false
 	}
 	q.trial = &b
-	q.g.log.Write(logevent.PartTrialBegun(q.meta.ID, q.service.name, partText(b.Part), b.FailedTrials))
+	q.g.log.Write(logevent.PartTrialBegun(q.meta.ID, q.service.name, traitText(b.Trait), b.FailedTrials))
 	return true
 }
 
@@ -250,7 +258,7 @@
 	if q.trial == nil {
 		return
 	}
-	if block, lifted := q.service.endTrial(q.g.now(), q.trial.Part, q.proven); lifted {
+	if block, lifted := q.service.endTrial(q.g.now(), q.trial.Trait, q.proven); lifted {
 		q.g.blockChanged(q.service, block, poisonFromSelf)
 	}
 }
@@ -264,13 +272,13 @@
 
 // The following methods forward to the detector under the service's lock.
 
-func (s *service) recordLoss(now time.Duration, engine string, parts []poison.Part) (check bool) {
+func (s *service) recordLoss(now time.Duration, engine string, parts []poison.Trait) (check bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.poison.RecordLoss(now, engine, parts)
 }
 
-func (s *service) recordSound(request uint64, sentAt time.Duration, parts []poison.Part) {
+func (s *service) recordSound(request uint64, sentAt time.Duration, parts []poison.Trait) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.poison.RecordSound(request, sentAt, parts)
@@ -288,19 +296,19 @@
 	return s.poison.Decide(now)
 }
 
-func (s *service) blockedBy(parts []poison.Part) (poison.Block, bool) {
+func (s *service) blockedBy(parts []poison.Trait) (poison.Block, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.poison.Blocked(parts)
 }
 
-func (s *service) beginTrial(now time.Duration, parts []poison.Part) bool {
+func (s *service) beginTrial(now time.Duration, parts []poison.Trait) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.poison.BeginTrial(now, parts)
 }
 
-func (s *service) endTrial(now time.Duration, p poison.Part, answered bool) (poison.Block, bool) {
+func (s *service) endTrial(now time.Duration, p poison.Trait, answered bool) (poison.Block, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.poison.EndTrial(now, p, answered)
--- a/internal/gateway/poison_peers.go
+++ b/internal/gateway/poison_peers.go
@@ -49,18 +49,18 @@
 	message := &peerv1.PoisonReport{Service: service}
 	for _, c := range r.Crashes {
 		crash := &peerv1.EngineCrash{Engine: c.Engine, AgeMs: (now - c.At).Milliseconds()}
-		for _, p := range c.Parts {
+		for _, p := range c.Traits {
 			crash.Parts = append(crash.Parts, uint64(p))
 		}
 		message.Crashes = append(message.Crashes, crash)
 	}
 	for _, s := range r.Sounds {
 		message.SoundPrompts = append(message.SoundPrompts, &peerv1.SoundPrompt{
-			Part: uint64(s.Part), Request: s.Request, AgeMs: (now - s.SentAt).Milliseconds(),
+			Part: uint64(s.Trait), Request: s.Request, AgeMs: (now - s.SentAt).Milliseconds(),
 		})
 	}
 	for _, a := range r.Answered {
-		message.Answered = append(message.Answered, &peerv1.PartCount{Part: uint64(a.Part), Count: int64(a.Count)})
+		message.Answered = append(message.Answered, &peerv1.PartCount{Part: uint64(a.Trait), Count: int64(a.Count)})
 	}
 	for _, b := range r.Blocks {
 		message.BlockedParts = append(message.BlockedParts, blockToProto(now, b))
@@ -70,7 +70,7 @@
 
 func blockToProto(now time.Duration, b poison.Block) *peerv1.BlockedPart {
 	return &peerv1.BlockedPart{
-		Part: uint64(b.Part), Crashes: int32(b.Crashes), LastCrashAgeMs: (now - b.LastCrash).Milliseconds(),
+		Part: uint64(b.Trait), Crashes: int32(b.Crashes), LastCrashAgeMs: (now - b.LastCrash).Milliseconds(),
 		FailedTrials: int32(b.FailedTrials), Lifted: b.Lifted, ChangedAgeMs: (now - b.ChangedAt).Milliseconds(),
 	}
 }
@@ -80,17 +80,17 @@
 	for _, c := range message.GetCrashes() {
 		crash := poison.Crash{Engine: c.GetEngine(), At: timeOfAge(now, c.GetAgeMs())}
 		for _, p := range c.GetParts() {
-			crash.Parts = append(crash.Parts, poison.Part(p))
+			crash.Traits = append(crash.Traits, poison.Trait(p))
 		}
 		r.Crashes = append(r.Crashes, crash)
 	}
 	for _, s := range message.GetSoundPrompts() {
 		r.Sounds = append(r.Sounds, poison.SoundPrompt{
-			Part: poison.Part(s.GetPart()), Request: s.GetRequest(), SentAt: timeOfAge(now, s.GetAgeMs()),
+			Trait: poison.Trait(s.GetPart()), Request: s.GetRequest(), SentAt: timeOfAge(now, s.GetAgeMs()),
 		})
 	}
 	for _, a := range message.GetAnswered() {
-		r.Answered = append(r.Answered, poison.PartCount{Part: poison.Part(a.GetPart()), Count: int(a.GetCount())})
+		r.Answered = append(r.Answered, poison.TraitCount{Trait: poison.Trait(a.GetPart()), Count: int(a.GetCount())})
 	}
 	for _, b := range message.GetBlockedParts() {
 		r.Blocks = append(r.Blocks, blockFromProto(now, b))
@@ -100,7 +100,7 @@
 
 func blockFromProto(now time.Duration, b *peerv1.BlockedPart) poison.Block {
 	return poison.Block{
-		Part: poison.Part(b.GetPart()), Crashes: int(b.GetCrashes()), LastCrash: timeOfAge(now, b.GetLastCrashAgeMs()),
+		Trait: poison.Trait(b.GetPart()), Crashes: int(b.GetCrashes()), LastCrash: timeOfAge(now, b.GetLastCrashAgeMs()),
 		FailedTrials: int(b.GetFailedTrials()), Lifted: b.GetLifted(), ChangedAt: timeOfAge(now, b.GetChangedAgeMs()),
 	}
 }
--- a/internal/gateway/poison_store.go
+++ b/internal/gateway/poison_store.go
@@ -89,7 +89,7 @@
 	}
 	for _, s := range k.g.state.Load().services {
 		for _, b := range s.blocks() {
-			name := blockName(s.name, b.Part)
+			name := blockName(s.name, b.Trait)
 			stored, known := k.stored[name]
 			unchanged := known && stored == (storedBlock{b.FailedTrials, b.Lifted})
 			if unchanged || !k.g.owns(KindBlockedPart+"/"+name) {
@@ -103,8 +103,8 @@
 }
 
 // blockName returns the name of the object of a blocked part.
-func blockName(service string, p poison.Part) string {
-	return service[:min(len(service), maxBlockName)] + "." + partText(p)
+func blockName(service string, p poison.Trait) string {
+	return service[:min(len(service), maxBlockName)] + "." + traitText(p)
 }
 
 // load merges the stored blocks of the services in the configuration.
@@ -151,7 +151,7 @@
 	if err != nil {
 		return err
 	}
-	key := platform.Key{Kind: KindBlockedPart, Name: blockName(service, b.Part)}
+	key := platform.Key{Kind: KindBlockedPart, Name: blockName(service, b.Trait)}
 	_, err = k.store.Put(ctx, key, value, 0)
 	var conflict *platform.ConflictError
 	if errors.As(err, &conflict) {
--- a/internal/gateway/protocol.go
+++ b/internal/gateway/protocol.go
@@ -12,6 +12,9 @@
 type RequestMeta struct {
 	// ID of the request. Each retry by the caller has an ID of its own.
 	ID string
+	// Caller is the identity that the caller states, of which only the equality
+	// matters; empty if it states none.
+	Caller string
 	// Timeout is how long the caller waits for the response; 0 if unspecified.
 	Timeout time.Duration
 	// Parts of the prompt, in order; empty for plain services.
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -42,7 +42,7 @@
 			continue
 		}
 		dump = append(dump, BlockDump{
-			Part: partText(b.Part), Crashes: b.Crashes, LastCrashAgeMS: (now - b.LastCrash).Milliseconds(),
+			Part: traitText(b.Trait), Crashes: b.Crashes, LastCrashAgeMS: (now - b.LastCrash).Milliseconds(),
 			FailedTrials: b.FailedTrials, UntilTrialMS: (b.NextTrial() - now).Milliseconds(),
 		})
 	}
--- a/internal/logevent/request.go
+++ b/internal/logevent/request.go
@@ -42,8 +42,11 @@
 	// LostParts are the parts of the prompt that other prompts may share, for an
 	// attempt whose connection was lost.
 	LostParts []string
-	Result    string
-	Reason    string
+	// LostRequest identifies the request among others with other IDs, for an attempt
+	// whose connection was lost.
+	LostRequest string
+	Result      string
+	Reason      string
 	// Elapsed is the time since the request arrived.
 	Elapsed time.Duration
 }
@@ -98,6 +101,7 @@
 		e.with(slog.Int("tail_bytes", a.StreamEnd.TailBytes))
 	}
 	e.withText("lost_parts", strings.Join(a.LostParts, ","))
+	e.withText("lost_request", a.LostRequest)
 	e.with(slog.String(keyResult, a.Result))
 	e.withText(keyReason, a.Reason)
 	e.with(milliseconds(keyElapsed, a.Elapsed))
--- a/internal/poison/block.go
+++ b/internal/poison/block.go
@@ -8,7 +8,7 @@
 )
 
 const (
-	// blockAge is how long a part stays blocked after its last crash without a
+	// blockAge is how long a trait stays blocked after its last crash without a
 	// successful trial.
 	blockAge = 24 * time.Hour
 	// liftedAge is how long a lifted block is remembered, so that gateways that were
@@ -16,8 +16,8 @@
 	liftedAge = 10 * time.Minute
 	// maxBlocks bounds the blocks of a service.
 	maxBlocks = 64
-	// trialGap is the least time between the last crash with a blocked part and one
-	// that counts as a failed trial. Prompts that were in progress when the part was
+	// trialGap is the least time between the last crash with a blocked trait and one
+	// that counts as a failed trial. Prompts that were in progress when the trait was
 	// blocked crash engines before.
 	trialGap = 30 * time.Second
 	// timeTolerance is by how much times may grow on the way between gateways.
@@ -31,24 +31,24 @@
 	trialsInSeries = 3
 )
 
-// trialWaits are the times from the last crash with a part to the next trial, by
+// trialWaits are the times from the last crash with a trait to the next trial, by
 // the number of trials that have failed. There is no trial after the last of them.
 var trialWaits = []time.Duration{10 * time.Minute, time.Hour, 6 * time.Hour}
 
-// Block says that prompts with a part are not sent to engines.
+// Block says that prompts with a trait are not sent to engines.
 type Block struct {
-	Part Part
+	Trait Trait
 	// Engines are the engines that crashed, for logs; only the gateway that blocked
-	// the part knows them.
+	// the trait knows them.
 	Engines []string
 	// Crashes and Answered are the numbers of crashes and of prompts answered
-	// meanwhile for which the part was blocked.
+	// meanwhile for which the trait was blocked.
 	Crashes, Answered int
-	// LastCrash is the time of the last crash with the part.
+	// LastCrash is the time of the last crash with the trait.
 	LastCrash time.Duration
 	// FailedTrials is the number of trials that ended in a crash.
 	FailedTrials int
-	// Lifted is set if the part is no longer blocked, and ChangedAt is when that was
+	// Lifted is set if the trait is no longer blocked, and ChangedAt is when that was
 	// last decided.
 	Lifted    bool
 	ChangedAt time.Duration
@@ -65,18 +65,18 @@
 	trials, answered      int
 }
 
-// block blocks a part.
+// block blocks a trait.
 func (d *Detector) block(now time.Duration, c candidate) Block {
 	b := &block{learnedAt: now, Block: Block{
-		Part: c.part, Crashes: c.crashes, Answered: c.sounds, LastCrash: c.last, ChangedAt: now,
+		Trait: c.trait, Crashes: c.crashes, Answered: c.sounds, LastCrash: c.last, ChangedAt: now,
 	}}
 	for engine, crash := range d.crashes {
-		if crash.has(c.part) {
+		if crash.has(c.trait) {
 			b.Engines = append(b.Engines, engine)
 		}
 	}
 	slices.Sort(b.Engines)
-	d.blocks[c.part] = b
+	d.blocks[c.trait] = b
 	d.boundBlocks()
 	return b.Block
 }
@@ -89,7 +89,7 @@
 	blocks := d.sortedBlocks()
 	slices.SortStableFunc(blocks, func(a, b *block) int { return cmp.Compare(b.LastCrash, a.LastCrash) })
 	for _, b := range blocks[maxBlocks:] {
-		delete(d.blocks, b.Part)
+		delete(d.blocks, b.Trait)
 	}
 }
 
@@ -98,22 +98,22 @@
 	for _, b := range d.blocks {
 		blocks = append(blocks, b)
 	}
-	slices.SortFunc(blocks, func(a, b *block) int { return cmp.Compare(a.Part, b.Part) })
+	slices.SortFunc(blocks, func(a, b *block) int { return cmp.Compare(a.Trait, b.Trait) })
 	return blocks
 }
 
-// isBlocked reports whether a part is blocked.
-func (d *Detector) isBlocked(p Part) bool {
+// isBlocked reports whether a trait is blocked.
+func (d *Detector) isBlocked(p Trait) bool {
 	b := d.blocks[p]
 	return b != nil && !b.Lifted
 }
 
 // Blocked returns the first block that keeps a prompt from the engines.
-func (d *Detector) Blocked(parts []Part) (Block, bool) {
+func (d *Detector) Blocked(traits []Trait) (Block, bool) {
 	if len(d.blocks) == 0 {
 		return Block{}, false
 	}
-	for _, p := range parts {
+	for _, p := range traits {
 		if d.isBlocked(p) {
 			return d.blocks[p].Block, true
 		}
@@ -121,7 +121,7 @@
 	return Block{}, false
 }
 
-// NextTrial returns the time from which a prompt with the part may be tried again.
+// NextTrial returns the time from which a prompt with the trait may be tried again.
 func (b Block) NextTrial() time.Duration {
 	if b.FailedTrials >= len(trialWaits) {
 		return b.LastCrash + blockAge
@@ -129,11 +129,11 @@
 	return b.LastCrash + trialWaits[b.FailedTrials]
 }
 
-// BeginTrial reports whether a prompt with one blocked part is to be sent to an
+// BeginTrial reports whether a prompt with one blocked trait is to be sent to an
 // engine to see whether it still crashes. Only one gateway may ask.
-func (d *Detector) BeginTrial(now time.Duration, parts []Part) bool {
+func (d *Detector) BeginTrial(now time.Duration, traits []Trait) bool {
 	var b *block
-	for _, p := range parts {
+	for _, p := range traits {
 		switch {
 		case !d.isBlocked(p):
 		case b != nil:
@@ -155,7 +155,7 @@
 
 // EndTrial records the end of a trial, and whether its prompt was answered. It
 // returns the block if it has been lifted.
-func (d *Detector) EndTrial(now time.Duration, p Part, answered bool) (lifted Block, ok bool) {
+func (d *Detector) EndTrial(now time.Duration, p Trait, answered bool) (lifted Block, ok bool) {
 	b := d.blocks[p]
 	if b == nil || b.Lifted {
 		return Block{}, false
@@ -175,8 +175,8 @@
 	return Block{}, false
 }
 
-// lastCrash returns the time of the last known crash with a part.
-func (d *Detector) lastCrash(p Part) time.Duration {
+// lastCrash returns the time of the last known crash with a trait.
+func (d *Detector) lastCrash(p Trait) time.Duration {
 	last := time.Duration(math.MinInt64)
 	for _, c := range d.crashes {
 		if c.has(p) {
@@ -186,9 +186,9 @@
 	return last
 }
 
-// recordBlockedCrash records a crash in the blocks of its parts.
+// recordBlockedCrash records a crash in the blocks of its traits.
 func (d *Detector) recordBlockedCrash(now time.Duration, c *crash, isNew bool) {
-	for _, p := range c.parts {
+	for _, p := range c.traits {
 		b := d.blocks[p]
 		if b == nil || b.Lifted || c.at <= b.LastCrash {
 			continue
@@ -202,16 +202,16 @@
 }
 
 // mergeBlock merges a block that another gateway or the store has. It reports
-// whether this gateway did not know that the part is blocked, or no longer so.
+// whether this gateway did not know that the trait is blocked, or no longer so.
 func (d *Detector) mergeBlock(now time.Duration, other Block) bool {
 	if now-other.LastCrash > blockAge || other.Lifted && now-other.ChangedAt > liftedAge {
 		return false
 	}
-	b := d.blocks[other.Part]
+	b := d.blocks[other.Trait]
 	if b == nil {
 		b = &block{Block: other, learnedAt: now}
-		b.LastCrash = max(b.LastCrash, d.lastCrash(other.Part))
-		d.blocks[other.Part] = b
+		b.LastCrash = max(b.LastCrash, d.lastCrash(other.Trait))
+		d.blocks[other.Trait] = b
 		d.boundBlocks()
 		return !other.Lifted
 	}
@@ -229,13 +229,13 @@
 	}
 	b.learnedAt = now
 	if b.Lifted {
-		d.forgetCrashes(b.Part)
+		d.forgetCrashes(b.Trait)
 	}
 	return true
 }
 
-// forgetCrashes forgets the crashes with a part that has become sound.
-func (d *Detector) forgetCrashes(p Part) {
+// forgetCrashes forgets the crashes with a trait that has become sound.
+func (d *Detector) forgetCrashes(p Trait) {
 	for engine, c := range d.crashes {
 		if c.has(p) {
 			delete(d.crashes, engine)
--- a/internal/poison/evidence.go
+++ b/internal/poison/evidence.go
@@ -9,8 +9,8 @@
 // loss holds the attempts that were lost at an engine that may have crashed.
 type loss struct {
 	// at is the time of the first of them.
-	at    time.Duration
-	parts []Part
+	at     time.Duration
+	traits []Trait
 	// checking is set while the engine is being checked, and checkedAt is the time
 	// of the last check.
 	checking  bool
@@ -20,8 +20,8 @@
 // crash is the end of an engine with requests in progress.
 type crash struct {
 	// at is the earliest time that a gateway reported.
-	at    time.Duration
-	parts []Part
+	at     time.Duration
+	traits []Trait
 	// changedAt is when this gateway last learned something of the crash.
 	changedAt time.Duration
 }
@@ -49,17 +49,17 @@
 type Crash struct {
 	Engine string
 	At     time.Duration
-	Parts  []Part
+	Traits []Trait
 }
 
 // RecordLoss records that the connection of an attempt at an engine was lost. It
 // reports whether the caller has to check the engine now.
-func (d *Detector) RecordLoss(now time.Duration, engine string, parts []Part) bool {
-	if len(parts) == 0 {
+func (d *Detector) RecordLoss(now time.Duration, engine string, traits []Trait) bool {
+	if len(traits) == 0 {
 		return false
 	}
 	if c := d.crashes[engine]; c != nil {
-		d.recordCrash(now, Crash{Engine: engine, At: c.at, Parts: parts})
+		d.recordCrash(now, Crash{Engine: engine, At: c.at, Traits: traits})
 		return false
 	}
 	l := d.losses[engine]
@@ -67,7 +67,7 @@
 		l = &loss{at: now, checkedAt: now - checkInterval}
 		d.losses[engine] = l
 	}
-	l.parts = union(l.parts, parts)
+	l.traits = union(l.traits, traits)
 	if l.checking || now-l.checkedAt < checkInterval {
 		return false
 	}
@@ -87,7 +87,7 @@
 	case CheckEnded:
 		return d.confirm(now, engine), true
 	case CheckAlive:
-		l.at, l.parts = now, nil
+		l.at, l.traits = now, nil
 	}
 	return Crash{}, false
 }
@@ -96,7 +96,7 @@
 // announced that it leaves. It returns the crash if attempts were lost there.
 func (d *Detector) EngineGone(now time.Duration, engine string) (Crash, bool) {
 	l := d.losses[engine]
-	if l == nil || len(l.parts) == 0 || now-l.at > lossAge {
+	if l == nil || len(l.traits) == 0 || now-l.at > lossAge {
 		return Crash{}, false
 	}
 	return d.confirm(now, engine), true
@@ -106,8 +106,8 @@
 func (d *Detector) confirm(now time.Duration, engine string) Crash {
 	l := d.losses[engine]
 	delete(d.losses, engine)
-	d.recordCrash(now, Crash{Engine: engine, At: l.at, Parts: l.parts})
-	return Crash{Engine: engine, At: l.at, Parts: l.parts}
+	d.recordCrash(now, Crash{Engine: engine, At: l.at, Traits: l.traits})
+	return Crash{Engine: engine, At: l.at, Traits: l.traits}
 }
 
 // recordCrash merges a crash with what is known of it. It reports whether the crash
@@ -123,10 +123,10 @@
 		d.crashes[report.Engine] = c
 	}
 	c.at = min(c.at, report.At)
-	added := c.missing(report.Parts)
+	added := c.missing(report.Traits)
 	changed = isNew || len(added) > 0
 	if changed {
-		d.addParts(c, added)
+		d.addTraits(c, added)
 		c.changedAt = now
 		d.decideUntil = max(d.decideUntil, now+2*observeTime)
 		d.addEarlierSounds(c)
@@ -138,17 +138,17 @@
 	return isNew, changed
 }
 
-// countSuspects counts the crashes that each part is in.
+// countSuspects counts the crashes that each trait is in.
 func (d *Detector) countSuspects() {
 	clear(d.suspected)
 	for _, c := range d.crashes {
-		for _, p := range c.parts {
+		for _, p := range c.traits {
 			d.suspected[p]++
 		}
 	}
 }
 
-// forgetSuspects forgets what is known of parts that are no longer in a crash.
+// forgetSuspects forgets what is known of traits that are no longer in a crash.
 func (d *Detector) forgetSuspects() {
 	d.countSuspects()
 	for p := range d.sounds {
@@ -163,27 +163,27 @@
 	}
 }
 
-// missing returns those of some parts that the crash lacks, unless it has as many as
+// missing returns those of some traits that the crash lacks, unless it has as many as
 // it may have.
-func (c *crash) missing(parts []Part) []Part {
-	if len(c.parts) >= maxParts {
+func (c *crash) missing(traits []Trait) []Trait {
+	if len(c.traits) >= maxTraits {
 		return nil
 	}
-	var missing []Part
-	for _, p := range parts {
+	var missing []Trait
+	for _, p := range traits {
 		if !c.has(p) && !slices.Contains(missing, p) {
 			missing = append(missing, p)
 		}
 	}
-	return missing[:min(len(missing), maxParts-len(c.parts))]
+	return missing[:min(len(missing), maxTraits-len(c.traits))]
 }
 
-// addParts adds parts to a crash that lacks them.
-func (d *Detector) addParts(c *crash, parts []Part) {
-	for _, p := range parts {
+// addTraits adds traits to a crash that lacks them.
+func (d *Detector) addTraits(c *crash, traits []Trait) {
+	for _, p := range traits {
 		d.suspected[p]++
 	}
-	c.parts = union(c.parts, parts)
+	c.traits = union(c.traits, traits)
 }
 
 // boundCrashes drops the oldest crashes beyond maxCrashes and reports whether there
@@ -202,30 +202,30 @@
 	return dropped
 }
 
-// union returns the sorted union of sorted parts and others, at most maxParts of
+// union returns the sorted union of sorted traits and others, at most maxTraits of
 // them.
-func union(parts, others []Part) []Part {
-	merged := append(slices.Clone(parts), others...)
+func union(traits, others []Trait) []Trait {
+	merged := append(slices.Clone(traits), others...)
 	slices.Sort(merged)
 	merged = slices.Compact(merged)
-	return merged[:min(len(merged), maxParts)]
+	return merged[:min(len(merged), maxTraits)]
 }
 
 // RecordSound records that a prompt, sent at sentAt, was answered. The request
 // identifies it among the prompts of all gateways.
-func (d *Detector) RecordSound(request uint64, sentAt time.Duration, parts []Part) {
-	for _, p := range parts {
+func (d *Detector) RecordSound(request uint64, sentAt time.Duration, traits []Trait) {
+	for _, p := range traits {
 		d.answered.add(p)
 		d.addSound(p, sound{request, sentAt})
 	}
-	d.contrast = append(d.contrast, contrastPrompt{sound{request, sentAt}, parts})
+	d.contrast = append(d.contrast, contrastPrompt{sound{request, sentAt}, traits})
 	if len(d.contrast) > 2*maxContrast {
 		d.contrast = slices.Clone(d.contrast[len(d.contrast)-maxContrast:])
 	}
 }
 
-// addSound keeps an answered prompt with a part that is in a crash.
-func (d *Detector) addSound(p Part, s sound) {
+// addSound keeps an answered prompt with a trait that is in a crash.
+func (d *Detector) addSound(p Trait, s sound) {
 	if d.suspected[p] == 0 {
 		return
 	}
@@ -240,11 +240,11 @@
 	d.sounds[p] = sounds[:min(len(sounds), maxSounds)]
 }
 
-// addEarlierSounds keeps the prompts with the parts of a crash that were answered
+// addEarlierSounds keeps the prompts with the traits of a crash that were answered
 // before this gateway learned of it.
 func (d *Detector) addEarlierSounds(c *crash) {
 	for _, prompt := range d.contrast {
-		for _, p := range prompt.parts {
+		for _, p := range prompt.traits {
 			if c.has(p) {
 				d.addSound(p, prompt.sound)
 			}
@@ -252,8 +252,8 @@
 	}
 }
 
-func (c *crash) has(p Part) bool {
-	_, found := slices.BinarySearch(c.parts, p)
+func (c *crash) has(p Trait) bool {
+	_, found := slices.BinarySearch(c.traits, p)
 	return found
 }
 
--- a/internal/poison/poison.go
+++ b/internal/poison/poison.go
@@ -1,17 +1,17 @@
-// Package poison finds the parts of prompts under which engines crash (poison
+// Package poison finds the traits of prompts under which engines crash (poison
 // prompts, also called queries of death), so that gateways can keep such prompts
 // from the engines that are left.
 //
 // A crash ends all requests of an engine, sound ones as well, and each gateway
-// sees only its own. Gateways therefore exchange their evidence: which shared parts
-// the prompts had that were lost with an engine, and which suspected parts were
+// sees only its own. Gateways therefore exchange their evidence: which shared traits
+// the prompts had that were lost with an engine, and which suspected traits were
 // answered meanwhile. Evidence merges in any order and repeatedly with the same
 // result, and its size is bounded.
 //
-// A part is blocked if it was in several crashes and hardly any prompt with it has
+// A trait is blocked if it was in several crashes and hardly any prompt with it has
 // been answered since the first of them, while other prompts were answered. Crashes
-// that a blocked part explains are no evidence against other parts. After a long
-// time one gateway tries a prompt with a blocked part again.
+// that a blocked trait explains are no evidence against other traits. After a long
+// time one gateway tries a prompt with a blocked trait again.
 //
 // A Detector holds what one gateway knows about the prompts of one service. The
 // caller must call:
@@ -29,21 +29,17 @@
 // concurrent use.
 package poison
 
-import (
-	"time"
-
-	"github.com/cespare/xxhash/v2"
-)
+import "time"
 
 const (
 	// evidenceAge is how long a crash is evidence. Poisonous prompts may be rare.
 	evidenceAge = 15 * time.Minute
-	// maxCrashes and maxParts bound the crashes that are kept and the parts of each.
+	// maxCrashes and maxTraits bound the crashes that are kept and the traits of each.
 	maxCrashes = 64
-	maxParts   = 256
-	// maxSounds bounds the answered prompts that are kept for each part.
+	maxTraits  = 256
+	// maxSounds bounds the answered prompts that are kept for each trait.
 	maxSounds = 16
-	// maxContrast bounds the latest answered prompts with any parts.
+	// maxContrast bounds the latest answered prompts with any traits.
 	maxContrast = 64
 	// lossAge is how long losses wait for the confirmation that their engine ended.
 	lossAge = 10 * time.Second
@@ -51,32 +47,26 @@
 	checkInterval = 200 * time.Millisecond
 )
 
-// Part identifies a part of prompts by the hash of its ID.
-type Part uint64
-
-// PartOf returns the part with an ID.
-func PartOf(id string) Part { return Part(xxhash.Sum64String(id)) }
-
 // Detector holds the evidence about the prompts of one service, and the blocked
-// parts. The zero value is not usable; use New.
+// traits. The zero value is not usable; use New.
 type Detector struct {
 	// losses are attempts whose engine may have crashed, by engine.
 	losses map[string]*loss
 	// crashes are by engine; each start of an engine has a name of its own.
 	crashes map[string]*crash
-	// suspected counts the crashes that each part is in.
-	suspected map[Part]int
-	// sounds are the latest answered prompts with a part that is in a crash.
-	sounds map[Part][]sound
+	// suspected counts the crashes that each trait is in.
+	suspected map[Trait]int
+	// sounds are the latest answered prompts with a trait that is in a crash.
+	sounds map[Trait][]sound
 	// contrast are the latest answered prompts of this gateway.
 	contrast []contrastPrompt
 	// decideUntil is until when the crashes known so far may lead to a decision.
 	decideUntil time.Duration
 	answered    *counts
 	// answeredElsewhere is the largest number of answered prompts that another gateway
-	// has counted, for parts that are in a crash.
-	answeredElsewhere map[Part]int
-	blocks            map[Part]*block
+	// has counted, for traits that are in a crash.
+	answeredElsewhere map[Trait]int
+	blocks            map[Trait]*block
 	// blockTurn selects the blocks that the next report has.
 	blockTurn int
 }
@@ -86,39 +76,39 @@
 	return &Detector{
 		losses:    make(map[string]*loss),
 		crashes:   make(map[string]*crash),
-		suspected: make(map[Part]int),
-		sounds:    make(map[Part][]sound),
+		suspected: make(map[Trait]int),
+		sounds:    make(map[Trait][]sound),
 		answered:  newCounts(),
-		blocks:    make(map[Part]*block),
+		blocks:    make(map[Trait]*block),
 
-		answeredElsewhere: make(map[Part]int),
+		answeredElsewhere: make(map[Trait]int),
 	}
 }
 
 // contrastPrompt is an answered prompt.
 type contrastPrompt struct {
 	sound
-	parts []Part
+	traits []Trait
 }
 
-// counts counts parts approximately with bounded memory: it forgets the older half
+// counts counts traits approximately with bounded memory: it forgets the older half
 // of what it has counted when it is full.
 type counts struct {
-	current, previous map[Part]int
+	current, previous map[Trait]int
 }
 
-// maxCounted bounds the parts in each half.
+// maxCounted bounds the traits in each half.
 const maxCounted = 4096
 
 func newCounts() *counts {
-	return &counts{current: make(map[Part]int), previous: make(map[Part]int)}
+	return &counts{current: make(map[Trait]int), previous: make(map[Trait]int)}
 }
 
-func (c *counts) add(p Part) {
+func (c *counts) add(p Trait) {
 	if len(c.current) >= maxCounted {
-		c.current, c.previous = make(map[Part]int), c.current
+		c.current, c.previous = make(map[Trait]int), c.current
 	}
 	c.current[p]++
 }
 
-func (c *counts) of(p Part) int { return c.current[p] + c.previous[p] }
+func (c *counts) of(p Trait) int { return c.current[p] + c.previous[p] }
--- a/internal/poison/poison_test.go
+++ b/internal/poison/poison_test.go
@@ -14,33 +14,33 @@
 var small = options{gateways: 5, engines: 9, soundRate: 90, poisonRate: 2, firstParts: 40, secondParts: 420, poisonFrom: 5 * time.Second}
 
 const (
-	// maxSendsAfterNotice is how many prompts with a part may be sent later than
+	// maxSendsAfterNotice is how many prompts with a trait may be sent later than
 	// notice after the fifth crash under it.
 	maxSendsAfterNotice = 3
 	notice              = 3 * time.Second
 )
 
-// requireBlocked checks that a part is blocked in time by all gateways.
-func requireBlocked(t *testing.T, s *simulation, part string, msg string) {
+// requireBlocked checks that a trait is blocked in time by all gateways.
+func requireBlocked(t *testing.T, s *simulation, trait string, msg string) {
 	t.Helper()
-	crashes := s.crashes[part]
+	crashes := s.crashes[trait]
 	require.NotEmpty(t, crashes, msg)
 	after := crashes[min(len(crashes), manyCrashes)-1] + notice
-	require.LessOrEqual(t, s.sendsAfter(part, after), maxSendsAfterNotice, "%s: %d crashes", msg, len(crashes))
+	require.LessOrEqual(t, s.sendsAfter(trait, after), maxSendsAfterNotice, "%s: %d crashes", msg, len(crashes))
 	for _, g := range s.gateways[:len(s.gateways)-s.opts.silent] {
-		require.True(t, g.detector.isBlocked(PartOf(part)), msg)
+		require.True(t, g.detector.isBlocked(PartOf(trait)), msg)
 	}
 }
 
-// requireOnlyBlocked checks that no other parts are blocked by any gateway.
-func requireOnlyBlocked(t *testing.T, s *simulation, msg string, parts ...string) {
+// requireOnlyBlocked checks that no other traits are blocked by any gateway.
+func requireOnlyBlocked(t *testing.T, s *simulation, msg string, traits ...string) {
 	t.Helper()
-	for part := range s.blocked {
-		require.True(t, slices.ContainsFunc(parts, func(p string) bool { return PartOf(p) == part }), "%s: blocked %x", msg, part)
+	for trait := range s.blocked {
+		require.True(t, slices.ContainsFunc(traits, func(p string) bool { return PartOf(p) == trait }), "%s: blocked %x", msg, trait)
 	}
 }
 
-// TestPoisonousPartIsBlockedByAllGateways checks that one poisonous part is found at
+// TestPoisonousPartIsBlockedByAllGateways checks that one poisonous trait is found at
 // different rates, however many gateways see its crashes.
 func TestPoisonousPartIsBlockedByAllGateways(t *testing.T) {
 	for _, gateways := range []int{1, 5, 30} {
@@ -59,7 +59,7 @@
 	}
 }
 
-// TestRarePoisonousPromptsAreBlocked checks that a part is found with which a prompt
+// TestRarePoisonousPromptsAreBlocked checks that a trait is found with which a prompt
 // comes twice a minute.
 func TestRarePoisonousPromptsAreBlocked(t *testing.T) {
 	for seed := range uint64(3) {
@@ -74,7 +74,7 @@
 	}
 }
 
-// TestTwoPoisonousPartsAtOnce checks that two parts are found at the same time.
+// TestTwoPoisonousPartsAtOnce checks that two traits are found at the same time.
 func TestTwoPoisonousPartsAtOnce(t *testing.T) {
 	for seed := range uint64(6) {
 		opts := small
@@ -88,7 +88,7 @@
 	}
 }
 
-// TestFirstPartMayBePoisonous checks that a part with which all prompts of a group
+// TestFirstPartMayBePoisonous checks that a trait with which all prompts of a group
 // begin is found if none of them is answered any more.
 func TestFirstPartMayBePoisonous(t *testing.T) {
 	for seed := range uint64(6) {
@@ -102,7 +102,7 @@
 	}
 }
 
-// TestPartThatCrashesHalfOfItsEngines checks that a part under which not every engine
+// TestPartThatCrashesHalfOfItsEngines checks that a trait under which not every engine
 // crashes is found in most cases. Its answered prompts speak for it.
 func TestPartThatCrashesHalfOfItsEngines(t *testing.T) {
 	const seeds = 12
@@ -120,7 +120,7 @@
 	require.GreaterOrEqual(t, found, seeds*3/4)
 }
 
-// TestOtherCrashesBlockNothing checks that no part is blamed for engines that are
+// TestOtherCrashesBlockNothing checks that no trait is blamed for engines that are
 // killed, lose power together, one after the other or all at once, and for
 // connections that break.
 func TestOtherCrashesBlockNothing(t *testing.T) {
@@ -131,7 +131,7 @@
 		"all at once":            func(o *options) { o.blackouts, o.blackoutShare = blackouts, 1 },
 		"breaks at live engines": func(o *options) { o.breaks = 0.5 },
 		"kills and few prompts":  func(o *options) { o.kills, o.soundRate = 1, 10 },
-		"kills and few parts":    func(o *options) { o.kills, o.firstParts, o.secondParts = 1, 1, 3 },
+		"kills and few traits":   func(o *options) { o.kills, o.firstParts, o.secondParts = 1, 1, 3 },
 	} {
 		for seed := range uint64(6) {
 			opts := small
@@ -144,7 +144,7 @@
 	}
 }
 
-// TestPoisonousPartBesideOtherCrashes checks that a poisonous part is found, and no
+// TestPoisonousPartBesideOtherCrashes checks that a poisonous trait is found, and no
 // other, while engines are killed.
 func TestPoisonousPartBesideOtherCrashes(t *testing.T) {
 	for seed := range uint64(6) {
@@ -159,7 +159,7 @@
 }
 
 // TestBlockSpreadsOverLargeFleet checks that all of 350 gateways before 940 engines
-// block a part in time.
+// block a trait in time.
 func TestBlockSpreadsOverLargeFleet(t *testing.T) {
 	opts := options{gateways: 350, engines: 940, soundRate: 3000, poisonRate: 20, firstParts: 400, secondParts: 4000, poisonFrom: time.Second,
 		poison: map[string]float64{"poison": 1}}
@@ -192,17 +192,17 @@
 	at := rapid.Custom(func(t *rapid.T) time.Duration {
 		return now - time.Duration(rapid.IntRange(0, 9).Draw(t, "age"))*2*time.Second
 	})
-	part := rapid.Custom(func(t *rapid.T) Part { return Part(rapid.Uint64Range(1, 6).Draw(t, "part")) })
+	trait := rapid.Custom(func(t *rapid.T) Trait { return Trait(rapid.Uint64Range(1, 6).Draw(t, "trait")) })
 	report := rapid.Custom(func(t *rapid.T) Report {
 		var r Report
 		for range rapid.IntRange(0, 4).Draw(t, "crashes") {
-			parts := sorted(rapid.SliceOfNDistinct(part, 1, 4, rapid.ID[Part]).Draw(t, "parts"))
+			traits := sorted(rapid.SliceOfNDistinct(trait, 1, 4, rapid.ID[Trait]).Draw(t, "traits"))
 			crashedAt := at.Draw(t, "at")
-			r.Crashes = append(r.Crashes, Crash{Engine: fmt.Sprint("engine-", crashedAt), At: crashedAt, Parts: parts})
+			r.Crashes = append(r.Crashes, Crash{Engine: fmt.Sprint("engine-", crashedAt), At: crashedAt, Traits: traits})
 		}
 		for range rapid.IntRange(0, 2).Draw(t, "blocks") {
 			last := at.Draw(t, "last")
-			r.Blocks = append(r.Blocks, Block{Part: part.Draw(t, "part"), LastCrash: last, ChangedAt: last, Crashes: rapid.IntRange(3, 8).Draw(t, "n")})
+			r.Blocks = append(r.Blocks, Block{Trait: trait.Draw(t, "trait"), LastCrash: last, ChangedAt: last, Crashes: rapid.IntRange(3, 8).Draw(t, "n")})
 		}
 		return r
 	})
@@ -228,24 +228,24 @@
 	return all
 }
 
-// blockedDetector returns a detector that has blocked a part at a time.
-func blockedDetector(now time.Duration, p Part) *Detector {
+// blockedDetector returns a detector that has blocked a trait at a time.
+func blockedDetector(now time.Duration, p Trait) *Detector {
 	d := New()
-	d.Merge(now, Report{Blocks: []Block{{Part: p, Crashes: 3, LastCrash: now, ChangedAt: now}}})
+	d.Merge(now, Report{Blocks: []Block{{Trait: p, Crashes: 3, LastCrash: now, ChangedAt: now}}})
 	return d
 }
 
-// TestBlockIsLiftedAfterAnsweredTrials checks that a part that has become sound is
+// TestBlockIsLiftedAfterAnsweredTrials checks that a trait that has become sound is
 // served again after three answered trials, one at a time.
 func TestBlockIsLiftedAfterAnsweredTrials(t *testing.T) {
-	const p = Part(7)
+	const p = Trait(7)
 	d := blockedDetector(0, p)
-	require.False(t, d.BeginTrial(9*time.Minute, []Part{p}))
+	require.False(t, d.BeginTrial(9*time.Minute, []Trait{p}))
 	now := 11 * time.Minute
 	for i := range trialsInSeries {
 		require.True(t, d.isBlocked(p))
-		require.True(t, d.BeginTrial(now, []Part{1, p}))
-		require.False(t, d.BeginTrial(now, []Part{1, p}), "one at a time")
+		require.True(t, d.BeginTrial(now, []Trait{1, p}))
+		require.False(t, d.BeginTrial(now, []Trait{1, p}), "one at a time")
 		_, lifted := d.EndTrial(now+time.Second, p, true)
 		require.Equal(t, i == trialsInSeries-1, lifted)
 		now += 2 * time.Second
@@ -254,24 +254,24 @@
 	stale := blockedDetector(0, p)
 	stale.Merge(now, d.Report(now))
 	require.False(t, stale.isBlocked(p), "other gateways learn of it")
-	d.Merge(now, Report{Blocks: []Block{{Part: p, Crashes: 3}}})
+	d.Merge(now, Report{Blocks: []Block{{Trait: p, Crashes: 3}}})
 	require.False(t, d.isBlocked(p), "an older report changes nothing")
 }
 
-// TestAtMostThreeTrialsFail checks that a part that still crashes engines is tried
+// TestAtMostThreeTrialsFail checks that a trait that still crashes engines is tried
 // at most three times, at longer and longer intervals.
 func TestAtMostThreeTrialsFail(t *testing.T) {
-	const p = Part(7)
+	const p = Trait(7)
 	d := blockedDetector(0, p)
 	trials := 0
 	for now := time.Duration(0); now < blockAge; now += time.Minute {
 		d.expireBlocks(now)
-		if !d.BeginTrial(now, []Part{1, p}) {
+		if !d.BeginTrial(now, []Trait{1, p}) {
 			continue
 		}
 		trials++
 		engine := fmt.Sprint("engine-", trials)
-		d.RecordLoss(now, engine, []Part{p})
+		d.RecordLoss(now, engine, []Trait{p})
 		d.EndCheck(now, engine, CheckEnded)
 		d.EndTrial(now, p, false)
 		d.Decide(now + time.Second)
@@ -283,15 +283,15 @@
 // TestTrialsWithoutResult checks that trials that engines refuse do not go on
 // without end.
 func TestTrialsWithoutResult(t *testing.T) {
-	const p = Part(7)
+	const p = Trait(7)
 	d := blockedDetector(0, p)
 	now := trialWaits[0]
 	for range trialsInSeries {
-		require.True(t, d.BeginTrial(now, []Part{1, p}))
+		require.True(t, d.BeginTrial(now, []Trait{1, p}))
 		d.EndTrial(now, p, false)
 	}
-	require.False(t, d.BeginTrial(now, []Part{1, p}))
-	require.True(t, d.BeginTrial(now+trialPause, []Part{p}))
+	require.False(t, d.BeginTrial(now, []Trait{1, p}))
+	require.True(t, d.BeginTrial(now+trialPause, []Trait{p}))
 }
 
 // TestMemoryIsBounded checks that neither callers nor crashes make the evidence grow
@@ -300,11 +300,11 @@
 	d := New()
 	for i := range 20000 {
 		now := time.Duration(i) * time.Millisecond
-		parts := sorted([]Part{Part(3*i + 1), Part(3*i + 2), Part(3*i + 3)})
-		d.RecordSound(uint64(i), now, parts)
+		traits := sorted([]Trait{Trait(3*i + 1), Trait(3*i + 2), Trait(3*i + 3)})
+		d.RecordSound(uint64(i), now, traits)
 		if i%10 == 0 {
 			engine := fmt.Sprint("engine-", i)
-			d.RecordLoss(now, engine, parts)
+			d.RecordLoss(now, engine, traits)
 			d.EndCheck(now, engine, CheckEnded)
 		}
 	}
@@ -313,33 +313,33 @@
 	require.LessOrEqual(t, len(d.answered.current)+len(d.answered.previous), 2*maxCounted)
 	require.LessOrEqual(t, len(d.losses), maxCrashes)
 	d.Report(20 * time.Second)
-	require.LessOrEqual(t, len(d.sounds), maxCrashes*maxParts)
+	require.LessOrEqual(t, len(d.sounds), maxCrashes*maxTraits)
 }
 
-// BenchmarkBlocked measures the check before each send while a part is blocked.
+// BenchmarkBlocked measures the check before each send while a trait is blocked.
 func BenchmarkBlocked(b *testing.B) {
 	d := blockedDetector(0, 7)
-	parts := []Part{1, 2}
+	traits := []Trait{1, 2}
 	for b.Loop() {
-		d.Blocked(parts)
+		d.Blocked(traits)
 	}
 }
 
-// TestLiftedPartIsNotBlockedForEarlierCrashes guards against blocking a part again, as
+// TestLiftedPartIsNotBlockedForEarlierCrashes guards against blocking a trait again, as
 // soon as any engine crashes, for crashes of before its trials.
 func TestLiftedPartIsNotBlockedForEarlierCrashes(t *testing.T) {
-	const p = Part(7)
+	const p = Trait(7)
 	d := New()
 	now := time.Minute
 	answerOthers := func() {
 		for i := range 5 {
-			d.RecordSound(uint64(now)+uint64(i), now, []Part{1})
+			d.RecordSound(uint64(now)+uint64(i), now, []Trait{1})
 		}
 	}
-	crashWith := func(parts ...Part) {
+	crashWith := func(traits ...Trait) {
 		now += time.Second
 		engine := fmt.Sprint("engine-", now)
-		d.RecordLoss(now, engine, parts)
+		d.RecordLoss(now, engine, traits)
 		d.EndCheck(now, engine, CheckEnded)
 		now += 10 * time.Millisecond
 		answerOthers()
@@ -350,8 +350,8 @@
 	require.NotEmpty(t, d.Decide(now))
 	now += trialWaits[0]
 	for range trialsInSeries {
-		require.True(t, d.BeginTrial(now, []Part{p}))
-		d.RecordSound(uint64(now), now, []Part{p})
+		require.True(t, d.BeginTrial(now, []Trait{p}))
+		d.RecordSound(uint64(now), now, []Trait{p})
 		d.EndTrial(now, p, true)
 		now += time.Second
 	}
--- a/internal/poison/report.go
+++ b/internal/poison/report.go
@@ -10,8 +10,8 @@
 const (
 	// spreadTime is how long a gateway passes on what it has learned.
 	spreadTime = 3 * time.Second
-	// maxSuspects bounds the parts whose answered prompts are reported, and
-	// minSuspectCrashes is the number of crashes that make a part suspicious.
+	// maxSuspects bounds the traits whose answered prompts are reported, and
+	// minSuspectCrashes is the number of crashes that make a trait suspicious.
 	maxSuspects       = 8
 	minSuspectCrashes = 2
 	// blocksPerReport bounds the older blocks in a report, which take turns, so that
@@ -23,20 +23,20 @@
 type Report struct {
 	Crashes []Crash
 	Sounds  []SoundPrompt
-	// Answered are the numbers of answered prompts with suspicious parts.
-	Answered []PartCount
+	// Answered are the numbers of answered prompts with suspicious traits.
+	Answered []TraitCount
 	Blocks   []Block
 }
 
-// PartCount is a number of prompts with a part.
-type PartCount struct {
-	Part  Part
+// TraitCount is a number of prompts with a trait.
+type TraitCount struct {
+	Trait Trait
 	Count int
 }
 
-// SoundPrompt is an answered prompt with a suspicious part.
+// SoundPrompt is an answered prompt with a suspicious trait.
 type SoundPrompt struct {
-	Part    Part
+	Trait   Trait
 	Request uint64
 	SentAt  time.Duration
 }
@@ -48,10 +48,10 @@
 	r := Report{Crashes: d.recentCrashes(now), Blocks: d.reportedBlocks(now)}
 	for _, p := range d.suspects(now) {
 		for _, s := range d.sounds[p][:min(len(d.sounds[p]), maxCompared)] {
-			r.Sounds = append(r.Sounds, SoundPrompt{Part: p, Request: s.request, SentAt: s.sentAt})
+			r.Sounds = append(r.Sounds, SoundPrompt{Trait: p, Request: s.request, SentAt: s.sentAt})
 		}
 		if n := max(d.answered.of(p), d.answeredElsewhere[p]); n > 0 {
-			r.Answered = append(r.Answered, PartCount{p, n})
+			r.Answered = append(r.Answered, TraitCount{p, n})
 		}
 	}
 	return r
@@ -61,31 +61,31 @@
 	var crashes []Crash
 	for engine, c := range d.crashes {
 		if now-c.changedAt < spreadTime {
-			crashes = append(crashes, Crash{Engine: engine, At: c.at, Parts: c.parts})
+			crashes = append(crashes, Crash{Engine: engine, At: c.at, Traits: c.traits})
 		}
 	}
 	slices.SortFunc(crashes, func(a, b Crash) int { return cmp.Compare(a.Engine, b.Engine) })
 	return crashes
 }
 
-// suspects returns the parts that were in the most crashes, while new crashes are
+// suspects returns the traits that were in the most crashes, while new crashes are
 // being learned of.
-func (d *Detector) suspects(now time.Duration) []Part {
+func (d *Detector) suspects(now time.Duration) []Trait {
 	unexplained := d.unexplained()
 	isRecent := func(c *crash) bool { return now-c.changedAt < spreadTime }
 	if !slices.ContainsFunc(unexplained, isRecent) {
 		return nil
 	}
-	inCrashes := make(map[Part]int)
+	inCrashes := make(map[Trait]int)
 	for _, c := range unexplained {
-		for _, p := range c.parts {
+		for _, p := range c.traits {
 			if d.suspected[p] >= minSuspectCrashes {
 				inCrashes[p]++
 			}
 		}
 	}
 	suspects := slices.Collect(maps.Keys(inCrashes))
-	slices.SortFunc(suspects, func(a, b Part) int {
+	slices.SortFunc(suspects, func(a, b Trait) int {
 		return cmp.Or(cmp.Compare(inCrashes[b], inCrashes[a]), cmp.Compare(a, b))
 	})
 	return suspects[:min(len(suspects), maxSuspects)]
@@ -115,7 +115,7 @@
 	Crashes []Crash
 	// Evidence is set if there was anything new about crashes.
 	Evidence bool
-	// Blocks are the parts that are now blocked, or no longer so.
+	// Blocks are the traits that are now blocked, or no longer so.
 	Blocks []Block
 }
 
@@ -125,11 +125,11 @@
 	var changes Changes
 	for _, b := range r.Blocks {
 		if d.mergeBlock(now, b) {
-			changes.Blocks = append(changes.Blocks, d.blocks[b.Part].Block)
+			changes.Blocks = append(changes.Blocks, d.blocks[b.Trait].Block)
 		}
 	}
 	for _, c := range r.Crashes {
-		slices.Sort(c.Parts)
+		slices.Sort(c.Traits)
 		isNew, changed := d.recordCrash(now, c)
 		if isNew {
 			changes.Crashes = append(changes.Crashes, c)
@@ -137,11 +137,11 @@
 		changes.Evidence = changes.Evidence || changed
 	}
 	for _, s := range r.Sounds {
-		d.addSound(s.Part, sound{s.Request, s.SentAt})
+		d.addSound(s.Trait, sound{s.Request, s.SentAt})
 	}
 	for _, answered := range r.Answered {
-		if d.suspected[answered.Part] > 0 {
-			d.answeredElsewhere[answered.Part] = max(d.answeredElsewhere[answered.Part], answered.Count)
+		if d.suspected[answered.Trait] > 0 {
+			d.answeredElsewhere[answered.Trait] = max(d.answeredElsewhere[answered.Trait], answered.Count)
 		}
 	}
 	return changes
--- a/internal/poison/simulation_test.go
+++ b/internal/poison/simulation_test.go
@@ -23,11 +23,11 @@
 	nextRequest uint64
 	nextEngine  int
 
-	// crashes are the times of the crashes under a poisonous part, and poisonSends
-	// those of the prompts with one that were sent, by part.
+	// crashes are the times of the crashes under a poisonous trait, and poisonSends
+	// those of the prompts with one that were sent, by trait.
 	crashes, poisonSends map[string][]time.Duration
-	// blocked holds when the first and the last gateway blocked a part.
-	blocked map[Part][2]time.Duration
+	// blocked holds when the first and the last gateway blocked a trait.
+	blocked map[Trait][2]time.Duration
 }
 
 // options describe a fleet and its load.
@@ -36,9 +36,9 @@
 	gateways, engines int
 	// soundRate and poisonRate are the prompts per second, in sum over the gateways.
 	soundRate, poisonRate float64
-	// firstParts and secondParts are the numbers of different shared parts.
+	// firstParts and secondParts are the numbers of different shared traits.
 	firstParts, secondParts int
-	// poison holds the parts that crash an engine, with the probability.
+	// poison holds the traits that crash an engine, with the probability.
 	poison map[string]float64
 	// poisonFrom is when such prompts begin.
 	poisonFrom time.Duration
@@ -69,7 +69,7 @@
 	gateway *gateway
 	engine  *engine
 	name    string
-	parts   []string
+	traits  []string
 	sentAt  time.Duration
 	endsAt  time.Duration
 	crashAt time.Duration
@@ -87,7 +87,7 @@
 func newSimulation(opts options) *simulation {
 	s := &simulation{
 		opts: opts, rand: rand.New(rand.NewPCG(opts.seed, 1)),
-		crashes: make(map[string][]time.Duration), poisonSends: make(map[string][]time.Duration), blocked: make(map[Part][2]time.Duration),
+		crashes: make(map[string][]time.Duration), poisonSends: make(map[string][]time.Duration), blocked: make(map[Trait][2]time.Duration),
 	}
 	for range opts.gateways {
 		s.gateways = append(s.gateways, &gateway{detector: New()})
@@ -135,27 +135,27 @@
 	}
 }
 
-// sendPoison sends prompts that share their first part with sound ones.
+// sendPoison sends prompts that share their first trait with sound ones.
 func (s *simulation) sendPoison() {
 	if s.now < s.opts.poisonFrom {
 		return
 	}
-	var parts []string
-	for part := range s.opts.poison {
-		parts = append(parts, part)
+	var traits []string
+	for trait := range s.opts.poison {
+		traits = append(traits, trait)
 	}
-	slices.Sort(parts)
-	for _, part := range parts {
+	slices.Sort(traits)
+	for _, trait := range traits {
 		for range s.events(s.opts.poisonRate) {
-			s.send("first-0", part, fmt.Sprint("second-", s.rand.IntN(s.opts.secondParts)))
+			s.send("first-0", trait, fmt.Sprint("second-", s.rand.IntN(s.opts.secondParts)))
 		}
 	}
 }
 
 // send sends a prompt through a random gateway to a random engine that is up.
-func (s *simulation) send(parts ...string) {
+func (s *simulation) send(traits ...string) {
 	g := s.gateways[s.rand.IntN(len(s.gateways))]
-	hashes := hashesOf(parts)
+	hashes := hashesOf(traits)
 	if _, blocked := g.detector.Blocked(hashes); blocked {
 		return
 	}
@@ -165,15 +165,15 @@
 	}
 	s.nextRequest++
 	r := &request{
-		id: s.nextRequest, gateway: g, engine: e, name: e.name, parts: parts, sentAt: s.now,
+		id: s.nextRequest, gateway: g, engine: e, name: e.name, traits: traits, sentAt: s.now,
 		endsAt: s.now + simulatedFirstToken + time.Duration(s.rand.IntN(150))*time.Millisecond,
 	}
-	for _, part := range parts {
-		probability, poisonous := s.opts.poison[part]
+	for _, trait := range traits {
+		probability, poisonous := s.opts.poison[trait]
 		if !poisonous {
 			continue
 		}
-		s.poisonSends[part] = append(s.poisonSends[part], s.now)
+		s.poisonSends[trait] = append(s.poisonSends[trait], s.now)
 		if s.rand.Float64() < probability {
 			r.crashAt = s.now + simulatedFirstToken
 		}
@@ -181,10 +181,10 @@
 	s.requests = append(s.requests, r)
 }
 
-func hashesOf(parts []string) []Part {
-	hashes := make([]Part, 0, len(parts))
-	for _, part := range parts {
-		hashes = append(hashes, PartOf(part))
+func hashesOf(traits []string) []Trait {
+	hashes := make([]Trait, 0, len(traits))
+	for _, trait := range traits {
+		hashes = append(hashes, PartOf(trait))
 	}
 	return hashes
 }
@@ -213,7 +213,7 @@
 			kept = append(kept, r)
 			continue
 		}
-		r.gateway.detector.RecordLoss(s.now, e.name, sorted(hashesOf(r.parts)))
+		r.gateway.detector.RecordLoss(s.now, e.name, sorted(hashesOf(r.traits)))
 		lost[r.gateway] = true
 	}
 	s.requests = kept
@@ -225,9 +225,9 @@
 	e.name, e.downTo = fmt.Sprint("engine-", s.nextEngine), s.now+simulatedDowntime
 }
 
-func sorted(parts []Part) []Part {
-	slices.Sort(parts)
-	return parts
+func sorted(traits []Trait) []Trait {
+	slices.Sort(traits)
+	return traits
 }
 
 // endRequests ends the requests that are due, by their answer, a break or a crash.
@@ -235,9 +235,9 @@
 	for _, r := range slices.Clone(s.requests) {
 		if r.crashAt > 0 && r.crashAt <= s.now && slices.Contains(s.requests, r) {
 			s.end(r.engine)
-			for _, part := range r.parts {
-				if _, poisonous := s.opts.poison[part]; poisonous {
-					s.crashes[part] = append(s.crashes[part], s.now)
+			for _, trait := range r.traits {
+				if _, poisonous := s.opts.poison[trait]; poisonous {
+					s.crashes[trait] = append(s.crashes[trait], s.now)
 				}
 			}
 		}
@@ -248,7 +248,7 @@
 			kept = append(kept, r)
 			continue
 		}
-		hashes := sorted(hashesOf(r.parts))
+		hashes := sorted(hashesOf(r.traits))
 		if s.rand.Float64() < s.opts.breaks {
 			if r.gateway.detector.RecordLoss(s.now, r.name, hashes) {
 				r.gateway.detector.EndCheck(s.now, r.name, CheckAlive)
@@ -292,20 +292,20 @@
 
 func (s *simulation) noteBlocks(g *gateway, blocks []Block) {
 	for _, b := range blocks {
-		times, known := s.blocked[b.Part]
+		times, known := s.blocked[b.Trait]
 		if !known {
 			times[0] = s.now
 		}
 		times[1] = s.now
-		s.blocked[b.Part] = times
+		s.blocked[b.Trait] = times
 		g.push = true
 	}
 }
 
-// sendsAfter returns how many prompts with a part were sent later than a time.
-func (s *simulation) sendsAfter(part string, after time.Duration) int {
+// sendsAfter returns how many prompts with a trait were sent later than a time.
+func (s *simulation) sendsAfter(trait string, after time.Duration) int {
 	n := 0
-	for _, at := range s.poisonSends[part] {
+	for _, at := range s.poisonSends[trait] {
 		if at > after {
 			n++
 		}
--- a/internal/poison/verdict.go
+++ b/internal/poison/verdict.go
@@ -7,14 +7,14 @@
 )
 
 const (
-	// minCrashes is the least number of crashes for which a part is blocked, and
-	// manyCrashes that for a part with which more than maxAnsweredPerCrash prompts for
+	// minCrashes is the least number of crashes for which a trait is blocked, and
+	// manyCrashes that for a trait with which more than maxAnsweredPerCrash prompts for
 	// each crash have been answered before. With manyCrashes, the best candidate is
-	// blocked even if another part is as suspicious.
+	// blocked even if another trait is as suspicious.
 	minCrashes          = 3
 	manyCrashes         = 5
 	maxAnsweredPerCrash = 1
-	// maxCompared bounds the latest crashes with a part that are compared with its
+	// maxCompared bounds the latest crashes with a trait that are compared with its
 	// answered prompts.
 	maxCompared = 8
 	// minMoments is the least number of moments at which these crashes happened, and
@@ -23,25 +23,25 @@
 	minMoments = 3
 	momentGap  = 50 * time.Millisecond
 	// minExplainedShare is the least share of all crashes since the first of them that
-	// the part must have been in, and fewExplainedShare that with fewer crashes than
+	// the trait must have been in, and fewExplainedShare that with fewer crashes than
 	// manyCrashes.
 	minExplainedShare = 0.5
 	fewExplainedShare = 0.75
-	// minContrast is the least number of prompts without the part that must have
+	// minContrast is the least number of prompts without the trait that must have
 	// been answered since the first of these crashes.
 	minContrast = 3
 	// settleTime is how long ago a crash must be to count, so that all gateways have
 	// reported what they lost and what was answered.
 	settleTime = time.Second
-	// observeTime is how long ago the first crash must be for a part with which prompts
+	// observeTime is how long ago the first crash must be for a trait with which prompts
 	// have been answered before, so that further ones may be answered.
 	observeTime = 2 * time.Second
 )
 
-// candidate is a part that may be the cause of crashes.
+// candidate is a trait that may be the cause of crashes.
 type candidate struct {
-	part Part
-	// crashes is the number of crashes with the part, sounds the number of prompts
+	trait Trait
+	// crashes is the number of crashes with the trait, sounds the number of prompts
 	// with it that were sent after the first of them and answered, and before the
 	// number that were answered earlier.
 	crashes, sounds, before int
@@ -49,12 +49,12 @@
 	first, last time.Duration
 }
 
-// share is the share of the prompts with the part that ended in a crash.
+// share is the share of the prompts with the trait that ended in a crash.
 func (c candidate) share() float64 {
 	return float64(c.crashes) / float64(c.crashes+c.sounds+c.before)
 }
 
-// Decide blocks the parts that are to blame for crashes and returns the new blocks.
+// Decide blocks the traits that are to blame for crashes and returns the new blocks.
 func (d *Detector) Decide(now time.Duration) []Block {
 	d.expire(now)
 	d.expireBlocks(now)
@@ -69,14 +69,14 @@
 	return blocked
 }
 
-// worst returns the part that is to be blocked next, if any.
+// worst returns the trait that is to be blocked next, if any.
 func (d *Detector) worst(now time.Duration) (candidate, bool) {
 	candidates := d.candidates(now)
 	if len(candidates) == 0 {
 		return candidate{}, false
 	}
 	slices.SortFunc(candidates, func(a, b candidate) int {
-		return cmp.Or(cmp.Compare(b.share(), a.share()), cmp.Compare(b.crashes, a.crashes), cmp.Compare(a.part, b.part))
+		return cmp.Or(cmp.Compare(b.share(), a.share()), cmp.Compare(b.crashes, a.crashes), cmp.Compare(a.trait, b.trait))
 	})
 	worst := candidates[0]
 	if len(candidates) > 1 && candidates[1].share() == worst.share() && worst.crashes < manyCrashes {
@@ -85,22 +85,22 @@
 	return worst, true
 }
 
-// candidates returns the parts against which there is enough evidence.
+// candidates returns the traits against which there is enough evidence.
 func (d *Detector) candidates(now time.Duration) []candidate {
 	crashes := d.unexplained()
 	settled := crashes[len(crashes)-crashesUntil(crashes, now-settleTime):]
-	candidates := d.judgeAll(settled, func(p Part, with, all []*crash) (candidate, bool) { return d.judge(now, p, with, all) })
+	candidates := d.judgeAll(settled, func(p Trait, with, all []*crash) (candidate, bool) { return d.judge(now, p, with, all) })
 	if len(candidates) > 0 {
 		return candidates
 	}
 	return d.judgeAll(crashes, d.judgeAtOnce)
 }
 
-// judgeAll judges each part that is in enough of the crashes, the latest first.
-func (d *Detector) judgeAll(crashes []*crash, judge func(p Part, with, all []*crash) (candidate, bool)) []candidate {
-	with := make(map[Part][]*crash)
+// judgeAll judges each trait that is in enough of the crashes, the latest first.
+func (d *Detector) judgeAll(crashes []*crash, judge func(p Trait, with, all []*crash) (candidate, bool)) []candidate {
+	with := make(map[Trait][]*crash)
 	for _, c := range crashes {
-		for _, p := range c.parts {
+		for _, p := range c.traits {
 			if d.suspected[p] >= minCrashes {
 				with[p] = append(with[p], c)
 			}
@@ -118,11 +118,11 @@
 	return candidates
 }
 
-// unexplained returns the crashes without a blocked part, the latest first.
+// unexplained returns the crashes without a blocked trait, the latest first.
 func (d *Detector) unexplained() []*crash {
 	var crashes []*crash
 	for _, c := range d.crashes {
-		if !slices.ContainsFunc(c.parts, d.isBlocked) {
+		if !slices.ContainsFunc(c.traits, d.isBlocked) {
 			crashes = append(crashes, c)
 		}
 	}
@@ -130,9 +130,9 @@
 	return crashes
 }
 
-// judge compares the crashes with a part with all crashes and with the prompts that
+// judge compares the crashes with a trait with all crashes and with the prompts that
 // were answered since. It tries the most crashes first.
-func (d *Detector) judge(now time.Duration, p Part, with, all []*crash) (candidate, bool) {
+func (d *Detector) judge(now time.Duration, p Trait, with, all []*crash) (candidate, bool) {
 	if d.wasAnswered(p) {
 		with = slices.DeleteFunc(slices.Clone(with), d.hasOtherSuspect)
 	}
@@ -152,37 +152,37 @@
 	return candidate{}, false
 }
 
-// wasAnswered reports whether a prompt with a part has been answered.
-func (d *Detector) wasAnswered(p Part) bool {
+// wasAnswered reports whether a prompt with a trait has been answered.
+func (d *Detector) wasAnswered(p Trait) bool {
 	return len(d.sounds[p]) > 0 || d.answered.of(p) > 0 || d.answeredElsewhere[p] > 0
 }
 
-// hasOtherSuspect reports whether a crash has a part that is in several crashes and
-// has never been answered. Such a crash is no evidence against a part that has been.
+// hasOtherSuspect reports whether a crash has a trait that is in several crashes and
+// has never been answered. Such a crash is no evidence against a trait that has been.
 func (d *Detector) hasOtherSuspect(c *crash) bool {
-	return slices.ContainsFunc(c.parts, func(p Part) bool {
+	return slices.ContainsFunc(c.traits, func(p Trait) bool {
 		return d.suspected[p] >= minSuspectCrashes && !d.wasAnswered(p)
 	})
 }
 
-// judgeAtOnce finds a part with many crashes and without any answered prompt, which
+// judgeAtOnce finds a trait with many crashes and without any answered prompt, which
 // needs no further evidence.
-func (d *Detector) judgeAtOnce(p Part, with, all []*crash) (candidate, bool) {
+func (d *Detector) judgeAtOnce(p Trait, with, all []*crash) (candidate, bool) {
 	c := d.candidate(p, with[:min(len(with), maxCompared)])
 	certain := c.crashes >= manyCrashes && c.sounds+c.before == 0
 	return c, certain && d.standsOut(c, all)
 }
 
-// candidate counts what speaks for and against a part that is in crashes, the latest
+// candidate counts what speaks for and against a trait that is in crashes, the latest
 // first.
-func (d *Detector) candidate(p Part, crashes []*crash) candidate {
-	c := candidate{part: p, crashes: len(crashes), first: crashes[len(crashes)-1].at, last: crashes[0].at}
+func (d *Detector) candidate(p Trait, crashes []*crash) candidate {
+	c := candidate{trait: p, crashes: len(crashes), first: crashes[len(crashes)-1].at, last: crashes[0].at}
 	c.sounds = d.soundsSince(p, c.first)
 	c.before = max(len(d.sounds[p]), d.answered.of(p), d.answeredElsewhere[p]) - c.sounds
 	return c
 }
 
-// standsOut reports whether a part was in many of the crashes since its first one,
+// standsOut reports whether a trait was in many of the crashes since its first one,
 // while prompts without it were answered.
 func (d *Detector) standsOut(c candidate, all []*crash) bool {
 	since := len(all) - crashesUntil(all, c.first-1)
@@ -190,7 +190,7 @@
 	if c.crashes < manyCrashes {
 		share = fewExplainedShare
 	}
-	return float64(c.crashes) >= share*float64(since) && d.contrastSince(c.part, c.first) >= minContrast
+	return float64(c.crashes) >= share*float64(since) && d.contrastSince(c.trait, c.first) >= minContrast
 }
 
 // crashesUntil returns the number of crashes, the latest first, up to a time.
@@ -213,9 +213,9 @@
 	return n
 }
 
-// soundsSince returns the number of prompts with a part that were sent after a time
+// soundsSince returns the number of prompts with a trait that were sent after a time
 // and answered.
-func (d *Detector) soundsSince(p Part, since time.Duration) int {
+func (d *Detector) soundsSince(p Trait, since time.Duration) int {
 	n := 0
 	for _, s := range d.sounds[p] {
 		if s.sentAt > since {
@@ -225,12 +225,12 @@
 	return n
 }
 
-// contrastSince returns the number of prompts without a part that were sent after a
+// contrastSince returns the number of prompts without a trait that were sent after a
 // time and answered.
-func (d *Detector) contrastSince(p Part, since time.Duration) int {
+func (d *Detector) contrastSince(p Trait, since time.Duration) int {
 	n := 0
 	for _, prompt := range d.contrast {
-		if prompt.sentAt > since && !slices.Contains(prompt.parts, p) {
+		if prompt.sentAt > since && !slices.Contains(prompt.traits, p) {
 			n++
 		}
 	}
