--- a/internal/fleet/config.go
+++ b/internal/fleet/config.go
@@ -115,6 +115,8 @@
 // Service is a group of interchangeable backend servers.
 type Service struct {
 	Name string
+	// HealthPath is the path of the servers' health check; empty if they have none.
+	HealthPath string
 	// Engine is nil for services without model engines.
 	Engine *EngineSpec
 }
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -65,9 +65,9 @@
 	if handle == nil {
 		return out, c
 	}
-	if _, blocked := q.service.blockedBy(q.traits); blocked && q.trial == nil {
+	if block, blocked := q.service.blockedBy(q.traits); blocked && q.trial == nil {
 		go q.g.releaseKV(c.PrefillServer, *handle)
-		return outcome{result: notExecuted, reason: reasonPoisonous, serverUntried: true}, c
+		return outcome{result: notExecuted, reason: q.noteBlock(block), serverUntried: true}, c
 	}
 	decode, err := q.service.chooseDecode(q.g.now(), q.placementRequest(), c.PrefillServer)
 	if err != nil {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -96,6 +96,7 @@
 	engine *fleet.EngineSpec
 
 	mu         sync.Mutex
+	healthPath string
 	table      *placement.Table
 	health     *retry.HealthTracker
 	budget     *retry.Budget
@@ -234,7 +235,7 @@
 func (s *service) setServers(now time.Duration, spec fleet.Service, servers []fleet.Server) []poison.Crash {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.engine = spec.Engine
+	s.engine, s.healthPath = spec.Engine, spec.HealthPath
 	s.table.SetServers(spec.Engine, servers)
 	crashes := s.enginesGone(now, servers)
 	s.registered = servers
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -25,16 +25,18 @@
 	service *service
 	config  *fleet.Config
 	body    []byte
-	// parts are the parts of the prompt that other prompts may share.
+	// traits are what the request has in common with others that may crash servers.
 	traits []poison.Trait
 	// sentAt is when the last attempt was sent, and proven is set once an engine has
-	// shown that it answers the prompt.
+	// shown that it answers the request. lost is set once an attempt has lost its server.
 	sentAt time.Duration
 	proven bool
-	// blockedPart is the ID of the part for which the request was refused, and trial
-	// the block whose part the request tries again.
-	blockedPart string
-	trial       *poison.Block
+	lost   bool
+	// blockedPart is the ID of the part for which the request was refused, and
+	// blockedRequest the hash of the request if it was refused as a whole. trial is the
+	// block whose trait the request tries again.
+	blockedPart, blockedRequest string
+	trial                       *poison.Block
 	// memory is what the buffered answer takes.
 	memory *upstream.Reservation
 
@@ -178,7 +180,7 @@
 		return
 	}
 	q.service.recordRequest()
-	q.traits = q.poisonParts()
+	q.traits = q.allTraits()
 	defer q.endTrial()
 	// last is the outcome of the latest attempt. It becomes the outcome of the
 	// request if no further attempt can be made.
--- a/internal/gateway/log.go
+++ b/internal/gateway/log.go
@@ -75,7 +75,8 @@
 		Server:    q.lastServer,
 		Remaining: q.remaining(),
 
-		BlockedPart: q.blockedPart,
+		BlockedPart:    q.blockedPart,
+		BlockedRequest: q.blockedRequest,
 	}
 	if q.firstEventAt > 0 {
 		ended.TimeToFirstEvent = q.firstEventAt - q.arrivedAt
--- a/internal/gateway/poison.go
+++ b/internal/gateway/poison.go
@@ -18,8 +18,10 @@
 )
 
 const (
-	// reasonPoisonous is the reason of a refusal for a blocked part.
-	reasonPoisonous = "poisonous_prompt"
+	// reasonPoisonousPrompt and reasonPoisonousRequest are the reasons of a refusal for
+	// a blocked part of the prompt, and for a request that is blocked as a whole.
+	reasonPoisonousPrompt  = "poisonous_prompt"
+	reasonPoisonousRequest = "poisonous_request"
 	// minBlockedRetryAfter is the shortest Retry-After of such a refusal.
 	minBlockedRetryAfter = time.Second
 	// provenAfter is how long after its first event a stream that still yields events
@@ -50,20 +52,20 @@
 	return fmt.Sprintf("%s@%d", server.ID, server.StartedUnixMs)
 }
 
-// poisonParts returns the parts of the prompt that other prompts may share; nil if
-// the request is for no engine.
-func (q *request) poisonParts() []poison.Trait {
-	if !q.service.isEngineService() {
-		return nil
-	}
+// allTraits returns what the request may have in common with others: the shared parts
+// of its prompt, in order, and then the request as a whole.
+func (q *request) allTraits() []poison.Trait {
 	shared := sharedParts(q.meta.Parts)
-	parts := make([]poison.Trait, 0, len(shared))
+	traits := make([]poison.Trait, 0, len(shared)+maxRequestTraits)
 	for _, p := range shared {
-		parts = append(parts, poison.PartOf(p.ID))
+		traits = append(traits, poison.PartOf(p.ID))
 	}
-	return parts
+	return append(traits, q.requestTraits()...)
 }
 
+// maxRequestTraits is the largest number of traits of a request as a whole.
+const maxRequestTraits = 2
+
 // requestTraits returns the traits of the request as a whole, the most specific one
 // first.
 func (q *request) requestTraits() []poison.Trait {
@@ -72,8 +74,8 @@
 	}.Traits()
 }
 
-// recordEvidence records what the end of an attempt says about the parts of its
-// prompt.
+// recordEvidence records what the end of an attempt says about the traits of its
+// request.
 func (q *request) recordEvidence(out outcome, server fleet.Server) {
 	switch {
 	case out.connectionLost:
@@ -83,62 +85,77 @@
 	}
 }
 
-// recordLoss records that the connection of an attempt at an engine was lost, and
-// has the engine checked.
+// recordLoss records that the connection of an attempt at a server was lost, and has
+// the server checked.
 func (q *request) recordLoss(server fleet.Server) {
-	if len(q.traits) == 0 {
-		return
-	}
+	q.lost = true
 	if q.service.recordLoss(q.g.now(), engineName(server), q.traits) {
-		go q.g.checkEngine(q.service, server)
+		go q.g.checkServer(q.service, server)
 	}
 }
 
-// recordSound records that the engine answers the prompt.
+// recordSound records that a server answers the request.
 func (q *request) recordSound() {
-	if len(q.traits) == 0 || q.proven {
+	if q.proven {
 		return
 	}
 	q.proven = true
-	q.service.recordSound(xxhash.Sum64String(q.meta.ID), q.sentAt, q.traits)
+	if q.service.recordSound(q.g.now(), xxhash.Sum64String(q.meta.ID), q.sentAt, q.traits) {
+		q.g.evidenceChanged.Store(true)
+	}
 }
 
-// checkEngine finds out whether an engine that has lost a connection has ended.
-func (g *Gateway) checkEngine(s *service, server fleet.Server) {
-	result := g.engineState(server)
+// checkServer finds out whether a server that has lost a connection has ended.
+func (g *Gateway) checkServer(s *service, server fleet.Server) {
+	result := g.serverState(s, server)
 	crash, ended := s.endCheck(g.now(), engineName(server), result)
 	if ended {
 		g.crashObserved(s, crash, poisonFromSelf)
 	}
 }
 
-// engineState asks an engine for its report.
-func (g *Gateway) engineState(server fleet.Server) poison.Check {
-	if g.opts.StageProtocol == nil {
+// serverState asks an engine for its report, and other servers for their health.
+func (g *Gateway) serverState(s *service, server fleet.Server) poison.Check {
+	request, stateOf := g.stateRequest(s, server)
+	if request.Target == "" {
 		return poison.CheckUnclear
 	}
-	request := upstream.Request{Method: http.MethodGet, Target: g.opts.StageProtocol.ReportTarget(), Host: server.Address, Header: http.Header{}}
 	for range engineChecks {
-		status, body, err := g.engineCall(context.Background(), server, request)
+		response, err := g.engineCall(context.Background(), server, request)
 		switch {
 		case errors.Is(err, syscall.ECONNREFUSED):
 			return poison.CheckEnded
 		case err != nil && !endedWithoutAnswer(err):
 			return poison.CheckUnclear
 		case err == nil:
-			return g.reportedState(server, status, body)
+			return stateOf(server, response)
 		}
 		time.Sleep(engineCheckInterval)
 	}
 	return poison.CheckEnded
 }
 
+// stateRequest returns the request that asks a server for its state, without a target
+// if it can't be asked, and the function that judges the response.
+func (g *Gateway) stateRequest(s *service, server fleet.Server) (upstream.Request, func(fleet.Server, callResponse) poison.Check) {
+	request := upstream.Request{Method: http.MethodGet, Host: server.Address, Header: http.Header{}}
+	if !s.isEngineService() {
+		request.Target = s.healthTarget()
+		request.Header = g.opts.Protocol.RequestHeader(http.Header{}, AttemptMeta{ServerID: server.ID, Remaining: engineCallTimeout})
+		return request, g.healthState
+	}
+	if g.opts.StageProtocol != nil {
+		request.Target = g.opts.StageProtocol.ReportTarget()
+	}
+	return request, g.reportedState
+}
+
 // reportedState compares the report of an engine with its registration.
-func (g *Gateway) reportedState(server fleet.Server, status int, body []byte) poison.Check {
-	if status != http.StatusOK {
+func (g *Gateway) reportedState(server fleet.Server, response callResponse) poison.Check {
+	if response.status != http.StatusOK {
 		return poison.CheckUnclear
 	}
-	report, err := g.opts.StageProtocol.ParseReport(body)
+	report, err := g.opts.StageProtocol.ParseReport(response.body)
 	if err != nil {
 		g.log.Write(logevent.EngineReportFailed(server.ID, err))
 		return poison.CheckUnclear
@@ -149,6 +166,19 @@
 	return poison.CheckAlive
 }
 
+// healthState compares the server that answers a health check with the one that lost
+// the connection.
+func (g *Gateway) healthState(server fleet.Server, response callResponse) poison.Check {
+	meta := g.opts.Protocol.ParseResponse(response.status, response.header)
+	switch {
+	case meta.Misdirected || meta.ServerID != "" && meta.ServerID != server.ID:
+		return poison.CheckEnded
+	case meta.ServerID == server.ID:
+		return poison.CheckAlive
+	}
+	return poison.CheckUnclear
+}
+
 // endedWithoutAnswer reports whether a connection ended without an answer.
 func endedWithoutAnswer(err error) bool {
 	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) ||
@@ -168,19 +198,19 @@
 	g.judgePoison(s)
 }
 
-// judgePoison blocks the parts against which there is enough evidence.
+// judgePoison blocks the traits against which there is enough evidence.
 func (g *Gateway) judgePoison(s *service) {
 	for _, b := range s.decidePoison(g.now()) {
 		g.blockChanged(s, b, poisonFromSelf)
 	}
 }
 
-// blockChanged logs that a part is now blocked, or no longer so, and notifies other
+// blockChanged logs that a trait is now blocked, or no longer so, and notifies other
 // gateways.
 func (g *Gateway) blockChanged(s *service, b poison.Block, source string) {
 	now := g.now()
-	g.log.Write(logevent.PartBlocked(logevent.BlockedPart{
-		Service: s.name, Part: traitText(b.Trait), Blocked: !b.Lifted, Source: source, Engines: b.Engines,
+	g.log.Write(logevent.TraitBlocked(logevent.BlockedTrait{
+		Service: s.name, Trait: traitText(b.Trait), IsRequest: b.Trait.IsRequest(), Blocked: !b.Lifted, Source: source, Engines: b.Engines,
 		Crashes: b.Crashes, Answered: b.Answered, LastCrashAge: now - b.LastCrash, FailedTrials: b.FailedTrials, Until: b.NextTrial() - now,
 	}))
 	g.notifyPeers()
@@ -212,44 +242,54 @@
 			g.notifyPeers()
 		}
 		for _, s := range g.state.Load().services {
-			if s.isEngineService() {
-				g.judgePoison(s)
-			}
+			g.judgePoison(s)
 		}
 	})
 }
 
-// refuseBlocked refuses a request whose prompt has a blocked part, unless it is sent
-// to try the part again. It reports whether the request has its final response.
+// refuseBlocked refuses a request that has a blocked trait, unless it is sent to try
+// the trait again. It reports whether the request has its final response.
 func (q *request) refuseBlocked(last *outcome) bool {
 	block, blocked := q.service.blockedBy(q.traits)
 	if !blocked || q.beginTrial(block) {
 		return false
 	}
-	for i, p := range q.traits {
-		if p == block.Trait {
-			q.blockedPart = q.meta.Parts[i].ID
-		}
-	}
-	out := lastOutcomeOr(last, reasonPoisonous)
+	reason := q.noteBlock(block)
+	out := lastOutcomeOr(last, reason)
 	if q.possibleExecutions == 0 {
-		out = outcome{result: notExecuted, reason: reasonPoisonous}
+		out = outcome{result: notExecuted, reason: reason}
 	}
 	q.fail(out, max(minBlockedRetryAfter, block.NextTrial()-q.g.now()))
 	return true
 }
 
-// beginTrial reports whether this request tries a blocked part again.
+// noteBlock notes what the request is refused for, for the log, and returns the
+// reason.
+func (q *request) noteBlock(block poison.Block) string {
+	if block.Trait.IsRequest() {
+		q.blockedRequest = traitText(block.Trait)
+		return reasonPoisonousRequest
+	}
+	for i, p := range sharedParts(q.meta.Parts) {
+		if q.traits[i] == block.Trait {
+			q.blockedPart = p.ID
+		}
+	}
+	return reasonPoisonousPrompt
+}
+
+// beginTrial reports whether this request tries a blocked trait again. A trial that
+// has lost its server is not sent to another one.
 func (q *request) beginTrial(b poison.Block) bool {
 	if q.trial != nil {
-		return q.trial.Trait == b.Trait
+		return q.trial.Trait == b.Trait && !q.lost
 	}
 	now := q.g.now()
 	if now < b.NextTrial() || !q.g.owns("trial/"+q.service.name+"/"+traitText(b.Trait)) || !q.service.beginTrial(now, q.traits) {
 		return false
 	}
 	q.trial = &b
-	q.g.log.Write(logevent.PartTrialBegun(q.meta.ID, q.service.name, traitText(b.Trait), b.FailedTrials))
+	q.g.log.Write(logevent.TraitTrialBegun(q.meta.ID, q.service.name, traitText(b.Trait), b.Trait.IsRequest(), b.FailedTrials))
 	return true
 }
 
@@ -270,18 +310,25 @@
 	return s.engine != nil
 }
 
+// healthTarget returns the target of health checks; empty if the service has none.
+func (s *service) healthTarget() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.healthPath
+}
+
 // The following methods forward to the detector under the service's lock.
 
-func (s *service) recordLoss(now time.Duration, engine string, parts []poison.Trait) (check bool) {
+func (s *service) recordLoss(now time.Duration, engine string, traits []poison.Trait) (check bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.poison.RecordLoss(now, engine, parts)
+	return s.poison.RecordLoss(now, engine, traits)
 }
 
-func (s *service) recordSound(request uint64, sentAt time.Duration, parts []poison.Trait) {
+func (s *service) recordSound(now time.Duration, request uint64, sentAt time.Duration, traits []poison.Trait) (exonerated bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.poison.RecordSound(request, sentAt, parts)
+	return s.poison.RecordSound(now, request, sentAt, traits)
 }
 
 func (s *service) endCheck(now time.Duration, engine string, result poison.Check) (poison.Crash, bool) {
@@ -296,16 +343,16 @@
 	return s.poison.Decide(now)
 }
 
-func (s *service) blockedBy(parts []poison.Trait) (poison.Block, bool) {
+func (s *service) blockedBy(traits []poison.Trait) (poison.Block, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.poison.Blocked(parts)
+	return s.poison.Blocked(traits)
 }
 
-func (s *service) beginTrial(now time.Duration, parts []poison.Trait) bool {
+func (s *service) beginTrial(now time.Duration, traits []poison.Trait) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.poison.BeginTrial(now, parts)
+	return s.poison.BeginTrial(now, traits)
 }
 
 func (s *service) endTrial(now time.Duration, p poison.Trait, answered bool) (poison.Block, bool) {
--- a/internal/gateway/poison_peers.go
+++ b/internal/gateway/poison_peers.go
@@ -7,17 +7,14 @@
 	"github.com/marigoldwing/marigoldwing/internal/poison"
 )
 
-// poisonReports returns what other gateways may not know about prompts that crash
-// engines.
+// poisonReports returns what other gateways may not know about requests that crash
+// servers.
 func (g *Gateway) poisonReports() []*peerv1.PoisonReport {
 	var reports []*peerv1.PoisonReport
 	for _, s := range g.state.Load().services {
-		if !s.isEngineService() {
-			continue
-		}
 		now := g.now()
 		r := s.poisonReport(now)
-		if len(r.Crashes)+len(r.Sounds)+len(r.Answered)+len(r.Blocks) > 0 {
+		if len(r.Crashes)+len(r.Sounds)+len(r.Answered)+len(r.Contrast)+len(r.Blocks) > 0 {
 			reports = append(reports, poisonToProto(now, s.name, r))
 		}
 	}
@@ -28,7 +25,7 @@
 func (g *Gateway) mergePoison(sender string, reports []*peerv1.PoisonReport) {
 	for _, message := range reports {
 		s := g.state.Load().services[message.GetService()]
-		if s == nil || !s.isEngineService() {
+		if s == nil {
 			continue
 		}
 		now := g.now()
@@ -62,6 +59,13 @@
 	for _, a := range r.Answered {
 		message.Answered = append(message.Answered, &peerv1.PartCount{Part: uint64(a.Trait), Count: int64(a.Count)})
 	}
+	for _, c := range r.Contrast {
+		answered := &peerv1.AnsweredRequest{Request: c.Request, AgeMs: (now - c.SentAt).Milliseconds()}
+		for _, t := range c.Traits {
+			answered.Traits = append(answered.Traits, uint64(t))
+		}
+		message.Contrast = append(message.Contrast, answered)
+	}
 	for _, b := range r.Blocks {
 		message.BlockedParts = append(message.BlockedParts, blockToProto(now, b))
 	}
@@ -71,7 +75,7 @@
 func blockToProto(now time.Duration, b poison.Block) *peerv1.BlockedPart {
 	return &peerv1.BlockedPart{
 		Part: uint64(b.Trait), Crashes: int32(b.Crashes), LastCrashAgeMs: (now - b.LastCrash).Milliseconds(),
-		FailedTrials: int32(b.FailedTrials), Lifted: b.Lifted, ChangedAgeMs: (now - b.ChangedAt).Milliseconds(),
+		IsTrait: true, FailedTrials: int32(b.FailedTrials), Lifted: b.Lifted, ChangedAgeMs: (now - b.ChangedAt).Milliseconds(),
 	}
 }
 
@@ -92,6 +96,13 @@
 	for _, a := range message.GetAnswered() {
 		r.Answered = append(r.Answered, poison.TraitCount{Trait: poison.Trait(a.GetPart()), Count: int(a.GetCount())})
 	}
+	for _, c := range message.GetContrast() {
+		answered := poison.AnsweredRequest{Request: c.GetRequest(), SentAt: timeOfAge(now, c.GetAgeMs())}
+		for _, t := range c.GetTraits() {
+			answered.Traits = append(answered.Traits, poison.Trait(t))
+		}
+		r.Contrast = append(r.Contrast, answered)
+	}
 	for _, b := range message.GetBlockedParts() {
 		r.Blocks = append(r.Blocks, blockFromProto(now, b))
 	}
@@ -99,8 +110,12 @@
 }
 
 func blockFromProto(now time.Duration, b *peerv1.BlockedPart) poison.Block {
+	trait := poison.Trait(b.GetPart())
+	if !b.GetIsTrait() {
+		trait = poison.PartWithHash(b.GetPart())
+	}
 	return poison.Block{
-		Trait: poison.Trait(b.GetPart()), Crashes: int(b.GetCrashes()), LastCrash: timeOfAge(now, b.GetLastCrashAgeMs()),
+		Trait: trait, Crashes: int(b.GetCrashes()), LastCrash: timeOfAge(now, b.GetLastCrashAgeMs()),
 		FailedTrials: int(b.GetFailedTrials()), Lifted: b.GetLifted(), ChangedAt: timeOfAge(now, b.GetChangedAgeMs()),
 	}
 }
--- a/internal/gateway/protocol.go
+++ b/internal/gateway/protocol.go
@@ -59,6 +59,8 @@
 type ResponseMeta struct {
 	// RequestID is the ID of the request that the response belongs to.
 	RequestID string
+	// ServerID is the ID of the server that answers a health check.
+	ServerID string
 	// Sealed is set if the response carries the backend server's seal.
 	Sealed bool
 	// NotExecuted is set if the server states that it did not execute the
--- a/internal/gateway/stages.go
+++ b/internal/gateway/stages.go
@@ -261,14 +261,14 @@
 
 func (c *stageController) report(ctx context.Context, server fleet.Server) (EngineReport, error) {
 	request := upstream.Request{Method: http.MethodGet, Target: c.protocol.ReportTarget(), Host: server.Address, Header: http.Header{}}
-	status, body, err := c.g.engineCall(ctx, server, request)
+	response, err := c.g.engineCall(ctx, server, request)
 	if err != nil {
 		return EngineReport{}, err
 	}
-	if status != http.StatusOK {
-		return EngineReport{}, fmt.Errorf("report answered with status %d", status)
+	if response.status != http.StatusOK {
+		return EngineReport{}, fmt.Errorf("report answered with status %d", response.status)
 	}
-	return c.protocol.ParseReport(body)
+	return c.protocol.ParseReport(response.body)
 }
 
 // sendOrder sends one order. It checks the lease again immediately before.
@@ -277,10 +277,10 @@
 	if !ok || authority.Term != c.term {
 		return
 	}
-	status, _, err := c.g.engineCall(ctx, server, c.protocol.OrderRequest(StageOrder{
+	response, err := c.g.engineCall(ctx, server, c.protocol.OrderRequest(StageOrder{
 		Stage: order.TargetStage, Holder: c.g.opts.Name, FencingToken: c.term, ExpectedOrders: report.OrdersAccepted, ServerID: server.ID,
 	}))
-	outcome := fmt.Sprintf("status %d", status)
+	outcome := fmt.Sprintf("status %d", response.status)
 	if err != nil {
 		outcome = err.Error()
 		c.pending[server.ID] = c.g.now() + orderOutcomeTimeout
@@ -291,19 +291,26 @@
 	}))
 }
 
-// engineCall sends a request to an engine on the gateway's own behalf and
-// returns status and body of the response.
-func (g *Gateway) engineCall(ctx context.Context, server fleet.Server, r upstream.Request) (int, []byte, error) {
+// callResponse is the response to a call on the gateway's own behalf.
+type callResponse struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+// engineCall sends a request to a server on the gateway's own behalf and returns the
+// response.
+func (g *Gateway) engineCall(ctx context.Context, server fleet.Server, r upstream.Request) (callResponse, error) {
 	ctx, cancel := context.WithTimeout(ctx, engineCallTimeout)
 	defer cancel()
 	g.chargeCall(server)
 	exchange, err := g.pool.Do(ctx, server.Key(), r, func(http.Header) bool { return true })
 	if err != nil {
-		return 0, nil, err
+		return callResponse{}, err
 	}
 	defer exchange.Release()
 	memory := g.buffers.NewReservation()
 	defer memory.Release()
 	body, err := exchange.ReadBody(maxResponseBytes, memory)
-	return exchange.Response.StatusCode, body, err
+	return callResponse{exchange.Response.StatusCode, exchange.Response.Header, body}, err
 }
--- a/internal/logevent/poison.go
+++ b/internal/logevent/poison.go
@@ -14,13 +14,15 @@
 		slog.String("source", source), slog.Int("parts", parts), milliseconds("age_ms", age))
 }
 
-// BlockedPart describes a part of prompts that is kept from the engines of a
-// service.
-type BlockedPart struct {
+// BlockedTrait describes a part of prompts, or a request, that is kept from the
+// servers of a service.
+type BlockedTrait struct {
 	Service string
-	// Part is the hash of the part's ID, in hexadecimal.
-	Part string
-	// Blocked is false if the part is no longer blocked.
+	// Trait is the hash of the part's ID or of the request, in hexadecimal.
+	Trait string
+	// IsRequest is set for a request.
+	IsRequest bool
+	// Blocked is false if the trait is no longer blocked.
 	Blocked bool
 	// Source is how this gateway learned of it: own, store, or another gateway.
 	Source string
@@ -31,14 +33,18 @@
 	Crashes, Answered int
 	LastCrashAge      time.Duration
 	FailedTrials      int
-	// Until is the time until the part may be tried again.
+	// Until is the time until the trait may be tried again.
 	Until time.Duration
 }
 
-// PartBlocked reports that a part of prompts is now kept from engines, or no longer
-// so.
-func PartBlocked(b BlockedPart) Event {
-	e := info("prompt part blocked", slog.String(keyService, b.Service), slog.String("part", b.Part),
+// TraitBlocked reports that a part of prompts, or a request, is now kept from servers,
+// or no longer so.
+func TraitBlocked(b BlockedTrait) Event {
+	message, key := "prompt part blocked", "part"
+	if b.IsRequest {
+		message, key = "repeated request blocked", "request"
+	}
+	e := info(message, slog.String(keyService, b.Service), slog.String(key, b.Trait),
 		slog.Bool("blocked", b.Blocked), slog.String("source", b.Source), slog.Int("crashes", b.Crashes),
 		slog.Int("answered", b.Answered), milliseconds("last_crash_age_ms", b.LastCrashAge),
 		slog.Int("failed_trials", b.FailedTrials), milliseconds("until_trial_ms", b.Until))
@@ -46,14 +52,19 @@
 	return e
 }
 
-// PartTrialBegun reports that a request tries a blocked part again.
-func PartTrialBegun(requestID, service, part string, failedTrials int) Event {
-	return info("blocked prompt part is tried", slog.String(KeyRequestID, requestID), slog.String(keyService, service),
-		slog.String("part", part), slog.Int("failed_trials", failedTrials))
+// TraitTrialBegun reports that a request tries a blocked part, or a blocked request,
+// again.
+func TraitTrialBegun(requestID, service, trait string, isRequest bool, failedTrials int) Event {
+	message, key := "blocked prompt part is tried", "part"
+	if isRequest {
+		message, key = "blocked request is tried", "request"
+	}
+	return info(message, slog.String(KeyRequestID, requestID), slog.String(keyService, service), slog.String(key, trait),
+		slog.Int("failed_trials", failedTrials))
 }
 
-// BlockNotStored reports that a blocked part could not be written to the store or
+// BlockNotStored reports that a block could not be written to the store or
 // read from it, which is tried again.
 func BlockNotStored(action string, err error) Event {
-	return info("stored prompt parts are not available", slog.String("action", action), errorText(err))
+	return info("stored blocks are not available", slog.String("action", action), errorText(err))
 }
--- a/internal/logevent/request.go
+++ b/internal/logevent/request.go
@@ -171,6 +171,8 @@
 	// BlockedPart is the part of the prompt for which the request was refused; empty
 	// for other requests.
 	BlockedPart string
+	// BlockedRequest is the hash of a request that was refused as a whole.
+	BlockedRequest string
 }
 
 // OutcomeRefused is the outcome of requests that were not executed and will not
@@ -198,6 +200,7 @@
 	}
 	e.withText(keyServer, r.Server)
 	e.withText("blocked_part", r.BlockedPart)
+	e.withText("blocked_request", r.BlockedRequest)
 	if r.Outcome == OutcomeRefused {
 		e.with(milliseconds("left_ms", max(0, r.Remaining)))
 	}
--- a/internal/poison/block.go
+++ b/internal/poison/block.go
@@ -22,18 +22,42 @@
 	trialGap = 30 * time.Second
 	// timeTolerance is by how much times may grow on the way between gateways.
 	timeTolerance = time.Second
+	// contactTime is how long after a crash all gateways that reach the others know of
+	// it. Later crashes under a request count as failed trials.
+	contactTime = 3 * time.Second
 	// trialTimeout is how long a trial may take before another may begin, and
 	// trialPause the time until the next series of trials that had no result.
 	trialTimeout = time.Minute
 	trialPause   = 10 * time.Minute
-	// trialsInSeries is the number of prompts in a series of trials. A block is lifted
-	// if all of them are answered.
+	// trialsInSeries is the number of requests in a series of trials of a part. A block
+	// is lifted if all of them are answered. One answer shows that a request is sound.
 	trialsInSeries = 3
 )
 
-// trialWaits are the times from the last crash with a trait to the next trial, by
-// the number of trials that have failed. There is no trial after the last of them.
-var trialWaits = []time.Duration{10 * time.Minute, time.Hour, 6 * time.Hour}
+// trialWaits are the times from the last crash with a part to the next trial, by
+// the number of trials that have failed, and requestTrialWaits those for a request,
+// of which one that came once may be blocked by mistake. There is no trial after the
+// last of them.
+var (
+	trialWaits        = []time.Duration{10 * time.Minute, time.Hour, 6 * time.Hour}
+	requestTrialWaits = []time.Duration{time.Minute, 10 * time.Minute, time.Hour}
+)
+
+// trialWaits returns the waits for trials of the trait.
+func (t Trait) trialWaits() []time.Duration {
+	if t.IsRequest() {
+		return requestTrialWaits
+	}
+	return trialWaits
+}
+
+// trialsInSeries returns how many trials of the trait must be answered.
+func (t Trait) trialsInSeries() int {
+	if t.IsRequest() {
+		return 1
+	}
+	return trialsInSeries
+}
 
 // Block says that prompts with a trait are not sent to engines.
 type Block struct {
@@ -70,17 +94,34 @@
 	b := &block{learnedAt: now, Block: Block{
 		Trait: c.trait, Crashes: c.crashes, Answered: c.sounds, LastCrash: c.last, ChangedAt: now,
 	}}
+	var times []time.Duration
 	for engine, crash := range d.crashes {
 		if crash.has(c.trait) {
 			b.Engines = append(b.Engines, engine)
+			times = append(times, crash.at)
 		}
 	}
 	slices.Sort(b.Engines)
+	if c.trait.IsRequest() {
+		b.FailedTrials = lateCrashes(times)
+	}
 	d.blocks[c.trait] = b
 	d.boundBlocks()
 	return b.Block
 }
 
+// lateCrashes returns how many crashes are later than contactTime after the third one.
+func lateCrashes(times []time.Duration) int {
+	slices.Sort(times)
+	late := 0
+	for _, at := range times {
+		if at > times[minCrashes-1]+contactTime {
+			late++
+		}
+	}
+	return late
+}
+
 // boundBlocks drops the blocks beyond maxBlocks whose last crash is the longest ago.
 func (d *Detector) boundBlocks() {
 	if len(d.blocks) <= maxBlocks {
@@ -123,33 +164,38 @@
 
 // NextTrial returns the time from which a prompt with the trait may be tried again.
 func (b Block) NextTrial() time.Duration {
-	if b.FailedTrials >= len(trialWaits) {
+	waits := b.Trait.trialWaits()
+	if b.FailedTrials >= len(waits) {
 		return b.LastCrash + blockAge
 	}
-	return b.LastCrash + trialWaits[b.FailedTrials]
+	return b.LastCrash + waits[b.FailedTrials]
 }
 
-// BeginTrial reports whether a prompt with one blocked trait is to be sent to an
-// engine to see whether it still crashes. Only one gateway may ask.
+// BeginTrial reports whether a request with blocked traits is to be sent to a server
+// to see whether it still crashes. It tries the trait that Blocked returns. Only one
+// gateway may ask.
 func (d *Detector) BeginTrial(now time.Duration, traits []Trait) bool {
-	var b *block
+	var tried *block
 	for _, p := range traits {
-		switch {
-		case !d.isBlocked(p):
-		case b != nil:
+		if !d.isBlocked(p) {
+			continue
+		}
+		b := d.blocks[p]
+		if now < b.NextTrial() || now < b.notBefore || now < b.trialUntil {
 			return false
-		default:
-			b = d.blocks[p]
+		}
+		if tried == nil {
+			tried = b
 		}
 	}
-	if b == nil || now < b.NextTrial() || now < b.notBefore || now < b.trialUntil {
+	if tried == nil {
 		return false
 	}
-	if b.trials >= trialsInSeries {
-		b.trials, b.answered = 0, 0
+	if tried.trials >= tried.Trait.trialsInSeries() {
+		tried.trials, tried.answered = 0, 0
 	}
-	b.trials++
-	b.trialUntil = now + trialTimeout
+	tried.trials++
+	tried.trialUntil = now + trialTimeout
 	return true
 }
 
@@ -164,12 +210,12 @@
 	if answered {
 		b.answered++
 	}
-	if b.answered >= trialsInSeries {
+	if b.answered >= p.trialsInSeries() {
 		b.Lifted, b.ChangedAt, b.learnedAt = true, now, now
 		d.forgetCrashes(p)
 		return b.Block, true
 	}
-	if b.trials >= trialsInSeries {
+	if b.trials >= p.trialsInSeries() {
 		b.notBefore = now + trialPause
 	}
 	return Block{}, false
--- a/internal/poison/evidence.go
+++ b/internal/poison/evidence.go
@@ -161,6 +161,11 @@
 			delete(d.answeredElsewhere, p)
 		}
 	}
+	for p := range d.exoneratedAt {
+		if d.suspected[p] == 0 {
+			delete(d.exoneratedAt, p)
+		}
+	}
 }
 
 // missing returns those of some traits that the crash lacks, unless it has as many as
@@ -211,33 +216,47 @@
 	return merged[:min(len(merged), maxTraits)]
 }
 
-// RecordSound records that a prompt, sent at sentAt, was answered. The request
-// identifies it among the prompts of all gateways.
-func (d *Detector) RecordSound(request uint64, sentAt time.Duration, traits []Trait) {
+// RecordSound records at a time that a request, sent at sentAt, was answered. The
+// request identifies it among those of all gateways. RecordSound reports whether other
+// gateways should learn of it soon.
+func (d *Detector) RecordSound(now time.Duration, request uint64, sentAt time.Duration, traits []Trait) bool {
+	exonerated := false
 	for _, p := range traits {
-		d.answered.add(p)
-		d.addSound(p, sound{request, sentAt})
+		d.answered(p).add(p)
+		exonerated = d.addSound(now, p, sound{request, sentAt}) || exonerated
 	}
-	d.contrast = append(d.contrast, contrastPrompt{sound{request, sentAt}, traits})
+	d.addContrast(contrastRequest{sound{request, sentAt}, traits})
+	return exonerated
+}
+
+// addContrast keeps an answered request, and forgets old ones.
+func (d *Detector) addContrast(r contrastRequest) {
+	d.contrast = append(d.contrast, r)
 	if len(d.contrast) > 2*maxContrast {
 		d.contrast = slices.Clone(d.contrast[len(d.contrast)-maxContrast:])
 	}
 }
 
-// addSound keeps an answered prompt with a trait that is in a crash.
-func (d *Detector) addSound(p Trait, s sound) {
+// addSound keeps an answered request with a trait that is in a crash. It reports
+// whether it is the first one that speaks for the trait in several crashes.
+func (d *Detector) addSound(now time.Duration, p Trait, s sound) (exonerated bool) {
 	if d.suspected[p] == 0 {
-		return
+		return false
 	}
 	sounds := d.sounds[p]
 	if slices.ContainsFunc(sounds, func(other sound) bool { return other.request == s.request }) {
-		return
+		return false
+	}
+	exonerated = len(sounds) == 0 && d.suspected[p] >= minSuspectCrashes
+	if exonerated {
+		d.exoneratedAt[p] = now
 	}
 	sounds = append(sounds, s)
 	slices.SortFunc(sounds, func(a, b sound) int {
 		return cmp.Or(cmp.Compare(b.sentAt, a.sentAt), cmp.Compare(a.request, b.request))
 	})
 	d.sounds[p] = sounds[:min(len(sounds), maxSounds)]
+	return exonerated
 }
 
 // addEarlierSounds keeps the prompts with the traits of a crash that were answered
@@ -246,7 +265,7 @@
 	for _, prompt := range d.contrast {
 		for _, p := range prompt.traits {
 			if c.has(p) {
-				d.addSound(p, prompt.sound)
+				d.addSound(c.changedAt, p, prompt.sound)
 			}
 		}
 	}
--- a/internal/poison/poison.go
+++ b/internal/poison/poison.go
@@ -1,27 +1,29 @@
-// Package poison finds the traits of prompts under which engines crash (poison
-// prompts, also called queries of death), so that gateways can keep such prompts
-// from the engines that are left.
+// Package poison finds the requests under which backend servers crash (queries of
+// death), so that gateways can keep them from the servers that are left.
 //
-// A crash ends all requests of an engine, sound ones as well, and each gateway
-// sees only its own. Gateways therefore exchange their evidence: which shared traits
-// the prompts had that were lost with an engine, and which suspected traits were
-// answered meanwhile. Evidence merges in any order and repeatedly with the same
-// result, and its size is bounded.
+// Two things may be to blame, the traits of a request: a part of its prompt that it
+// shares with others, or the request as a whole, which comes again under other IDs.
 //
-// A trait is blocked if it was in several crashes and hardly any prompt with it has
-// been answered since the first of them, while other prompts were answered. Crashes
-// that a blocked trait explains are no evidence against other traits. After a long
-// time one gateway tries a prompt with a blocked trait again.
+// A crash ends all requests of a server, sound ones as well, and each gateway sees
+// only its own. Gateways therefore exchange their evidence: which traits the requests
+// had that were lost with a server, and which requests were answered meanwhile.
+// Evidence merges in any order and repeatedly with the same result, and its size is
+// bounded.
 //
-// A Detector holds what one gateway knows about the prompts of one service. The
+// A trait is blocked if it was in several crashes and hardly any request with it has
+// been answered since the first of them, while others were answered. Crashes that a
+// blocked trait explains are no evidence against others. After a long time a request
+// with a blocked trait is tried again.
+//
+// A Detector holds what one gateway knows about the requests of one service. The
 // caller must call:
 //
 //   - RecordLoss for each attempt whose connection was lost, and EndCheck once it
-//     has checked whether the engine has ended; EngineGone when an engine is no
+//     has checked whether the server has ended; EngineGone when a server is no
 //     longer registered;
-//   - RecordSound for each prompt that was answered;
+//   - RecordSound for each request that was answered;
 //   - Decide after each of these and regularly;
-//   - Blocked before a prompt is sent;
+//   - Blocked before a request is sent;
 //   - Report and Merge to exchange evidence with other gateways.
 //
 // The package does no I/O, never blocks and takes all times as arguments. They are
@@ -32,14 +34,14 @@
 import "time"
 
 const (
-	// evidenceAge is how long a crash is evidence. Poisonous prompts may be rare.
+	// evidenceAge is how long a crash is evidence. Poisonous requests may be rare.
 	evidenceAge = 15 * time.Minute
 	// maxCrashes and maxTraits bound the crashes that are kept and the traits of each.
 	maxCrashes = 64
 	maxTraits  = 256
 	// maxSounds bounds the answered prompts that are kept for each trait.
 	maxSounds = 16
-	// maxContrast bounds the latest answered prompts with any traits.
+	// maxContrast bounds the latest answered requests with any traits.
 	maxContrast = 64
 	// lossAge is how long losses wait for the confirmation that their engine ended.
 	lossAge = 10 * time.Second
@@ -58,11 +60,16 @@
 	suspected map[Trait]int
 	// sounds are the latest answered prompts with a trait that is in a crash.
 	sounds map[Trait][]sound
-	// contrast are the latest answered prompts of this gateway.
-	contrast []contrastPrompt
-	// decideUntil is until when the crashes known so far may lead to a decision.
-	decideUntil time.Duration
-	answered    *counts
+	// contrast are the latest answered requests, of this gateway and of others.
+	contrast []contrastRequest
+	// decideUntil is until when each call of Decide judges the evidence, and reviewAt
+	// when it is judged next after that.
+	decideUntil, reviewAt time.Duration
+	// exoneratedAt is when this gateway learned that a request with a suspected trait
+	// was answered.
+	exoneratedAt map[Trait]time.Duration
+	// answeredParts and answeredRequests count the answered requests by trait.
+	answeredParts, answeredRequests *counts
 	// answeredElsewhere is the largest number of answered prompts that another gateway
 	// has counted, for traits that are in a crash.
 	answeredElsewhere map[Trait]int
@@ -78,19 +85,30 @@
 		crashes:   make(map[string]*crash),
 		suspected: make(map[Trait]int),
 		sounds:    make(map[Trait][]sound),
-		answered:  newCounts(),
 		blocks:    make(map[Trait]*block),
 
+		exoneratedAt:      make(map[Trait]time.Duration),
+		answeredParts:     newCounts(),
+		answeredRequests:  newCounts(),
 		answeredElsewhere: make(map[Trait]int),
 	}
 }
 
-// contrastPrompt is an answered prompt.
-type contrastPrompt struct {
+// contrastRequest is an answered request.
+type contrastRequest struct {
 	sound
 	traits []Trait
 }
 
+// answered returns the counts for traits like t. Requests are counted apart, as most
+// of them come once and would displace the parts.
+func (d *Detector) answered(t Trait) *counts {
+	if t.IsRequest() {
+		return d.answeredRequests
+	}
+	return d.answeredParts
+}
+
 // counts counts traits approximately with bounded memory: it forgets the older half
 // of what it has counted when it is full.
 type counts struct {
--- a/internal/poison/poison_test.go
+++ b/internal/poison/poison_test.go
@@ -301,7 +301,7 @@
 	for i := range 20000 {
 		now := time.Duration(i) * time.Millisecond
 		traits := sorted([]Trait{Trait(3*i + 1), Trait(3*i + 2), Trait(3*i + 3)})
-		d.RecordSound(uint64(i), now, traits)
+		d.RecordSound(now, uint64(i), now, traits)
 		if i%10 == 0 {
 			engine := fmt.Sprint("engine-", i)
 			d.RecordLoss(now, engine, traits)
@@ -310,7 +310,7 @@
 	}
 	require.LessOrEqual(t, len(d.crashes), maxCrashes)
 	require.LessOrEqual(t, len(d.contrast), 2*maxContrast)
-	require.LessOrEqual(t, len(d.answered.current)+len(d.answered.previous), 2*maxCounted)
+	require.LessOrEqual(t, len(d.answeredParts.current)+len(d.answeredParts.previous), 2*maxCounted)
 	require.LessOrEqual(t, len(d.losses), maxCrashes)
 	d.Report(20 * time.Second)
 	require.LessOrEqual(t, len(d.sounds), maxCrashes*maxTraits)
@@ -333,7 +333,7 @@
 	now := time.Minute
 	answerOthers := func() {
 		for i := range 5 {
-			d.RecordSound(uint64(now)+uint64(i), now, []Trait{1})
+			d.RecordSound(now, uint64(now)+uint64(i), now, []Trait{1})
 		}
 	}
 	crashWith := func(traits ...Trait) {
@@ -351,7 +351,7 @@
 	now += trialWaits[0]
 	for range trialsInSeries {
 		require.True(t, d.BeginTrial(now, []Trait{p}))
-		d.RecordSound(uint64(now), now, []Trait{p})
+		d.RecordSound(now, uint64(now), now, []Trait{p})
 		d.EndTrial(now, p, true)
 		now += time.Second
 	}
--- a/internal/poison/report.go
+++ b/internal/poison/report.go
@@ -17,6 +17,8 @@
 	// blocksPerReport bounds the older blocks in a report, which take turns, so that
 	// their traffic does not grow with their number.
 	blocksPerReport = 1
+	// contrastPerReport bounds the answered requests in a report.
+	contrastPerReport = 3
 )
 
 // Report is what a gateway reports to another one. Times are of the sender.
@@ -25,9 +27,18 @@
 	Sounds  []SoundPrompt
 	// Answered are the numbers of answered prompts with suspicious traits.
 	Answered []TraitCount
+	// Contrast are some of the latest answered requests with any traits.
+	Contrast []AnsweredRequest
 	Blocks   []Block
 }
 
+// AnsweredRequest is an answered request.
+type AnsweredRequest struct {
+	Request uint64
+	SentAt  time.Duration
+	Traits  []Trait
+}
+
 // TraitCount is a number of prompts with a trait.
 type TraitCount struct {
 	Trait Trait
@@ -45,12 +56,12 @@
 func (d *Detector) Report(now time.Duration) Report {
 	d.expire(now)
 	d.expireBlocks(now)
-	r := Report{Crashes: d.recentCrashes(now), Blocks: d.reportedBlocks(now)}
+	r := Report{Crashes: d.recentCrashes(now), Blocks: d.reportedBlocks(now), Contrast: d.recentContrast(now)}
 	for _, p := range d.suspects(now) {
 		for _, s := range d.sounds[p][:min(len(d.sounds[p]), maxCompared)] {
 			r.Sounds = append(r.Sounds, SoundPrompt{Trait: p, Request: s.request, SentAt: s.sentAt})
 		}
-		if n := max(d.answered.of(p), d.answeredElsewhere[p]); n > 0 {
+		if n := max(d.answered(p).of(p), d.answeredElsewhere[p]); n > 0 {
 			r.Answered = append(r.Answered, TraitCount{p, n})
 		}
 	}
@@ -68,14 +79,35 @@
 	return crashes
 }
 
-// suspects returns the traits that were in the most crashes, while new crashes are
-// being learned of.
+// hasNews reports whether this gateway has just learned something of crashes that no
+// blocked part explains.
+func (d *Detector) hasNews(now time.Duration) bool {
+	for _, at := range d.exoneratedAt {
+		if now-at < spreadTime {
+			return true
+		}
+	}
+	return slices.ContainsFunc(d.unexplained(), func(c *crash) bool { return now-c.changedAt < spreadTime })
+}
+
+// recentContrast returns some of the latest answered requests, while there is news.
+func (d *Detector) recentContrast(now time.Duration) []AnsweredRequest {
+	if !d.hasNews(now) {
+		return nil
+	}
+	var contrast []AnsweredRequest
+	for _, r := range d.contrast[max(0, len(d.contrast)-contrastPerReport):] {
+		contrast = append(contrast, AnsweredRequest{r.request, r.sentAt, r.traits})
+	}
+	return contrast
+}
+
+// suspects returns the traits that were in the most crashes, while there is news.
 func (d *Detector) suspects(now time.Duration) []Trait {
-	unexplained := d.unexplained()
-	isRecent := func(c *crash) bool { return now-c.changedAt < spreadTime }
-	if !slices.ContainsFunc(unexplained, isRecent) {
+	if !d.hasNews(now) {
 		return nil
 	}
+	unexplained := d.unexplained()
 	inCrashes := make(map[Trait]int)
 	for _, c := range unexplained {
 		for _, p := range c.traits {
@@ -137,7 +169,10 @@
 		changes.Evidence = changes.Evidence || changed
 	}
 	for _, s := range r.Sounds {
-		d.addSound(s.Trait, sound{s.Request, s.SentAt})
+		changes.Evidence = d.addSound(now, s.Trait, sound{s.Request, s.SentAt}) || changes.Evidence
+	}
+	for _, answered := range r.Contrast {
+		d.mergeContrast(answered)
 	}
 	for _, answered := range r.Answered {
 		if d.suspected[answered.Trait] > 0 {
@@ -147,6 +182,14 @@
 	return changes
 }
 
+// mergeContrast keeps an answered request that another gateway reported.
+func (d *Detector) mergeContrast(r AnsweredRequest) {
+	known := func(other contrastRequest) bool { return other.request == r.Request }
+	if !slices.ContainsFunc(d.contrast, known) {
+		d.addContrast(contrastRequest{sound{r.Request, r.SentAt}, r.Traits})
+	}
+}
+
 // Blocks returns all blocks, lifted ones included.
 func (d *Detector) Blocks() []Block {
 	blocks := make([]Block, 0, len(d.blocks))
--- a/internal/poison/simulation_test.go
+++ b/internal/poison/simulation_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -23,10 +24,10 @@
 	nextRequest uint64
 	nextEngine  int
 
-	// crashes are the times of the crashes under a poisonous trait, and poisonSends
-	// those of the prompts with one that were sent, by trait.
+	// crashes are the times of the crashes under a poisonous part, and poisonSends
+	// those of the prompts with one that were sent, by part.
 	crashes, poisonSends map[string][]time.Duration
-	// blocked holds when the first and the last gateway blocked a trait.
+	// blocked holds when the first and the last gateway blocked a part.
 	blocked map[Trait][2]time.Duration
 }
 
@@ -36,9 +37,9 @@
 	gateways, engines int
 	// soundRate and poisonRate are the prompts per second, in sum over the gateways.
 	soundRate, poisonRate float64
-	// firstParts and secondParts are the numbers of different shared traits.
+	// firstParts and secondParts are the numbers of different shared parts.
 	firstParts, secondParts int
-	// poison holds the traits that crash an engine, with the probability.
+	// poison holds the parts that crash an engine, with the probability.
 	poison map[string]float64
 	// poisonFrom is when such prompts begin.
 	poisonFrom time.Duration
@@ -51,6 +52,14 @@
 	breaks float64
 	// silent are gateways that no other gateway reaches.
 	silent int
+	// harmful is the number of different requests that crash each server, each sent
+	// harmfulRate times per second from poisonFrom on; popular is one that many callers
+	// send, popularRate times per second.
+	harmful                  int
+	harmfulRate, popularRate float64
+	// sends is how often a request is sent while it is lost, 0 for once. Its gateway
+	// sends it the second time, another one after that.
+	sends int
 }
 
 type gateway struct {
@@ -69,10 +78,13 @@
 	gateway *gateway
 	engine  *engine
 	name    string
-	traits  []string
+	parts   []string
 	sentAt  time.Duration
 	endsAt  time.Duration
 	crashAt time.Duration
+	// whole is the name of a request that comes again; empty if it comes once.
+	whole string
+	sends int
 }
 
 const (
@@ -108,6 +120,7 @@
 	for ; s.now < until; s.now += step {
 		s.sendSound()
 		s.sendPoison()
+		s.sendRepeated()
 		s.killEngines()
 		s.endRequests()
 		s.exchange()
@@ -135,27 +148,90 @@
 	}
 }
 
-// sendPoison sends prompts that share their first trait with sound ones.
+// sendPoison sends prompts that share their first part with sound ones.
 func (s *simulation) sendPoison() {
 	if s.now < s.opts.poisonFrom {
 		return
 	}
-	var traits []string
-	for trait := range s.opts.poison {
-		traits = append(traits, trait)
+	var parts []string
+	for part := range s.opts.poison {
+		parts = append(parts, part)
 	}
-	slices.Sort(traits)
-	for _, trait := range traits {
+	slices.Sort(parts)
+	for _, part := range parts {
 		for range s.events(s.opts.poisonRate) {
-			s.send("first-0", trait, fmt.Sprint("second-", s.rand.IntN(s.opts.secondParts)))
+			s.send("first-0", part, fmt.Sprint("second-", s.rand.IntN(s.opts.secondParts)))
 		}
 	}
 }
 
+// sendRepeated sends the requests that come again.
+func (s *simulation) sendRepeated() {
+	for range s.events(s.opts.popularRate) {
+		s.sendWhole("popular", 1, s.gateways[s.rand.IntN(len(s.gateways))])
+	}
+	if s.now < s.opts.poisonFrom {
+		return
+	}
+	for i := range s.opts.harmful {
+		for range s.events(s.opts.harmfulRate) {
+			s.sendWhole(fmt.Sprint("harmful-", i), 1, s.gateways[s.rand.IntN(len(s.gateways))])
+		}
+	}
+}
+
+// sendWhole sends a request without prompt through a gateway to a random server that
+// is up.
+func (s *simulation) sendWhole(whole string, sends int, g *gateway) {
+	if _, blocked := g.detector.Blocked([]Trait{wholeTrait(whole)}); blocked {
+		return
+	}
+	var up []*engine
+	for _, e := range s.engines {
+		if s.now >= e.downTo {
+			up = append(up, e)
+		}
+	}
+	if len(up) == 0 {
+		return
+	}
+	e := up[s.rand.IntN(len(up))]
+	s.nextRequest++
+	r := &request{id: s.nextRequest, gateway: g, engine: e, name: e.name, sentAt: s.now, endsAt: s.now + 20*time.Millisecond, whole: whole, sends: sends}
+	if strings.HasPrefix(whole, "harmful") {
+		s.poisonSends[whole] = append(s.poisonSends[whole], s.now)
+		r.crashAt = s.now + 40*time.Millisecond
+	}
+	s.requests = append(s.requests, r)
+}
+
+// wholeTrait returns the trait of a request that comes again.
+func wholeTrait(whole string) Trait { return Request{Path: whole}.Traits()[0] }
+
+// traits returns the traits of the request.
+func (r *request) traits() []Trait {
+	if r.whole == "" {
+		return sorted(append(hashesOf(r.parts), wholeTrait(fmt.Sprint("once-", r.id))))
+	}
+	return []Trait{wholeTrait(r.whole)}
+}
+
+// sendAgain sends a lost request once more, unless it was sent often enough.
+func (s *simulation) sendAgain(r *request) {
+	if r.whole == "" || r.sends >= s.opts.sends {
+		return
+	}
+	g := r.gateway
+	if r.sends > 1 {
+		g = s.gateways[s.rand.IntN(len(s.gateways))]
+	}
+	s.sendWhole(r.whole, r.sends+1, g)
+}
+
 // send sends a prompt through a random gateway to a random engine that is up.
-func (s *simulation) send(traits ...string) {
+func (s *simulation) send(parts ...string) {
 	g := s.gateways[s.rand.IntN(len(s.gateways))]
-	hashes := hashesOf(traits)
+	hashes := hashesOf(parts)
 	if _, blocked := g.detector.Blocked(hashes); blocked {
 		return
 	}
@@ -165,15 +241,15 @@
 	}
 	s.nextRequest++
 	r := &request{
-		id: s.nextRequest, gateway: g, engine: e, name: e.name, traits: traits, sentAt: s.now,
+		id: s.nextRequest, gateway: g, engine: e, name: e.name, parts: parts, sentAt: s.now,
 		endsAt: s.now + simulatedFirstToken + time.Duration(s.rand.IntN(150))*time.Millisecond,
 	}
-	for _, trait := range traits {
-		probability, poisonous := s.opts.poison[trait]
+	for _, part := range parts {
+		probability, poisonous := s.opts.poison[part]
 		if !poisonous {
 			continue
 		}
-		s.poisonSends[trait] = append(s.poisonSends[trait], s.now)
+		s.poisonSends[part] = append(s.poisonSends[part], s.now)
 		if s.rand.Float64() < probability {
 			r.crashAt = s.now + simulatedFirstToken
 		}
@@ -181,10 +257,10 @@
 	s.requests = append(s.requests, r)
 }
 
-func hashesOf(traits []string) []Trait {
-	hashes := make([]Trait, 0, len(traits))
-	for _, trait := range traits {
-		hashes = append(hashes, PartOf(trait))
+func hashesOf(parts []string) []Trait {
+	hashes := make([]Trait, 0, len(parts))
+	for _, part := range parts {
+		hashes = append(hashes, PartOf(part))
 	}
 	return hashes
 }
@@ -208,13 +284,15 @@
 	}
 	kept := s.requests[:0]
 	lost := make(map[*gateway]bool)
+	var ended []*request
 	for _, r := range s.requests {
 		if r.engine != e {
 			kept = append(kept, r)
 			continue
 		}
-		r.gateway.detector.RecordLoss(s.now, e.name, sorted(hashesOf(r.traits)))
+		r.gateway.detector.RecordLoss(s.now, e.name, r.traits())
 		lost[r.gateway] = true
+		ended = append(ended, r)
 	}
 	s.requests = kept
 	for g := range lost {
@@ -223,11 +301,14 @@
 	}
 	s.nextEngine++
 	e.name, e.downTo = fmt.Sprint("engine-", s.nextEngine), s.now+simulatedDowntime
+	for _, r := range ended {
+		s.sendAgain(r)
+	}
 }
 
-func sorted(traits []Trait) []Trait {
-	slices.Sort(traits)
-	return traits
+func sorted(parts []Trait) []Trait {
+	slices.Sort(parts)
+	return parts
 }
 
 // endRequests ends the requests that are due, by their answer, a break or a crash.
@@ -235,11 +316,12 @@
 	for _, r := range slices.Clone(s.requests) {
 		if r.crashAt > 0 && r.crashAt <= s.now && slices.Contains(s.requests, r) {
 			s.end(r.engine)
-			for _, trait := range r.traits {
-				if _, poisonous := s.opts.poison[trait]; poisonous {
-					s.crashes[trait] = append(s.crashes[trait], s.now)
+			for _, part := range r.parts {
+				if _, poisonous := s.opts.poison[part]; poisonous {
+					s.crashes[part] = append(s.crashes[part], s.now)
 				}
 			}
+			s.crashes[r.whole] = append(s.crashes[r.whole], s.now)
 		}
 	}
 	kept := s.requests[:0]
@@ -248,14 +330,15 @@
 			kept = append(kept, r)
 			continue
 		}
-		hashes := sorted(hashesOf(r.traits))
+		hashes := r.traits()
 		if s.rand.Float64() < s.opts.breaks {
 			if r.gateway.detector.RecordLoss(s.now, r.name, hashes) {
 				r.gateway.detector.EndCheck(s.now, r.name, CheckAlive)
 			}
 			continue
 		}
-		r.gateway.detector.RecordSound(r.id, r.sentAt, hashes)
+		exonerated := r.gateway.detector.RecordSound(s.now, r.id, r.sentAt, hashes)
+		r.gateway.push = r.gateway.push || exonerated
 	}
 	s.requests = kept
 }
@@ -302,10 +385,10 @@
 	}
 }
 
-// sendsAfter returns how many prompts with a trait were sent later than a time.
-func (s *simulation) sendsAfter(trait string, after time.Duration) int {
+// sendsAfter returns how many prompts with a part were sent later than a time.
+func (s *simulation) sendsAfter(part string, after time.Duration) int {
 	n := 0
-	for _, at := range s.poisonSends[trait] {
+	for _, at := range s.poisonSends[part] {
 		if at > after {
 			n++
 		}
--- a/internal/poison/trait.go
+++ b/internal/poison/trait.go
@@ -40,7 +40,10 @@
 func (t Trait) IsRequest() bool { return t.Kind() != KindPart }
 
 // PartOf returns the trait of the prompts that have the part with an ID.
-func PartOf(id string) Trait { return newTrait(KindPart, xxhash.Sum64String(id)) }
+func PartOf(id string) Trait { return PartWithHash(xxhash.Sum64String(id)) }
+
+// PartWithHash returns the trait of a part whose ID has a hash.
+func PartWithHash(hash uint64) Trait { return newTrait(KindPart, hash) }
 
 // Request is what makes two requests the same one. IDs, deadlines, the framing of the
 // body and where a stream goes on are not part of it.
--- a/internal/poison/verdict.go
+++ b/internal/poison/verdict.go
@@ -8,18 +8,20 @@
 
 const (
 	// minCrashes is the least number of crashes for which a trait is blocked, and
-	// manyCrashes that for a trait with which more than maxAnsweredPerCrash prompts for
-	// each crash have been answered before. With manyCrashes, the best candidate is
-	// blocked even if another trait is as suspicious.
+	// manyCrashes that for a part with which more than maxAnsweredPerCrash requests for
+	// each crash have been answered before, and for a request that has ever been. With
+	// manyCrashes, the best candidate is blocked even if another one is as suspicious.
 	minCrashes          = 3
 	manyCrashes         = 5
 	maxAnsweredPerCrash = 1
 	// maxCompared bounds the latest crashes with a trait that are compared with its
-	// answered prompts.
+	// answered requests.
 	maxCompared = 8
 	// minMoments is the least number of moments at which these crashes happened, and
-	// momentGap the time between two moments. Engines that lose power together crash
-	// at one moment.
+	// momentGap the time between two moments. Servers that lose power together crash
+	// at one moment. A request that has never been answered is at several of them only
+	// if it is sent again and again, so that momentGap between the first and the last
+	// crash is enough.
 	minMoments = 3
 	momentGap  = 50 * time.Millisecond
 	// minExplainedShare is the least share of all crashes since the first of them that
@@ -27,15 +29,23 @@
 	// manyCrashes.
 	minExplainedShare = 0.5
 	fewExplainedShare = 0.75
-	// minContrast is the least number of prompts without the trait that must have
-	// been answered since the first of these crashes.
-	minContrast = 3
+	// minContrast is the least number of requests without the trait that must have
+	// been answered since the first of these crashes, and manyContrast that for a
+	// request that was answered before.
+	minContrast  = 3
+	manyContrast = 20
+	// maxRivals bounds the requests that are blocked together with fewer crashes than
+	// manyCrashes. If more are lost equally often, servers end for another reason.
+	maxRivals = 3
 	// settleTime is how long ago a crash must be to count, so that all gateways have
 	// reported what they lost and what was answered.
 	settleTime = time.Second
-	// observeTime is how long ago the first crash must be for a trait with which prompts
+	// observeTime is how long ago the first crash must be for a trait with which requests
 	// have been answered before, so that further ones may be answered.
 	observeTime = 2 * time.Second
+	// reviewInterval is the time between two judgements of evidence that does not grow.
+	// What is answered after an outage may decide.
+	reviewInterval = time.Second
 )
 
 // candidate is a trait that may be the cause of crashes.
@@ -54,35 +64,66 @@
 	return float64(c.crashes) / float64(c.crashes+c.sounds+c.before)
 }
 
+// neverAnswered reports whether no request with the trait is known to be answered.
+func (c candidate) neverAnswered() bool { return c.sounds+c.before == 0 }
+
+// rivals reports whether the evidence does not tell which of two candidates is to
+// blame. A part needs a larger share of its prompts, a request only more crashes.
+func (c candidate) rivals(other candidate) bool {
+	if c.trait.Kind() != other.trait.Kind() || c.share() != other.share() {
+		return false
+	}
+	return !c.trait.IsRequest() || c.crashes == other.crashes
+}
+
 // Decide blocks the traits that are to blame for crashes and returns the new blocks.
 func (d *Detector) Decide(now time.Duration) []Block {
 	d.expire(now)
 	d.expireBlocks(now)
+	if len(d.crashes) < minCrashes || now >= d.decideUntil && now < d.reviewAt {
+		return nil
+	}
+	d.reviewAt = now + reviewInterval
 	var blocked []Block
-	for len(d.crashes) >= minCrashes && now < d.decideUntil {
-		worst, ok := d.worst(now)
-		if !ok {
+	for range maxBlocks {
+		worst := d.worst(now)
+		if len(worst) == 0 {
 			break
 		}
-		blocked = append(blocked, d.block(now, worst))
+		for _, c := range worst {
+			blocked = append(blocked, d.block(now, c))
+		}
 	}
 	return blocked
 }
 
-// worst returns the trait that is to be blocked next, if any.
-func (d *Detector) worst(now time.Duration) (candidate, bool) {
+// worst returns the trait that is to be blocked next, if any, and the requests that
+// are as suspicious.
+func (d *Detector) worst(now time.Duration) []candidate {
 	candidates := d.candidates(now)
 	if len(candidates) == 0 {
-		return candidate{}, false
+		return nil
 	}
 	slices.SortFunc(candidates, func(a, b candidate) int {
-		return cmp.Or(cmp.Compare(b.share(), a.share()), cmp.Compare(b.crashes, a.crashes), cmp.Compare(a.trait, b.trait))
+		return cmp.Or(cmp.Compare(b.share(), a.share()), cmp.Compare(b.crashes, a.crashes),
+			cmp.Compare(b.trait.Kind(), a.trait.Kind()), cmp.Compare(a.trait, b.trait))
 	})
 	worst := candidates[0]
-	if len(candidates) > 1 && candidates[1].share() == worst.share() && worst.crashes < manyCrashes {
-		return candidate{}, false
+	rivals := 1
+	for rivals < len(candidates) && worst.rivals(candidates[rivals]) {
+		rivals++
+	}
+	allowed := 1
+	if worst.trait.IsRequest() {
+		allowed = maxRivals
+	}
+	switch {
+	case rivals > allowed && worst.crashes < manyCrashes:
+		return nil
+	case worst.trait.IsRequest():
+		return candidates[:rivals]
 	}
-	return worst, true
+	return candidates[:1]
 }
 
 // candidates returns the traits against which there is enough evidence.
@@ -101,7 +142,7 @@
 	with := make(map[Trait][]*crash)
 	for _, c := range crashes {
 		for _, p := range c.traits {
-			if d.suspected[p] >= minCrashes {
+			if d.suspected[p] >= minCrashes && !d.isBlocked(p) {
 				with[p] = append(with[p], c)
 			}
 		}
@@ -118,11 +159,11 @@
 	return candidates
 }
 
-// unexplained returns the crashes without a blocked trait, the latest first.
+// unexplained returns the crashes without a blocked part, the latest first.
 func (d *Detector) unexplained() []*crash {
 	var crashes []*crash
 	for _, c := range d.crashes {
-		if !slices.ContainsFunc(c.traits, d.isBlocked) {
+		if !slices.ContainsFunc(c.traits, d.isBlockedPart) {
 			crashes = append(crashes, c)
 		}
 	}
@@ -130,11 +171,24 @@
 	return crashes
 }
 
-// judge compares the crashes with a trait with all crashes and with the prompts that
+// isBlockedPart reports whether a trait is a blocked part of prompts.
+func (d *Detector) isBlockedPart(t Trait) bool { return !t.IsRequest() && d.isBlocked(t) }
+
+// isBlockedRequest reports whether a trait is a blocked request.
+func (d *Detector) isBlockedRequest(t Trait) bool { return t.IsRequest() && d.isBlocked(t) }
+
+// explainedByRequest reports whether a crash has a blocked request. It may still be
+// evidence against a part of that request, which others have as well.
+func (d *Detector) explainedByRequest(c *crash) bool {
+	return slices.ContainsFunc(c.traits, d.isBlockedRequest)
+}
+
+// judge compares the crashes with a trait with all crashes and with the requests that
 // were answered since. It tries the most crashes first.
 func (d *Detector) judge(now time.Duration, p Trait, with, all []*crash) (candidate, bool) {
-	if d.wasAnswered(p) {
-		with = slices.DeleteFunc(slices.Clone(with), d.hasOtherSuspect)
+	answered := d.wasAnswered(p)
+	if answered {
+		with = slices.DeleteFunc(slices.Clone(with), func(c *crash) bool { return d.hasOtherSuspect(c, p) })
 	}
 	for n := min(len(with), maxCompared); n >= minCrashes; n-- {
 		c := d.candidate(p, with[:n])
@@ -142,34 +196,51 @@
 			continue
 		}
 		needed := minCrashes
-		if c.before > maxAnsweredPerCrash*len(with) {
+		if c.before > maxAnsweredPerCrash*len(with) || p.IsRequest() && answered {
 			needed = manyCrashes
 		}
-		if c.sounds <= n-needed && moments(with[:n]) >= minMoments && d.standsOut(c, all) {
+		if c.sounds <= n-needed && separate(c, with[:n]) && d.standsOut(c, all) {
 			return c, true
 		}
 	}
 	return candidate{}, false
 }
 
-// wasAnswered reports whether a prompt with a trait has been answered.
+// separate reports whether the crashes of a candidate happened at enough moments.
+func separate(c candidate, crashes []*crash) bool {
+	if c.trait.IsRequest() && c.neverAnswered() {
+		return c.last-c.first >= momentGap
+	}
+	return moments(crashes) >= minMoments
+}
+
+// wasAnswered reports whether a request with a trait has been answered.
 func (d *Detector) wasAnswered(p Trait) bool {
-	return len(d.sounds[p]) > 0 || d.answered.of(p) > 0 || d.answeredElsewhere[p] > 0
+	return len(d.sounds[p]) > 0 || d.answered(p).of(p) > 0 || d.answeredElsewhere[p] > 0
 }
 
-// hasOtherSuspect reports whether a crash has a trait that is in several crashes and
-// has never been answered. Such a crash is no evidence against a trait that has been.
-func (d *Detector) hasOtherSuspect(c *crash) bool {
+// hasOtherSuspect reports whether a crash with a trait has another one that is in
+// several crashes and has never been answered. Such a crash is no evidence against a
+// trait that has been. Each request with a poisonous part may be lost twice, so that it
+// must be in more crashes if the trait is in many.
+func (d *Detector) hasOtherSuspect(c *crash, than Trait) bool {
 	return slices.ContainsFunc(c.traits, func(p Trait) bool {
-		return d.suspected[p] >= minSuspectCrashes && !d.wasAnswered(p)
+		least := minSuspectCrashes
+		if p.IsRequest() && d.suspected[than] >= 2*manyCrashes {
+			least = minCrashes
+		}
+		return p != than && d.suspected[p] >= least && !d.wasAnswered(p)
 	})
 }
 
-// judgeAtOnce finds a trait with many crashes and without any answered prompt, which
+// judgeAtOnce finds a trait with many crashes and without any answered request, which
 // needs no further evidence.
 func (d *Detector) judgeAtOnce(p Trait, with, all []*crash) (candidate, bool) {
 	c := d.candidate(p, with[:min(len(with), maxCompared)])
-	certain := c.crashes >= manyCrashes && c.sounds+c.before == 0
+	certain := c.crashes >= manyCrashes && c.neverAnswered()
+	if p.IsRequest() && !separate(c, with) {
+		return candidate{}, false
+	}
 	return c, certain && d.standsOut(c, all)
 }
 
@@ -178,19 +249,57 @@
 func (d *Detector) candidate(p Trait, crashes []*crash) candidate {
 	c := candidate{trait: p, crashes: len(crashes), first: crashes[len(crashes)-1].at, last: crashes[0].at}
 	c.sounds = d.soundsSince(p, c.first)
-	c.before = max(len(d.sounds[p]), d.answered.of(p), d.answeredElsewhere[p]) - c.sounds
+	c.before = max(len(d.sounds[p]), d.answered(p).of(p), d.answeredElsewhere[p]) - c.sounds
 	return c
 }
 
 // standsOut reports whether a trait was in many of the crashes since its first one,
-// while prompts without it were answered.
+// while requests without it were answered. A request that has never been answered
+// needs no share. While it keeps all servers down nothing is answered; then it stands
+// out among others that were lost once.
 func (d *Detector) standsOut(c candidate, all []*crash) bool {
-	since := len(all) - crashesUntil(all, c.first-1)
-	share := minExplainedShare
+	contrast := d.contrastSince(c.trait, c.first)
+	if c.trait.IsRequest() && c.neverAnswered() {
+		contrast += d.lostOnce(c, all)
+		return contrast >= minContrast || contrast > 0 && c.crashes >= manyCrashes
+	}
+	needed, share := minContrast, minExplainedShare
+	if c.trait.IsRequest() {
+		needed = manyContrast
+	}
 	if c.crashes < manyCrashes {
 		share = fewExplainedShare
 	}
-	return float64(c.crashes) >= share*float64(since) && d.contrastSince(c.trait, c.first) >= minContrast
+	return float64(c.crashes) >= share*float64(d.crashesSince(c, all)) && contrast >= needed
+}
+
+// lostOnce returns the number of requests that were lost in one crash, a candidate's
+// or a later one.
+func (d *Detector) lostOnce(c candidate, all []*crash) int {
+	n := 0
+	for _, crash := range all {
+		if crash.at < c.first {
+			continue
+		}
+		for _, t := range crash.traits {
+			if t.Kind() == KindRequest && d.suspected[t] == 1 {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// crashesSince returns the number of crashes since the first one of a candidate,
+// without those that a blocked request explains.
+func (d *Detector) crashesSince(c candidate, all []*crash) int {
+	n := 0
+	for _, crash := range all {
+		if crash.at >= c.first && (crash.has(c.trait) || !d.explainedByRequest(crash)) {
+			n++
+		}
+	}
+	return n
 }
 
 // crashesUntil returns the number of crashes, the latest first, up to a time.
