Log versions of servers and which stream a request takes up

The users announced that engines of several software versions may serve side by side, and that a stream may go on only at the version that began it. From the log one could see neither the version of a server nor which stream a request takes up. attempt lines now have server_version, resumes and last_event_id, registration lines server_version.

--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -40,6 +40,8 @@
 	// StartedUnixMs is the start time in Unix milliseconds; 0 if unknown.
 	StartedUnixMs int64
 	Service       string
+	// Version is the version of the server's software; empty if it states none.
+	Version       string
 	Address       string
 	FailureDomain string
 	// Slots is the number of requests that the server runs concurrently.
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -230,6 +230,7 @@
 	meta.ServerID = c.Server.ID
 	meta.Priority = q.route.Priority
 	meta.LastEventID = q.lastEventID
+	q.resumedAfter = q.lastEventID
 	meta.Remaining = q.remaining()
 	sentAt := q.g.now()
 	q.sentAt = sentAt
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -56,8 +56,9 @@
 	prefilled bool
 	// directOnly prevents another split attempt with a separate prefill engine.
 	directOnly bool
-	// lastEventID is the ID of the last event sent to the caller.
-	lastEventID string
+	// lastEventID is the ID of the last event sent to the caller, and resumedAfter what
+	// it was when the latest attempt was sent.
+	lastEventID, resumedAfter string
 	// headerSent is set once the response header has been sent to the caller;
 	// from then on no other response is possible.
 	headerSent bool
--- a/internal/gateway/log.go
+++ b/internal/gateway/log.go
@@ -27,6 +27,9 @@
 		Reason:        out.reason,
 		Elapsed:       q.g.now() - q.arrivedAt,
 		PlacedBy:      q.placedBy,
+		ServerVersion: c.Server.Version,
+		Resumes:       q.meta.Resumes,
+		LastEventID:   q.resumedAfter,
 	}
 	if c.Split {
 		attempt.Prefill = &logevent.Prefill{Server: c.PrefillServer.ID, Predicted: q.prefillPredicted, Elapsed: q.prefillElapsed}
--- a/internal/gateway/protocol.go
+++ b/internal/gateway/protocol.go
@@ -24,6 +24,9 @@
 	// LastEventID is the ID of the last event that the caller has received;
 	// empty to start the stream from its beginning.
 	LastEventID string
+	// Resumes is the ID of the caller's request that brought the first event of the
+	// stream that this one takes up; empty if the caller names none.
+	Resumes string
 }
 
 // AttemptMeta is the metadata that the gateway sends to a backend server with a
--- a/internal/logevent/request.go
+++ b/internal/logevent/request.go
@@ -39,6 +39,10 @@
 	FetchFrom string
 	// StreamEnd describes the end of the stream; nil if there was none.
 	StreamEnd *StreamEnd
+	// ServerVersion is the version of the server's software. Resumes is the ID of the
+	// request whose stream this one takes up, and LastEventID the event after which the
+	// attempt goes on.
+	ServerVersion, Resumes, LastEventID string
 	// LostParts are the parts of the prompt that other prompts may share, for an
 	// attempt whose connection was lost.
 	LostParts []string
@@ -100,6 +104,9 @@
 		e.with(slog.String("stream_end", a.StreamEnd.Position))
 		e.with(slog.Int("tail_bytes", a.StreamEnd.TailBytes))
 	}
+	e.withText("server_version", a.ServerVersion)
+	e.withText("resumes", a.Resumes)
+	e.withText("last_event_id", a.LastEventID)
 	e.withText("lost_parts", strings.Join(a.LostParts, ","))
 	e.withText("lost_request", a.LostRequest)
 	e.with(slog.String(keyResult, a.Result))
--- a/internal/logevent/system.go
+++ b/internal/logevent/system.go
@@ -21,7 +21,7 @@
 
 // Registration describes a backend server's registration in the store.
 type Registration struct {
-	Server, Address, Stage string
+	Server, Address, Stage, Version string
 	// Servers that are removed, unreadable or leaving receive no requests.
 	Removed, Unreadable, Leaving bool
 }
@@ -30,7 +30,7 @@
 func RegistrationChanged(r Registration, revision revision.Revision) Event {
 	return info("registration changed", slog.String(keyServer, r.Server), slog.Any(keyRevision, revision),
 		slog.Bool(keyRemoved, r.Removed), slog.Bool("unreadable", r.Unreadable), slog.Bool("leaving", r.Leaving),
-		slog.String(keyStage, r.Stage), slog.String(keyAddress, r.Address))
+		slog.String(keyStage, r.Stage), slog.String(keyAddress, r.Address), slog.String("server_version", r.Version))
 }
 
 // RegistrationIgnored reports that a listed registration describes no usable
