--- a/internal/registry/follower.go
+++ b/internal/registry/follower.go
@@ -240,7 +240,7 @@
 // registration converts a change for the log.
 func registration(c fleet.Change) logevent.Registration {
 	return logevent.Registration{
-		Server: c.Server.ID, Address: c.Server.Address, Version: change.Server.Version, Stage: c.Server.Stage.String(),
+		Server: c.Server.ID, Address: c.Server.Address, Version: c.Server.Version, Stage: c.Server.Stage.String(),
 		Removed: c.Removed, Unreadable: c.Unreadable, Leaving: c.Server.Leaving,
 	}
 }
