Let streams go on only at the software version that began them (ORDER)

Seen by callers: with engines of two software versions in one service, a stream that was taken up after its gateway was killed, its connection reset or its engine crashed went on at any engine, so that it held events of two versions that don't fit together.

Cause: the version of a registration was not decoded and Resumes not read; each resume chose among all engines, within one answer as well. The knowledge which version began a stream would have been lost with its gateway.

Change: a stream is bound to the version of the engine that brings its first event; further attempts, and prefills for them, go to that version only. While servers of several versions have been registered within 30 s, a gateway tells three others (rendezvous hash of caller and request ID) of each stream that it begins, and of those in progress when the second version comes. A gateway at which a stream is taken up asks four; one that has just started asks again until it knows the others. If nobody knows, the stream goes on where there is only one version, and is refused otherwise, without Retry-After, as it can't go on later either. Unmixed services send nothing; a resume costs one question.

Ruled out: a prefill at another version alone (the events are of one engine).

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -226,7 +226,7 @@
 // send sends the request once to the server that is to execute it.
 func (q *request) send(ctx context.Context, c placement.Choice, meta AttemptMeta, uncachedTokens int) outcome {
 	q.sends++
-	q.lastServer = c.Server.ID
+	q.lastServer, q.serverVersion = c.Server.ID, c.Server.Version
 	meta.ServerID = c.Server.ID
 	meta.Priority = q.route.Priority
 	meta.LastEventID = q.lastEventID
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -25,6 +25,7 @@
 	"github.com/marigoldwing/marigoldwing/internal/poison"
 	"github.com/marigoldwing/marigoldwing/internal/retry"
 	"github.com/marigoldwing/marigoldwing/internal/serverlimit"
+	"github.com/marigoldwing/marigoldwing/internal/streamorigin"
 	"github.com/marigoldwing/marigoldwing/internal/upstream"
 )
 
@@ -80,6 +81,9 @@
 	// coordination lets one gateway per service place all long prompts; nil if
 	// the gateway runs without peers.
 	coordination *coordination
+	// origins lets gateways remember where each other's streams began; nil if the gateway
+	// runs without peers.
+	origins *streamOrigins
 }
 
 // state is the configuration in force. It is immutable and replaced as a
@@ -102,6 +106,7 @@
 	budget     *retry.Budget
 	limits     *serverlimit.Book
 	poison     *poison.Detector
+	origins    *streamorigin.Origins
 	registered []fleet.Server
 	// coordinatorSince is when this gateway became the coordinator that places
 	// all long prompts of the service, or notCoordinator.
@@ -158,9 +163,11 @@
 		if s == nil {
 			s = g.newService(spec)
 		}
-		for _, crash := range s.setServers(g.now(), spec, byService[name]) {
+		crashes, begun := s.setServers(g.now(), spec, byService[name])
+		for _, crash := range crashes {
 			gone = append(gone, func() { g.crashObserved(s, crash, poisonFromSelf) })
 		}
+		g.origins.announce(name, begun)
 		next.services[name] = s
 	}
 	g.state.Store(next)
@@ -175,13 +182,14 @@
 	limits := serverlimit.New(g.opts.Name, minGateways)
 	limits.SetGateways(g.now(), g.sharingGateways())
 	return &service{
-		name:   spec.Name,
-		engine: spec.Engine,
-		table:  placement.NewTable(placement.DefaultOptions(g.opts.FailureDomain), spec.Engine),
-		health: retry.NewHealthTracker(retry.DefaultHealthOptions()),
-		budget: retry.NewBudget(g.now(), g.retryOptions()),
-		limits: limits,
-		poison: poison.New(),
+		name:    spec.Name,
+		engine:  spec.Engine,
+		table:   placement.NewTable(placement.DefaultOptions(g.opts.FailureDomain), spec.Engine),
+		health:  retry.NewHealthTracker(retry.DefaultHealthOptions()),
+		budget:  retry.NewBudget(g.now(), g.retryOptions()),
+		limits:  limits,
+		poison:  poison.New(),
+		origins: streamorigin.New(g.now()),
 
 		coordinatorSince: notCoordinator,
 	}
@@ -217,6 +225,9 @@
 	// Owner returns the live gateway that is responsible for a key; the address is
 	// empty if it is this one.
 	Owner(key string) (name, address string)
+	// Keepers returns the addresses of at most n live gateways, other than this one, that
+	// keep what belongs to a key.
+	Keepers(key string, n int) []string
 	// NotifyPeers sends a heartbeat to some gateways at once.
 	NotifyPeers()
 }
@@ -231,8 +242,9 @@
 }
 
 // setServers replaces the registered servers. It returns the crashes of engines that
-// have lost requests and are no longer registered.
-func (s *service) setServers(now time.Duration, spec fleet.Service, servers []fleet.Server) []poison.Crash {
+// have lost requests and are no longer registered, and the streams that other gateways
+// must learn of because the servers now have several software versions.
+func (s *service) setServers(now time.Duration, spec fleet.Service, servers []fleet.Server) ([]poison.Crash, []streamorigin.Origin) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.engine, s.healthPath = spec.Engine, spec.HealthPath
@@ -245,7 +257,7 @@
 	}
 	s.health.SetServers(ids)
 	s.limits.Retain(func(id string) bool { return slices.Contains(ids, id) })
-	return crashes
+	return crashes, s.origins.SetVersions(now, softwareVersions(servers))
 }
 
 // enginesGone returns the crashes of engines that are missing from the new list. The
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -59,6 +59,10 @@
 	// lastEventID is the ID of the last event sent to the caller, and resumedAfter what
 	// it was when the latest attempt was sent.
 	lastEventID, resumedAfter string
+	// pin is the software version to which the stream is bound, and serverVersion that of
+	// the server that the latest attempt was sent to.
+	pin           versionPin
+	serverVersion string
 	// headerSent is set once the response header has been sent to the caller;
 	// from then on no other response is possible.
 	headerSent bool
@@ -183,6 +187,9 @@
 	q.service.recordRequest()
 	q.traits = q.allTraits()
 	defer q.endTrial()
+	if !q.takeUp(ctx) {
+		return
+	}
 	// last is the outcome of the latest attempt. It becomes the outcome of the
 	// request if no further attempt can be made.
 	var last *outcome
@@ -198,7 +205,7 @@
 			return
 		}
 		if err != nil {
-			q.fail(lastOutcomeOr(last, "no_server"), noServerRetryAfter)
+			q.failNoServer(last)
 			return
 		}
 		if !q.meetsDeadline(choice) {
@@ -220,6 +227,16 @@
 	}
 }
 
+// failNoServer ends a request for which there is no server. One that is bound to a
+// software version that no server has any more can't be served later either.
+func (q *request) failNoServer(last *outcome) {
+	if q.pin.pinned && !q.service.hasVersion(q.pin.version) {
+		q.fail(lastOutcomeOr(last, reasonVersionGone), 0)
+		return
+	}
+	q.fail(lastOutcomeOr(last, "no_server"), noServerRetryAfter)
+}
+
 // mayPrefill reports whether the prompt may be prefilled at a separate engine.
 // After the first time this is one more send, which the retry budget must allow.
 func (q *request) mayPrefill() bool {
@@ -251,6 +268,8 @@
 		NoSplit:          q.directOnly,
 		Priority:         q.route.Priority,
 		Objective:        q.route.LatencyObjective,
+		VersionPinned:    q.pin.pinned,
+		Version:          q.pin.version,
 	}
 }
 
--- a/internal/gateway/limits_test.go
+++ b/internal/gateway/limits_test.go
@@ -19,7 +19,9 @@
 func (p fakePeers) SharingNames() []string { return p }
 
 func (p fakePeers) Owner(string) (name, address string) { return "", "" }
-func (p fakePeers) NotifyPeers()                        {}
+func (fakePeers) Keepers(string, int) []string          { return nil }
+
+func (p fakePeers) NotifyPeers() {}
 
 // TestPauseWithoutShareOfLimit checks that of many gateways before one server with a
 // low limit a single one waits for it, and that the others know that only the limit
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -15,6 +15,7 @@
 	attempts      *prometheus.CounterVec
 	retries       *prometheus.CounterVec
 	streamEnds    *prometheus.CounterVec
+	resumes       *prometheus.CounterVec
 	firstEvent    *prometheus.HistogramVec
 	eventGap      *prometheus.HistogramVec
 	duration      *prometheus.HistogramVec
@@ -38,6 +39,9 @@
 		retries: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "marigold_gateway_retries_total", Help: "Decisions about retries by service, step and why a retry was denied (none: it was made).",
 		}, []string{"service", "step", "denial"}),
+		resumes: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "marigold_gateway_streams_taken_up_total", Help: "Streams that callers took up again, by how they may go on.",
+		}, []string{"service", "decision"}),
 		streamEnds: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "marigold_gateway_stream_ends_total", Help: "Ends of servers' streams by service, framing of the body and position.",
 		}, []string{"service", "framing", "position"}),
@@ -66,7 +70,7 @@
 			Name: "marigold_gateway_config_version", Help: "Version of the configuration in force.",
 		}),
 	}
-	registerer.MustRegister(m.requests, m.attempts, m.retries, m.streamEnds, m.firstEvent, m.eventGap, m.duration, m.loadAge, m.placements, m.engineCrashes, m.inflight, m.configVersion)
+	registerer.MustRegister(m.requests, m.attempts, m.retries, m.streamEnds, m.resumes, m.firstEvent, m.eventGap, m.duration, m.loadAge, m.placements, m.engineCrashes, m.inflight, m.configVersion)
 	return m
 }
 
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -91,9 +91,10 @@
 	adapter := peerAdapter{g: g, follower: follower}
 	var heartbeater *gatewaypeers.Heartbeater
 	placer := g.EnableCoordination(client, func(service string) (name, address string) { return heartbeater.Owner(service) })
+	streams := g.EnableStreamOrigins(client)
 	heartbeater = gatewaypeers.NewHeartbeater(gatewaypeers.Options{
 		Name: s.GetName(), Address: s.GetPeerAddress(), Incarnation: uint64(time.Now().UnixNano()),
-		Store: deps.Peers, Client: client, Log: log, FillHeartbeat: adapter.fillHeartbeat, OnHeartbeat: adapter.handleHeartbeat, Placer: placer,
+		Store: deps.Peers, Client: client, Log: log, FillHeartbeat: adapter.fillHeartbeat, OnHeartbeat: adapter.handleHeartbeat, Placer: placer, Streams: streams,
 	})
 	g.peers = heartbeater
 	stageOptions := StageControllerOptions{
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -102,6 +102,7 @@
 func (q *request) writeEvents(header http.Header, data []byte) error {
 	if !q.headerSent {
 		copyHeader(q.w.Header(), q.g.opts.Protocol.ResponseHeader(header))
+		q.pinVersion()
 		q.w.WriteHeader(http.StatusOK)
 		q.headerSent = true
 		q.firstEventAt = q.g.now()
--- a/internal/gatewaypeers/gatewaypeers.go
+++ b/internal/gatewaypeers/gatewaypeers.go
@@ -160,6 +160,23 @@
 	return name, address
 }
 
+// Keepers returns the addresses of the live gateways, other than this one, with the
+// highest rendezvous hashes for a key, at most n of them.
+func (t *Table) Keepers(now time.Duration, key string, n int) []string {
+	var live []*Peer
+	for _, p := range t.peers {
+		if t.isLive(now, p) {
+			live = append(live, p)
+		}
+	}
+	slices.SortFunc(live, func(a, b *Peer) int { return cmp.Compare(ownerHash(key, b.Name), ownerHash(key, a.Name)) })
+	addresses := make([]string, 0, n)
+	for _, p := range live[:min(n, len(live))] {
+		addresses = append(addresses, p.Address)
+	}
+	return addresses
+}
+
 func ownerHash(key, name string) uint64 { return xxhash.Sum64String(key + "\x00" + name) }
 
 // HeartbeatPeers starts a new round and returns the peers to contact in it:
--- a/internal/gatewaypeers/heartbeater.go
+++ b/internal/gatewaypeers/heartbeater.go
@@ -57,6 +57,8 @@
 	OnHeartbeat func(*peerv1.Heartbeat)
 	// Placer places prompts on behalf of peers; nil if this gateway does not.
 	Placer peerrpc.Placer
+	// Streams remembers the origins of streams for peers; nil if this gateway does not.
+	Streams peerrpc.StreamKeeper
 }
 
 // Heartbeater exchanges heartbeats with the other gateways and tracks which of
@@ -106,6 +108,14 @@
 	return h.table.Owner(h.now(), key)
 }
 
+// Keepers returns the addresses of the live gateways, other than this one, that keep
+// what belongs to a key, at most n of them.
+func (h *Heartbeater) Keepers(key string, n int) []string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.table.Keepers(h.now(), key, n)
+}
+
 // NotifyPeers schedules an immediate heartbeat to some peers, to notify them of
 // a change.
 func (h *Heartbeater) NotifyPeers() {
@@ -335,6 +345,21 @@
 	}
 }
 
+// StreamOrigins implements peerrpc.StreamKeeper.
+func (h *Heartbeater) StreamOrigins(origins *peerv1.StreamOrigins) {
+	if h.opts.Streams != nil {
+		h.opts.Streams.StreamOrigins(origins)
+	}
+}
+
+// FindStream implements peerrpc.StreamKeeper.
+func (h *Heartbeater) FindStream(find *peerv1.FindStream) *peerv1.FindStreamReply {
+	if h.opts.Streams == nil {
+		return &peerv1.FindStreamReply{}
+	}
+	return h.opts.Streams.FindStream(find)
+}
+
 // FetchConfig implements peerrpc.Handler. The reply is empty, since gateways
 // read the configuration from the store.
 func (h *Heartbeater) FetchConfig(*peerv1.FetchConfig) *peerv1.FetchConfigReply {
--- a/internal/peerrpc/client.go
+++ b/internal/peerrpc/client.go
@@ -110,16 +110,33 @@
 // PlaceEnded notifies the process at address that a prompt that it placed has
 // been prefilled, or will not be. There is no reply.
 func (c *Client) PlaceEnded(ctx context.Context, address string, ended *peerv1.PlaceEnded) error {
+	return c.notify(ctx, address, methodPlaceEnded, ended)
+}
+
+// StreamOrigins notifies the process at address of streams that have begun. There is
+// no reply.
+func (c *Client) StreamOrigins(ctx context.Context, address string, origins *peerv1.StreamOrigins) error {
+	return c.notify(ctx, address, methodStreamOrigins, origins)
+}
+
+// FindStream asks the process at address at which version a stream began.
+func (c *Client) FindStream(ctx context.Context, address string, find *peerv1.FindStream) (*peerv1.FindStreamReply, error) {
+	reply := &peerv1.FindStreamReply{}
+	return reply, c.call(ctx, address, methodFindStream, find, reply)
+}
+
+// notify sends a control message to which there is no reply.
+func (c *Client) notify(ctx context.Context, address, method string, in proto.Message) error {
 	link, err := c.pool(address).control(ctx)
 	if err != nil {
 		return err
 	}
-	params, err := encode(ended)
+	params, err := encode(in)
 	if err != nil {
 		return err
 	}
-	if err := link.rpc.Notify(ctx, methodPlaceEnded, params); err != nil {
-		return fmt.Errorf("peer: %s to %s: %w", methodPlaceEnded, address, err)
+	if err := link.rpc.Notify(ctx, method, params); err != nil {
+		return fmt.Errorf("peer: %s to %s: %w", method, address, err)
 	}
 	return nil
 }
--- a/internal/peerrpc/message.go
+++ b/internal/peerrpc/message.go
@@ -8,8 +8,8 @@
 	"google.golang.org/protobuf/proto"
 )
 
-// Methods of the protocol. Submit, frame and placeEnded are notifications, to
-// which there is no reply.
+// Methods of the protocol. Submit, frame, placeEnded and streamOrigins are
+// notifications, to which there is no reply.
 const (
 	methodSubmit      = "submit"
 	methodFrame       = "frame"
@@ -20,6 +20,9 @@
 	methodFetchPlan   = "fetchPlan"
 	methodPlace       = "place"
 	methodPlaceEnded  = "placeEnded"
+
+	methodStreamOrigins = "streamOrigins"
+	methodFindStream    = "findStream"
 )
 
 // ErrMalformed is returned when a message cannot be decoded or has an unknown
--- a/internal/peerrpc/server.go
+++ b/internal/peerrpc/server.go
@@ -42,6 +42,13 @@
 	PlaceEnded(ended *peerv1.PlaceEnded)
 }
 
+// StreamKeeper is implemented by handlers that remember the origins of streams for
+// other gateways. Its methods must not block.
+type StreamKeeper interface {
+	StreamOrigins(origins *peerv1.StreamOrigins)
+	FindStream(find *peerv1.FindStream) *peerv1.FindStreamReply
+}
+
 // IncarnationReporter is implemented by handlers that report the incarnation of
 // their process to connecting peers.
 type IncarnationReporter interface {
@@ -225,6 +232,24 @@
 		h.PlaceEnded(ended)
 		return nil
 	}
+	return c.dispatchStreamKeeper(ctx, conn, req)
+}
+
+// dispatchStreamKeeper passes the messages of StreamKeeper to the handler, if it
+// implements that interface.
+func (c *serverConn) dispatchStreamKeeper(ctx context.Context, conn *jsonrpc2.Conn, req *jsonrpc2.Request) error {
+	h, ok := c.server.handler.(StreamKeeper)
+	switch {
+	case ok && req.Method == methodFindStream:
+		return handleCall(ctx, conn, req, &peerv1.FindStream{}, h.FindStream)
+	case ok && req.Method == methodStreamOrigins:
+		origins := &peerv1.StreamOrigins{}
+		if err := decode(req.Params, origins); err != nil {
+			return err
+		}
+		h.StreamOrigins(origins)
+		return nil
+	}
 	return fmt.Errorf("%w: unknown method %q", ErrMalformed, req.Method)
 }
 
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -51,8 +51,8 @@
 		Request: r, now: now, deferred: deferred,
 		keys:           prefixKeys(r.Parts),
 		shared:         sharedTokens(r.Parts),
-		prefillEngines: t.usable(now, fleet.StagePrefill),
-		decodeEngines:  t.usable(now, fleet.StageDecode),
+		prefillEngines: t.usableFor(now, r, fleet.StagePrefill),
+		decodeEngines:  t.usableFor(now, r, fleet.StageDecode),
 	}
 	if q.OriginDomain == "" {
 		q.OriginDomain = t.opts.FailureDomain
@@ -93,7 +93,7 @@
 func (t *Table) choosePlainServer(now time.Duration, r Request) (Choice, error) {
 	var best candidate
 	found := false
-	for _, s := range t.usable(now, fleet.StageWhole) {
+	for _, s := range t.usableFor(now, r, fleet.StageWhole) {
 		if slices.Contains(r.Exclude, s.ID) {
 			continue
 		}
--- a/internal/placement/engines.go
+++ b/internal/placement/engines.go
@@ -114,7 +114,7 @@
 // to leave in the meantime. The error is ErrNoServer if no decode engine is
 // usable.
 func (t *Table) ChooseDecode(now time.Duration, r Request, prefill fleet.Server) (Choice, error) {
-	q := query{Request: r, now: now, decodeEngines: t.usable(now, fleet.StageDecode)}
+	q := query{Request: r, now: now, decodeEngines: t.usableFor(now, r, fleet.StageDecode)}
 	q.OriginDomain = t.opts.FailureDomain
 	c, ok := t.chooseDecode(&q, prefill)
 	if !ok {
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -51,6 +51,9 @@
 	FirstEventBudget time.Duration
 	// NoSplit disallows a separate prefill engine.
 	NoSplit bool
+	// Version is the software version that the servers must have if VersionPinned is set.
+	VersionPinned bool
+	Version       string
 	// OriginDomain is the failure domain of the gateway that received the
 	// request. Empty means this gateway's own.
 	OriginDomain string
--- a/internal/placement/table.go
+++ b/internal/placement/table.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -308,3 +309,12 @@
 	}
 	return list
 }
+
+// usableFor returns the usable servers of a stage that a request may go to.
+func (t *Table) usableFor(now time.Duration, r Request, stage fleet.Stage) []*server {
+	servers := t.usable(now, stage)
+	if !r.VersionPinned {
+		return servers
+	}
+	return slices.DeleteFunc(servers, func(s *server) bool { return s.Version != r.Version })
+}
--- /dev/null
+++ b/internal/streamorigin/streamorigin.go
@@ -0,0 +1,163 @@
+// Package streamorigin decides at which software version of its servers a stream may
+// go on that a caller takes up again.
+//
+// Servers of several software versions may serve one service, and a stream may only go
+// on at the version that began it. The gateway that began it may be gone, so that
+// gateways tell some others of the streams that they begin while there is more than one
+// version.
+//
+// The package does no I/O, never blocks and takes all times as arguments. They are
+// durations since an origin that the caller fixes once. An Origins is not safe for
+// concurrent use.
+package streamorigin
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// Memory is the least time for which the origin of a stream is known. It exceeds the
+	// time that callers wait for a stream.
+	Memory = 30 * time.Second
+	// maxStreams bounds the streams that are remembered from each half of the time.
+	maxStreams = 1 << 15
+)
+
+// Stream identifies a stream among all gateways.
+type Stream uint64
+
+// StreamOf returns the stream that a request of a caller began.
+func StreamOf(caller, requestID string) Stream {
+	return Stream(xxhash.Sum64String(requestID + "\x00" + caller))
+}
+
+// Origin is the software version at which a stream began.
+type Origin struct {
+	Stream  Stream
+	Version string
+}
+
+// Origins holds what one gateway knows about the streams of one service.
+type Origins struct {
+	// registered are the versions of the servers that are registered now, and seen is
+	// when servers of each version were last registered.
+	registered []string
+	seen       map[string]time.Duration
+	// recent and older are the versions at which streams began, by the half of the time
+	// in which the gateway learned of them.
+	recent, older map[Stream]string
+	// own are those of recent and older that this gateway began.
+	ownRecent, ownOlder []Origin
+	rotatedAt           time.Duration
+}
+
+// New returns an Origins without streams.
+func New(now time.Duration) *Origins {
+	return &Origins{seen: make(map[string]time.Duration), recent: make(map[Stream]string), rotatedAt: now}
+}
+
+// SetVersions records which software versions are registered now. It returns the
+// streams that other gateways must learn of because there is now more than one version.
+func (o *Origins) SetVersions(now time.Duration, versions []string) []Origin {
+	wasMixed := o.Mixed(now)
+	for _, v := range slices.Concat(o.registered, versions) {
+		o.seen[v] = now
+	}
+	o.registered = versions
+	for v, at := range o.seen {
+		if now-at > Memory {
+			delete(o.seen, v)
+		}
+	}
+	if wasMixed || !o.Mixed(now) {
+		return nil
+	}
+	return slices.Concat(o.ownOlder, o.ownRecent)
+}
+
+// Versions returns the software versions of the servers that are registered or were
+// so within Memory, in order.
+func (o *Origins) Versions(now time.Duration) []string {
+	versions := slices.Clone(o.registered)
+	for v, at := range o.seen {
+		if now-at <= Memory {
+			versions = append(versions, v)
+		}
+	}
+	slices.Sort(versions)
+	return slices.Compact(versions)
+}
+
+// Mixed reports whether streams that are still read may have begun at several versions.
+func (o *Origins) Mixed(now time.Duration) bool { return len(o.Versions(now)) > 1 }
+
+// Begin records a stream that this gateway has begun, or that goes on here. It reports
+// whether other gateways must learn of it.
+func (o *Origins) Begin(now time.Duration, begun Origin) bool {
+	o.Learn(now, begun)
+	o.ownRecent = append(o.ownRecent, begun)
+	return o.Mixed(now)
+}
+
+// Learn records the origin of a stream.
+func (o *Origins) Learn(now time.Duration, begun Origin) {
+	if now-o.rotatedAt >= Memory || len(o.recent) >= maxStreams {
+		o.older, o.recent = o.recent, make(map[Stream]string)
+		o.ownOlder, o.ownRecent = o.ownRecent, nil
+		o.rotatedAt = now
+	}
+	o.recent[begun.Stream] = begun.Version
+}
+
+// Find returns the version at which a stream began, if it is known.
+func (o *Origins) Find(s Stream) (version string, known bool) {
+	if version, known = o.recent[s]; !known {
+		version, known = o.older[s]
+	}
+	return version, known
+}
+
+// Answer is what another gateway says about a stream.
+type Answer struct {
+	Version string
+	Known   bool
+	// Versions are the versions that it has seen.
+	Versions []string
+}
+
+// Decision says how a stream that is taken up again may go on.
+type Decision int
+
+const (
+	// AnyVersion: there is only one.
+	AnyVersion Decision = iota
+	// SameVersion: at servers of the version that began it.
+	SameVersion
+	// Nowhere: it is not known which version began it, and there are several.
+	Nowhere
+)
+
+var decisionNames = map[Decision]string{AnyVersion: "any_version", SameVersion: "same_version", Nowhere: "nowhere"}
+
+// String returns the decision as written to logs and metrics.
+func (d Decision) String() string { return decisionNames[d] }
+
+// Decide returns how a stream may go on, and the version that began it if it is known,
+// from the answers of other gateways and from the versions that this one has seen.
+func Decide(versions []string, answers []Answer) (Decision, string) {
+	all := slices.Clone(versions)
+	for _, a := range answers {
+		if a.Known {
+			return SameVersion, a.Version
+		}
+		all = append(all, a.Versions...)
+	}
+	slices.Sort(all)
+	if len(slices.Compact(all)) > 1 {
+		return Nowhere, ""
+	}
+	return AnyVersion, ""
+}
