--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -228,7 +228,7 @@
 	q.sends++
 	q.lastServer, q.serverVersion = c.Server.ID, c.Server.Version
 	meta.ServerID = c.Server.ID
-	meta.Priority = q.route.Priority
+	meta.Priority = q.priority()
 	meta.LastEventID = q.lastEventID
 	q.resumedAfter = q.lastEventID
 	meta.Remaining = q.remaining()
@@ -236,7 +236,7 @@
 	q.sentAt = sentAt
 	inFlight := q.service.recordSend(sentAt, placement.Send{
 		ServerID: c.Server.ID, UncachedTokens: uncachedTokens, PromptTokens: q.meta.PromptTokens, Parts: q.meta.Parts,
-		Priority: q.route.Priority, TimeToFirstEvent: c.TimeToFirstEvent, Coordinated: q.pendingPlacement != nil,
+		Priority: q.priority(), TimeToFirstEvent: c.TimeToFirstEvent, Coordinated: q.pendingPlacement != nil,
 		Imported: meta.KVSource != nil,
 	})
 	defer func() { q.service.recordEnd(q.g.now(), inFlight) }()
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -266,7 +266,7 @@
 		Exclude:          q.excluded,
 		FirstEventBudget: q.objectiveRemaining(),
 		NoSplit:          q.directOnly,
-		Priority:         q.route.Priority,
+		Priority:         q.priority(),
 		Objective:        q.route.LatencyObjective,
 		VersionPinned:    q.pin.pinned,
 		Version:          q.pin.version,
@@ -284,11 +284,11 @@
 }
 
 // meetsDeadline reports whether the first event is predicted before the
-// deadline and, while nothing has been sent to the caller, within the route's
-// MaxEventGap, after which callers disconnect.
+// deadline and, for a stream that begins, within the route's MaxEventGap, after which
+// callers disconnect. The caller of one that has begun can't begin anew.
 func (q *request) meetsDeadline(c placement.Choice) bool {
 	available := q.remaining()
-	if q.route.MaxEventGap > 0 && !q.headerSent {
+	if q.route.MaxEventGap > 0 && !q.headerSent && !q.hasBegun() {
 		available = min(available, q.arrivedAt+q.route.MaxEventGap-q.g.now())
 	}
 	return c.TimeToFirstEvent+minUsefulTime < available
@@ -324,15 +324,7 @@
 // retryAfterBackoff reports whether another attempt is to be made. It returns
 // after the backoff that precedes the attempt.
 func (q *request) retryAfterBackoff(ctx context.Context, out outcome, choice placement.Choice) bool {
-	decision := q.service.decideRetry(q.g.now(), retry.Attempt{
-		Idempotent:        q.route.Retryable() && !out.unresumable,
-		Ran:               out.executed(),
-		AttemptsMade:      q.sends,
-		Exhausted:         out.mayHaveExecuted() && q.possibleExecutions >= q.route.MaxAttempts,
-		Remaining:         q.remaining(),
-		PredictedDuration: choice.TimeToFirstEvent,
-		Seed:              q.g.seed.Add(1),
-	})
+	decision := q.decideRetry(ctx, out, choice)
 	q.logRetry(stepRun, decision)
 	if decision.Action != retry.ActionRetry {
 		return false
@@ -351,6 +343,37 @@
 	}
 }
 
+const (
+	// maxBudgetWait bounds the time that a stream that has begun waits for the retry
+	// budget, and budgetPollInterval is how often it asks.
+	maxBudgetWait      = time.Second
+	budgetPollInterval = 50 * time.Millisecond
+)
+
+// decideRetry decides whether another attempt is to be made. A stream that has begun
+// waits for the retry budget for a while, because its caller can't begin anew.
+func (q *request) decideRetry(ctx context.Context, out outcome, choice placement.Choice) retry.Decision {
+	for waited := time.Duration(0); ; waited += budgetPollInterval {
+		decision := q.service.decideRetry(q.g.now(), retry.Attempt{
+			Idempotent:        q.route.Retryable() && !out.unresumable,
+			Ran:               out.executed(),
+			AttemptsMade:      q.sends,
+			Exhausted:         out.mayHaveExecuted() && q.possibleExecutions >= q.route.MaxAttempts,
+			Remaining:         q.remaining(),
+			PredictedDuration: choice.TimeToFirstEvent,
+			Seed:              q.g.seed.Add(1),
+		})
+		if decision.Denial != retry.DenialBudget || !q.hasBegun() || waited >= maxBudgetWait {
+			return decision
+		}
+		select {
+		case <-time.After(budgetPollInterval):
+		case <-ctx.Done():
+			return decision
+		}
+	}
+}
+
 // recordHealth updates the health of the server that an attempt was sent to.
 func (q *request) recordHealth(out outcome, choice placement.Choice) {
 	switch {
--- a/internal/gateway/streams.go
+++ b/internal/gateway/streams.go
@@ -220,6 +220,18 @@
 	return true
 }
 
+// hasBegun reports whether the caller has a part of the stream already.
+func (q *request) hasBegun() bool { return q.route.Kind == fleet.Streaming && q.lastEventID != "" }
+
+// priority returns the priority of the request at servers. A stream that has begun goes
+// before others, because its caller leaves if it pauses.
+func (q *request) priority() int {
+	if q.hasBegun() {
+		return 0
+	}
+	return q.route.Priority
+}
+
 // decideTakeUp decides how the stream that the request takes up may go on, from what
 // this gateway and others know.
 func (q *request) decideTakeUp(ctx context.Context) (streamorigin.Decision, string) {
