Let blocked requests be tried where they arrive

A blocked part or request was tried only if it arrived at the gateway that decides on its trials.

The gateway at which such a request arrives now asks the one that decides, and tells it how the trial ended. A stream is bound to the software version that its server has registered when the first event comes, as a server may have started again under its ID with another one.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -81,6 +81,8 @@
 	// coordination lets one gateway per service place all long prompts; nil if
 	// the gateway runs without peers.
 	coordination *coordination
+	// trials decides when blocked parts and requests are tried.
+	trials *trials
 	// origins lets gateways remember where each other's streams began; nil if the gateway
 	// runs without peers.
 	origins *streamOrigins
@@ -124,6 +126,7 @@
 		metrics:   newMetrics(opts.Registerer),
 		startTime: time.Now(),
 	}
+	g.trials = ownTrials(g)
 	g.setRetryBudget(opts.RetryBudget)
 	g.state.Store(&state{services: map[string]*service{}})
 	opts.Registerer.MustRegister(loadCollector{g})
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -194,7 +194,7 @@
 	// request if no further attempt can be made.
 	var last *outcome
 	for {
-		if q.refuseBlocked(last) {
+		if q.refuseBlocked(ctx, last) {
 			return
 		}
 		choice, err := q.choose(ctx)
--- a/internal/gateway/poison.go
+++ b/internal/gateway/poison.go
@@ -249,9 +249,9 @@
 
 // refuseBlocked refuses a request that has a blocked trait, unless it is sent to try
 // the trait again. It reports whether the request has its final response.
-func (q *request) refuseBlocked(last *outcome) bool {
+func (q *request) refuseBlocked(ctx context.Context, last *outcome) bool {
 	block, blocked := q.service.blockedBy(q.traits)
-	if !blocked || q.beginTrial(block) {
+	if !blocked || q.beginTrial(ctx, block) {
 		return false
 	}
 	reason := q.noteBlock(block)
@@ -280,12 +280,11 @@
 
 // beginTrial reports whether this request tries a blocked trait again. A trial that
 // has lost its server is not sent to another one.
-func (q *request) beginTrial(b poison.Block) bool {
+func (q *request) beginTrial(ctx context.Context, b poison.Block) bool {
 	if q.trial != nil {
 		return q.trial.Trait == b.Trait && !q.lost
 	}
-	now := q.g.now()
-	if now < b.NextTrial() || !q.g.owns("trial/"+q.service.name+"/"+traitText(b.Trait)) || !q.service.beginTrial(now, q.traits) {
+	if !q.service.trialDue(q.g.now(), q.traits) || !q.g.trials.begin(ctx, q.service, b.Trait) {
 		return false
 	}
 	q.trial = &b
@@ -298,9 +297,7 @@
 	if q.trial == nil {
 		return
 	}
-	if block, lifted := q.service.endTrial(q.g.now(), q.trial.Trait, q.proven); lifted {
-		q.g.blockChanged(q.service, block, poisonFromSelf)
-	}
+	q.g.trials.end(q.service, q.trial.Trait, q.proven)
 }
 
 // isEngineService reports whether the service's servers are engines.
@@ -349,10 +346,16 @@
 	return s.poison.Blocked(traits)
 }
 
-func (s *service) beginTrial(now time.Duration, traits []poison.Trait) bool {
+func (s *service) trialDue(now time.Duration, traits []poison.Trait) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.poison.TrialDue(now, traits)
+}
+
+func (s *service) beginTrial(now time.Duration, trait poison.Trait) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.poison.BeginTrial(now, traits)
+	return s.poison.BeginTrial(now, []poison.Trait{trait})
 }
 
 func (s *service) endTrial(now time.Duration, p poison.Trait, answered bool) (poison.Block, bool) {
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -92,9 +92,10 @@
 	var heartbeater *gatewaypeers.Heartbeater
 	placer := g.EnableCoordination(client, func(service string) (name, address string) { return heartbeater.Owner(service) })
 	streams := g.EnableStreamOrigins(client)
+	trials := g.EnableTrials(client, func(key string) (name, address string) { return heartbeater.Owner(key) })
 	heartbeater = gatewaypeers.NewHeartbeater(gatewaypeers.Options{
 		Name: s.GetName(), Address: s.GetPeerAddress(), Incarnation: uint64(time.Now().UnixNano()),
-		Store: deps.Peers, Client: client, Log: log, FillHeartbeat: adapter.fillHeartbeat, OnHeartbeat: adapter.handleHeartbeat, Placer: placer, Streams: streams,
+		Store: deps.Peers, Client: client, Log: log, FillHeartbeat: adapter.fillHeartbeat, OnHeartbeat: adapter.handleHeartbeat, Placer: placer, Streams: streams, Trials: trials,
 	})
 	g.peers = heartbeater
 	stageOptions := StageControllerOptions{
--- a/internal/gateway/streams.go
+++ b/internal/gateway/streams.go
@@ -191,8 +191,9 @@
 	if q.route.Kind != fleet.Streaming || !q.route.Resumable {
 		return
 	}
-	q.pin = versionPin{true, q.serverVersion}
-	begun := streamorigin.Origin{Stream: q.streamID(), Version: q.serverVersion}
+	version := q.service.versionOf(q.lastServer, q.serverVersion)
+	q.pin = versionPin{true, version}
+	begun := streamorigin.Origin{Stream: q.streamID(), Version: version}
 	if q.service.beginStream(q.g.now(), begun) {
 		q.g.origins.announce(q.service.name, []streamorigin.Origin{begun})
 	}
@@ -261,6 +262,20 @@
 	return s.origins.Begin(now, begun)
 }
 
+// versionOf returns the software version of a registered server, or otherwise the given
+// one. A server that has started again under its ID may have another one than when the
+// request was sent.
+func (s *service) versionOf(id, otherwise string) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, server := range s.registered {
+		if server.ID == id {
+			return server.Version
+		}
+	}
+	return otherwise
+}
+
 // hasVersion reports whether a server with a software version is registered and stays.
 func (s *service) hasVersion(version string) bool {
 	s.mu.Lock()
--- a/internal/gatewaypeers/heartbeater.go
+++ b/internal/gatewaypeers/heartbeater.go
@@ -59,6 +59,9 @@
 	Placer peerrpc.Placer
 	// Streams remembers the origins of streams for peers; nil if this gateway does not.
 	Streams peerrpc.StreamKeeper
+	// Trials decides for peers when blocked parts and requests are tried; nil if this
+	// gateway does not.
+	Trials peerrpc.TrialKeeper
 }
 
 // Heartbeater exchanges heartbeats with the other gateways and tracks which of
@@ -360,6 +363,21 @@
 	return h.opts.Streams.FindStream(find)
 }
 
+// BeginTrial implements peerrpc.TrialKeeper.
+func (h *Heartbeater) BeginTrial(begin *peerv1.BeginTrial) *peerv1.BeginTrialReply {
+	if h.opts.Trials == nil {
+		return &peerv1.BeginTrialReply{}
+	}
+	return h.opts.Trials.BeginTrial(begin)
+}
+
+// EndTrial implements peerrpc.TrialKeeper.
+func (h *Heartbeater) EndTrial(end *peerv1.EndTrial) {
+	if h.opts.Trials != nil {
+		h.opts.Trials.EndTrial(end)
+	}
+}
+
 // FetchConfig implements peerrpc.Handler. The reply is empty, since gateways
 // read the configuration from the store.
 func (h *Heartbeater) FetchConfig(*peerv1.FetchConfig) *peerv1.FetchConfigReply {
--- a/internal/logevent/poison.go
+++ b/internal/logevent/poison.go
@@ -63,6 +63,12 @@
 		slog.Int("failed_trials", failedTrials))
 }
 
+// TrialMessageFailed reports that the gateway that decides on a trial could not be
+// asked, or not be notified of its end.
+func TrialMessageFailed(address string, err error) Event {
+	return info("message about a trial failed", slog.String(keyAddress, address), errorText(err))
+}
+
 // BlockNotStored reports that a block could not be written to the store or
 // read from it, which is tried again.
 func BlockNotStored(action string, err error) Event {
--- a/internal/peerrpc/client.go
+++ b/internal/peerrpc/client.go
@@ -125,6 +125,18 @@
 	return reply, c.call(ctx, address, methodFindStream, find, reply)
 }
 
+// BeginTrial asks the process at address whether a blocked part or request may be
+// tried.
+func (c *Client) BeginTrial(ctx context.Context, address string, begin *peerv1.BeginTrial) (*peerv1.BeginTrialReply, error) {
+	reply := &peerv1.BeginTrialReply{}
+	return reply, c.call(ctx, address, methodBeginTrial, begin, reply)
+}
+
+// EndTrial notifies the process at address of the end of a trial. There is no reply.
+func (c *Client) EndTrial(ctx context.Context, address string, end *peerv1.EndTrial) error {
+	return c.notify(ctx, address, methodEndTrial, end)
+}
+
 // notify sends a control message to which there is no reply.
 func (c *Client) notify(ctx context.Context, address, method string, in proto.Message) error {
 	link, err := c.pool(address).control(ctx)
--- a/internal/peerrpc/message.go
+++ b/internal/peerrpc/message.go
@@ -8,8 +8,8 @@
 	"google.golang.org/protobuf/proto"
 )
 
-// Methods of the protocol. Submit, frame, placeEnded and streamOrigins are
-// notifications, to which there is no reply.
+// Methods of the protocol. Submit, frame, placeEnded, streamOrigins and endTrial
+// are notifications, to which there is no reply.
 const (
 	methodSubmit      = "submit"
 	methodFrame       = "frame"
@@ -23,6 +23,8 @@
 
 	methodStreamOrigins = "streamOrigins"
 	methodFindStream    = "findStream"
+	methodBeginTrial    = "beginTrial"
+	methodEndTrial      = "endTrial"
 )
 
 // ErrMalformed is returned when a message cannot be decoded or has an unknown
--- a/internal/peerrpc/server.go
+++ b/internal/peerrpc/server.go
@@ -49,6 +49,13 @@
 	FindStream(find *peerv1.FindStream) *peerv1.FindStreamReply
 }
 
+// TrialKeeper is implemented by handlers that decide for other gateways when blocked
+// parts and requests are tried. Its methods must not block.
+type TrialKeeper interface {
+	BeginTrial(begin *peerv1.BeginTrial) *peerv1.BeginTrialReply
+	EndTrial(end *peerv1.EndTrial)
+}
+
 // IncarnationReporter is implemented by handlers that report the incarnation of
 // their process to connecting peers.
 type IncarnationReporter interface {
@@ -250,6 +257,24 @@
 		h.StreamOrigins(origins)
 		return nil
 	}
+	return c.dispatchTrialKeeper(ctx, conn, req)
+}
+
+// dispatchTrialKeeper passes the messages of TrialKeeper to the handler, if it
+// implements that interface.
+func (c *serverConn) dispatchTrialKeeper(ctx context.Context, conn *jsonrpc2.Conn, req *jsonrpc2.Request) error {
+	h, ok := c.server.handler.(TrialKeeper)
+	switch {
+	case ok && req.Method == methodBeginTrial:
+		return handleCall(ctx, conn, req, &peerv1.BeginTrial{}, h.BeginTrial)
+	case ok && req.Method == methodEndTrial:
+		end := &peerv1.EndTrial{}
+		if err := decode(req.Params, end); err != nil {
+			return err
+		}
+		h.EndTrial(end)
+		return nil
+	}
 	return fmt.Errorf("%w: unknown method %q", ErrMalformed, req.Method)
 }
 
--- a/internal/poison/block.go
+++ b/internal/poison/block.go
@@ -175,7 +175,22 @@
 // to see whether it still crashes. It tries the trait that Blocked returns. Only one
 // gateway may ask.
 func (d *Detector) BeginTrial(now time.Duration, traits []Trait) bool {
-	var tried *block
+	if !d.TrialDue(now, traits) {
+		return false
+	}
+	tried := d.blocks[traits[slices.IndexFunc(traits, d.isBlocked)]]
+	if tried.trials >= tried.Trait.trialsInSeries() {
+		tried.trials, tried.answered = 0, 0
+	}
+	tried.trials++
+	tried.trialUntil = now + trialTimeout
+	return true
+}
+
+// TrialDue reports whether a request with blocked traits may be tried as far as this
+// gateway knows.
+func (d *Detector) TrialDue(now time.Duration, traits []Trait) bool {
+	due := false
 	for _, p := range traits {
 		if !d.isBlocked(p) {
 			continue
@@ -184,19 +199,9 @@
 		if now < b.NextTrial() || now < b.notBefore || now < b.trialUntil {
 			return false
 		}
-		if tried == nil {
-			tried = b
-		}
-	}
-	if tried == nil {
-		return false
+		due = true
 	}
-	if tried.trials >= tried.Trait.trialsInSeries() {
-		tried.trials, tried.answered = 0, 0
-	}
-	tried.trials++
-	tried.trialUntil = now + trialTimeout
-	return true
+	return due
 }
 
 // EndTrial records the end of a trial, and whether its prompt was answered. It
--- a/internal/poison/poison_test.go
+++ b/internal/poison/poison_test.go
@@ -300,7 +300,7 @@
 	d := New()
 	for i := range 20000 {
 		now := time.Duration(i) * time.Millisecond
-		traits := sorted([]Trait{Trait(3*i + 1), Trait(3*i + 2), Trait(3*i + 3)})
+		traits := sorted([]Trait{Trait(3*i + 1), Trait(3*i + 2), Trait(3*i + 3), wholeTrait(fmt.Sprint(i))})
 		d.RecordSound(now, uint64(i), now, traits)
 		if i%10 == 0 {
 			engine := fmt.Sprint("engine-", i)
@@ -311,11 +311,25 @@
 	require.LessOrEqual(t, len(d.crashes), maxCrashes)
 	require.LessOrEqual(t, len(d.contrast), 2*maxContrast)
 	require.LessOrEqual(t, len(d.answeredParts.current)+len(d.answeredParts.previous), 2*maxCounted)
+	require.LessOrEqual(t, len(d.answeredRequests.current)+len(d.answeredRequests.previous), 2*maxCounted)
+	require.LessOrEqual(t, len(d.exoneratedAt), maxCrashes*maxTraits)
 	require.LessOrEqual(t, len(d.losses), maxCrashes)
 	d.Report(20 * time.Second)
 	require.LessOrEqual(t, len(d.sounds), maxCrashes*maxTraits)
 }
 
+// BenchmarkRequestTraits measures what it costs to recognise a request again.
+func BenchmarkRequestTraits(b *testing.B) {
+	for _, size := range []int{0, 1 << 10, 1 << 20} {
+		b.Run(fmt.Sprint(size), func(b *testing.B) {
+			r := Request{Method: "POST", Host: "host.example:8080", Path: "/path/of/a/request", Query: "page=1", Caller: "Bearer token", Body: make([]byte, size)}
+			for b.Loop() {
+				r.Traits()
+			}
+		})
+	}
+}
+
 // BenchmarkBlocked measures the check before each send while a trait is blocked.
 func BenchmarkBlocked(b *testing.B) {
 	d := blockedDetector(0, 7)
