--- a/internal/gateway/poison_peers.go
+++ b/internal/gateway/poison_peers.go
@@ -89,7 +89,7 @@
 		r.Crashes = append(r.Crashes, crash)
 	}
 	for _, s := range message.GetSoundPrompts() {
-		r.Sounds = append(r.Sounds, poison.SoundPrompt{
+		r.Sounds = append(r.Sounds, poison.SoundRequest{
 			Trait: poison.Trait(s.GetPart()), Request: s.GetRequest(), SentAt: timeOfAge(now, s.GetAgeMs()),
 		})
 	}
--- a/internal/gateway/poison_peers_test.go
+++ b/internal/gateway/poison_peers_test.go
@@ -16,14 +16,14 @@
 	const here, there = 50 * time.Second, 9 * time.Second
 	sent := poison.Report{
 		Crashes:  []poison.Crash{{Engine: "i-1@7", At: here - time.Second, Traits: []poison.Trait{1, 1 << 63}}},
-		Sounds:   []poison.SoundPrompt{{Trait: 1, Request: 1 << 63, SentAt: here - 2*time.Second}},
+		Sounds:   []poison.SoundRequest{{Trait: 1, Request: 1 << 63, SentAt: here - 2*time.Second}},
 		Answered: []poison.TraitCount{{Trait: 1, Count: 4}},
 		Blocks:   []poison.Block{{Trait: 2, Crashes: 3, LastCrash: here - time.Minute, FailedTrials: 1, Lifted: true, ChangedAt: here - 3*time.Second}},
 	}
 	got := poisonFromProto(there, poisonToProto(here, "lm", sent))
 	require.Equal(t, poison.Report{
 		Crashes:  []poison.Crash{{Engine: "i-1@7", At: there - time.Second, Traits: []poison.Trait{1, 1 << 63}}},
-		Sounds:   []poison.SoundPrompt{{Trait: 1, Request: 1 << 63, SentAt: there - 2*time.Second}},
+		Sounds:   []poison.SoundRequest{{Trait: 1, Request: 1 << 63, SentAt: there - 2*time.Second}},
 		Answered: []poison.TraitCount{{Trait: 1, Count: 4}},
 		Blocks:   []poison.Block{{Trait: 2, Crashes: 3, LastCrash: there - time.Minute, FailedTrials: 1, Lifted: true, ChangedAt: there - 3*time.Second}},
 	}, got)
--- a/internal/logevent/request.go
+++ b/internal/logevent/request.go
@@ -41,7 +41,7 @@
 	StreamEnd *StreamEnd
 	// ServerVersion is the version of the server's software. Resumes is the ID of the
 	// request whose stream this one takes up, and LastEventID the event after which the
-	// attempt goes on.
+	// attempt resumes it.
 	ServerVersion, Resumes, LastEventID string
 	// LostParts are the parts of the prompt that other prompts may share, for an
 	// attempt whose connection was lost.
--- a/internal/poison/block.go
+++ b/internal/poison/block.go
@@ -59,13 +59,13 @@
 	return trialsInSeries
 }
 
-// Block says that prompts with a trait are not sent to engines.
+// Block says that requests with a trait are not sent to engines.
 type Block struct {
 	Trait Trait
 	// Engines are the engines that crashed, for logs; only the gateway that blocked
 	// the trait knows them.
 	Engines []string
-	// Crashes and Answered are the numbers of crashes and of prompts answered
+	// Crashes and Answered are the numbers of crashes and of requests answered
 	// meanwhile for which the trait was blocked.
 	Crashes, Answered int
 	// LastCrash is the time of the last crash with the trait.
@@ -149,7 +149,7 @@
 	return b != nil && !b.Lifted
 }
 
-// Blocked returns the first block that keeps a prompt from the engines.
+// Blocked returns the first block that keeps a request from the servers.
 func (d *Detector) Blocked(traits []Trait) (Block, bool) {
 	if len(d.blocks) == 0 {
 		return Block{}, false
@@ -162,7 +162,7 @@
 	return Block{}, false
 }
 
-// NextTrial returns the time from which a prompt with the trait may be tried again.
+// NextTrial returns the time from which a request with the trait may be tried again.
 func (b Block) NextTrial() time.Duration {
 	waits := b.Trait.trialWaits()
 	if b.FailedTrials >= len(waits) {
@@ -204,7 +204,7 @@
 	return due
 }
 
-// EndTrial records the end of a trial, and whether its prompt was answered. It
+// EndTrial records the end of a trial, and whether its request was answered. It
 // returns the block if it has been lifted.
 func (d *Detector) EndTrial(now time.Duration, p Trait, answered bool) (lifted Block, ok bool) {
 	b := d.blocks[p]
--- a/internal/poison/evidence.go
+++ b/internal/poison/evidence.go
@@ -26,9 +26,9 @@
 	changedAt time.Duration
 }
 
-// sound is an answered prompt.
+// sound is an answered request.
 type sound struct {
-	// request identifies the prompt among those of all gateways.
+	// request identifies the request among those of all gateways.
 	request uint64
 	sentAt  time.Duration
 }
@@ -259,13 +259,13 @@
 	return exonerated
 }
 
-// addEarlierSounds keeps the prompts with the traits of a crash that were answered
+// addEarlierSounds keeps the requests with the traits of a crash that were answered
 // before this gateway learned of it.
 func (d *Detector) addEarlierSounds(c *crash) {
-	for _, prompt := range d.contrast {
-		for _, p := range prompt.traits {
+	for _, r := range d.contrast {
+		for _, p := range r.traits {
 			if c.has(p) {
-				d.addSound(c.changedAt, p, prompt.sound)
+				d.addSound(c.changedAt, p, r.sound)
 			}
 		}
 	}
--- a/internal/poison/poison.go
+++ b/internal/poison/poison.go
@@ -39,7 +39,7 @@
 	// maxCrashes and maxTraits bound the crashes that are kept and the traits of each.
 	maxCrashes = 64
 	maxTraits  = 256
-	// maxSounds bounds the answered prompts that are kept for each trait.
+	// maxSounds bounds the answered requests that are kept for each trait.
 	maxSounds = 16
 	// maxContrast bounds the latest answered requests with any traits.
 	maxContrast = 64
@@ -49,7 +49,7 @@
 	checkInterval = 200 * time.Millisecond
 )
 
-// Detector holds the evidence about the prompts of one service, and the blocked
+// Detector holds the evidence about the requests of one service, and the blocked
 // traits. The zero value is not usable; use New.
 type Detector struct {
 	// losses are attempts whose engine may have crashed, by engine.
@@ -58,7 +58,7 @@
 	crashes map[string]*crash
 	// suspected counts the crashes that each trait is in.
 	suspected map[Trait]int
-	// sounds are the latest answered prompts with a trait that is in a crash.
+	// sounds are the latest answered requests with a trait that is in a crash.
 	sounds map[Trait][]sound
 	// contrast are the latest answered requests, of this gateway and of others.
 	contrast []contrastRequest
@@ -70,7 +70,7 @@
 	exoneratedAt map[Trait]time.Duration
 	// answeredParts and answeredRequests count the answered requests by trait.
 	answeredParts, answeredRequests *counts
-	// answeredElsewhere is the largest number of answered prompts that another gateway
+	// answeredElsewhere is the largest number of answered requests that another gateway
 	// has counted, for traits that are in a crash.
 	answeredElsewhere map[Trait]int
 	blocks            map[Trait]*block
--- a/internal/poison/report.go
+++ b/internal/poison/report.go
@@ -10,7 +10,7 @@
 const (
 	// spreadTime is how long a gateway passes on what it has learned.
 	spreadTime = 3 * time.Second
-	// maxSuspects bounds the traits whose answered prompts are reported, and
+	// maxSuspects bounds the traits whose answered requests are reported, and
 	// minSuspectCrashes is the number of crashes that make a trait suspicious.
 	maxSuspects       = 8
 	minSuspectCrashes = 2
@@ -24,8 +24,8 @@
 // Report is what a gateway reports to another one. Times are of the sender.
 type Report struct {
 	Crashes []Crash
-	Sounds  []SoundPrompt
-	// Answered are the numbers of answered prompts with suspicious traits.
+	Sounds  []SoundRequest
+	// Answered are the numbers of answered requests with suspicious traits.
 	Answered []TraitCount
 	// Contrast are some of the latest answered requests with any traits.
 	Contrast []AnsweredRequest
@@ -39,14 +39,14 @@
 	Traits  []Trait
 }
 
-// TraitCount is a number of prompts with a trait.
+// TraitCount is a number of requests with a trait.
 type TraitCount struct {
 	Trait Trait
 	Count int
 }
 
-// SoundPrompt is an answered prompt with a suspicious trait.
-type SoundPrompt struct {
+// SoundRequest is an answered request with a suspicious trait.
+type SoundRequest struct {
 	Trait   Trait
 	Request uint64
 	SentAt  time.Duration
@@ -59,7 +59,7 @@
 	r := Report{Crashes: d.recentCrashes(now), Blocks: d.reportedBlocks(now), Contrast: d.recentContrast(now)}
 	for _, p := range d.suspects(now) {
 		for _, s := range d.sounds[p][:min(len(d.sounds[p]), maxCompared)] {
-			r.Sounds = append(r.Sounds, SoundPrompt{Trait: p, Request: s.request, SentAt: s.sentAt})
+			r.Sounds = append(r.Sounds, SoundRequest{Trait: p, Request: s.request, SentAt: s.sentAt})
 		}
 		if n := max(d.answered(p).of(p), d.answeredElsewhere[p]); n > 0 {
 			r.Answered = append(r.Answered, TraitCount{p, n})
@@ -79,9 +79,9 @@
 	return crashes
 }
 
-// hasNews reports whether this gateway has just learned something of crashes that no
+// learnedRecently reports whether this gateway has just learned something of crashes that no
 // blocked part explains.
-func (d *Detector) hasNews(now time.Duration) bool {
+func (d *Detector) learnedRecently(now time.Duration) bool {
 	for _, at := range d.exoneratedAt {
 		if now-at < spreadTime {
 			return true
@@ -90,9 +90,9 @@
 	return slices.ContainsFunc(d.unexplained(), func(c *crash) bool { return now-c.changedAt < spreadTime })
 }
 
-// recentContrast returns some of the latest answered requests, while there is news.
+// recentContrast returns some of the latest answered requests, while it has learned something of crashes.
 func (d *Detector) recentContrast(now time.Duration) []AnsweredRequest {
-	if !d.hasNews(now) {
+	if !d.learnedRecently(now) {
 		return nil
 	}
 	var contrast []AnsweredRequest
@@ -102,9 +102,9 @@
 	return contrast
 }
 
-// suspects returns the traits that were in the most crashes, while there is news.
+// suspects returns the traits that were in the most crashes, while it has learned something of crashes.
 func (d *Detector) suspects(now time.Duration) []Trait {
-	if !d.hasNews(now) {
+	if !d.learnedRecently(now) {
 		return nil
 	}
 	unexplained := d.unexplained()
--- a/internal/poison/trait.go
+++ b/internal/poison/trait.go
@@ -46,7 +46,7 @@
 func PartWithHash(hash uint64) Trait { return newTrait(KindPart, hash) }
 
 // Request is what makes two requests the same one. IDs, deadlines, the framing of the
-// body and where a stream goes on are not part of it.
+// body and the event after which a stream is resumed are not part of it.
 type Request struct {
 	Method, Host, Path, Query string
 	// Caller is the identity that the caller states; empty if it states none.
--- a/internal/poison/verdict.go
+++ b/internal/poison/verdict.go
@@ -51,7 +51,7 @@
 // candidate is a trait that may be the cause of crashes.
 type candidate struct {
 	trait Trait
-	// crashes is the number of crashes with the trait, sounds the number of prompts
+	// crashes is the number of crashes with the trait, sounds the number of requests
 	// with it that were sent after the first of them and answered, and before the
 	// number that were answered earlier.
 	crashes, sounds, before int
@@ -59,7 +59,7 @@
 	first, last time.Duration
 }
 
-// share is the share of the prompts with the trait that ended in a crash.
+// share is the share of the requests with the trait that ended in a crash.
 func (c candidate) share() float64 {
 	return float64(c.crashes) / float64(c.crashes+c.sounds+c.before)
 }
@@ -67,7 +67,7 @@
 // neverAnswered reports whether no request with the trait is known to be answered.
 func (c candidate) neverAnswered() bool { return c.sounds+c.before == 0 }
 
-// rivals reports whether the evidence does not tell which of two candidates is to
+// rivals reports whether the evidence leaves open which of two candidates is to
 // blame. A part needs a larger share of its prompts, a request only more crashes.
 func (c candidate) rivals(other candidate) bool {
 	if c.trait.Kind() != other.trait.Kind() || c.share() != other.share() {
@@ -322,7 +322,7 @@
 	return n
 }
 
-// soundsSince returns the number of prompts with a trait that were sent after a time
+// soundsSince returns the number of requests with a trait that were sent after a time
 // and answered.
 func (d *Detector) soundsSince(p Trait, since time.Duration) int {
 	n := 0
@@ -334,12 +334,12 @@
 	return n
 }
 
-// contrastSince returns the number of prompts without a trait that were sent after a
+// contrastSince returns the number of requests without a trait that were sent after a
 // time and answered.
 func (d *Detector) contrastSince(p Trait, since time.Duration) int {
 	n := 0
-	for _, prompt := range d.contrast {
-		if prompt.sentAt > since && !slices.Contains(prompt.traits, p) {
+	for _, r := range d.contrast {
+		if r.sentAt > since && !slices.Contains(r.traits, p) {
 			n++
 		}
 	}
--- a/internal/streamorigin/streamorigin.go
+++ b/internal/streamorigin/streamorigin.go
@@ -3,8 +3,8 @@
 //
 // Servers of several software versions may serve one service, and a stream may only go
 // on at the version that began it. The gateway that began it may be gone, so that
-// gateways tell some others of the streams that they begin while there is more than one
-// version.
+// gateways notify some others of the streams that they begin while there is more than
+// one version.
 //
 // The package does no I/O, never blocks and takes all times as arguments. They are
 // durations since an origin that the caller fixes once. An Origins is not safe for
@@ -94,7 +94,7 @@
 // Mixed reports whether streams that are still read may have begun at several versions.
 func (o *Origins) Mixed(now time.Duration) bool { return len(o.Versions(now)) > 1 }
 
-// Begin records a stream that this gateway has begun, or that goes on here. It reports
+// Begin records a stream that this gateway has begun or resumed. It reports
 // whether other gateways must learn of it.
 func (o *Origins) Begin(now time.Duration, begun Origin) bool {
 	o.Learn(now, begun)
