Log which backend servers state that they leave

Callers' requests reach servers that had said that they leave, and no line of any log shows that a server said so, to which gateway, when and in answer to what, so that a statement that is not read, a way past what is known and a server that was taken for another one look the same.

The statement is decoded and logged once for each start of a server, from the answers of caller's requests, prefills, reports, orders and health checks that are the server's own. Nothing acts on it yet.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -110,7 +110,7 @@
 	defer exchange.Release()
 	response := q.g.opts.Protocol.ParseResponse(exchange.Response.StatusCode, exchange.Response.Header)
 	q.service.recordLoad(q.g.now(), c.PrefillServer.ID, response)
-	q.observeLimit(c.PrefillServer.ID, startedAt, response)
+	q.observeStatements(c.PrefillServer, answerToPrefill, startedAt, response)
 	body, err := exchange.ReadBody(maxResponseBytes, q.memory)
 	if err != nil {
 		return nil, q.prefillLost(ctx, c, err)
@@ -256,7 +256,7 @@
 	q.notifyPlaceEnded(true)
 	response := q.g.opts.Protocol.ParseResponse(exchange.Response.StatusCode, exchange.Response.Header)
 	q.service.recordLoad(q.g.now(), c.Server.ID, response)
-	q.observeLimit(c.Server.ID, sentAt, response)
+	q.observeStatements(c.Server, answerToRun, sentAt, response)
 	if response.NotExecuted && meta.KVSource == nil {
 		// With a KV source, the server may have refused the source rather than
 		// the request.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -19,6 +19,7 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/marigoldwing/marigoldwing/internal/departure"
 	"github.com/marigoldwing/marigoldwing/internal/fleet"
 	"github.com/marigoldwing/marigoldwing/internal/logevent"
 	"github.com/marigoldwing/marigoldwing/internal/placement"
@@ -83,6 +84,8 @@
 	coordination *coordination
 	// trials decides when blocked parts and requests are tried.
 	trials *trials
+	// departures are the departures that servers have stated in their answers.
+	departures departures
 	// origins lets gateways remember where each other's streams began; nil if the gateway
 	// runs without peers.
 	origins *streamOrigins
@@ -119,12 +122,13 @@
 // the first Update.
 func New(opts Options) *Gateway {
 	g := &Gateway{
-		opts:      opts,
-		log:       opts.Log,
-		pool:      upstream.NewPool(),
-		buffers:   upstream.NewBuffers(cmp.Or(opts.BufferBytes, defaultBufferBytes)),
-		metrics:   newMetrics(opts.Registerer),
-		startTime: time.Now(),
+		opts:       opts,
+		log:        opts.Log,
+		pool:       upstream.NewPool(),
+		buffers:    upstream.NewBuffers(cmp.Or(opts.BufferBytes, defaultBufferBytes)),
+		metrics:    newMetrics(opts.Registerer),
+		startTime:  time.Now(),
+		departures: departures{book: departure.New()},
 	}
 	g.trials = ownTrials(g)
 	g.setRetryBudget(opts.RetryBudget)
@@ -153,12 +157,15 @@
 	next := &state{config: config, services: make(map[string]*service)}
 	byService := make(map[string][]fleet.Server)
 	keys := make([]fleet.Key, 0, len(servers))
+	registered := make([]fleet.Key, 0, len(servers))
 	for _, s := range servers {
 		byService[s.Service] = append(byService[s.Service], s)
+		registered = append(registered, s.Key())
 		if !s.Leaving {
 			keys = append(keys, s.Key())
 		}
 	}
+	g.departures.retain(g, registered)
 	var gone []func()
 	for _, name := range config.Services() {
 		spec, _ := config.Service(name)
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -19,13 +19,20 @@
 	limitFromPeer = "peer"
 )
 
-// observeLimit records what the answer to a request that was sent at sentAt says
-// about the limit of its server.
-func (q *request) observeLimit(server string, sentAt time.Duration, response ResponseMeta) {
+// observeStatements records what the answer to an attempt that was sent at sentAt
+// states about its server.
+func (q *request) observeStatements(server fleet.Server, kind answerKind, sentAt time.Duration, response ResponseMeta) {
 	own := response.RequestID == q.meta.ID || response.NotExecuted
 	if response.Misdirected || !own {
 		return
 	}
+	q.g.observeDeparture(server, kind, q.meta.ID, response)
+	q.observeLimit(server.ID, sentAt, response)
+}
+
+// observeLimit records what the answer to an attempt that was sent at sentAt says
+// about the limit of its server.
+func (q *request) observeLimit(server string, sentAt time.Duration, response ResponseMeta) {
 	if response.LimitMalformed {
 		q.g.log.Write(logevent.ServerLimitMalformed(server, q.service.name))
 		return
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -21,6 +21,7 @@
 	duration      *prometheus.HistogramVec
 	loadAge       prometheus.Histogram
 	placements    *prometheus.CounterVec
+	departures    *prometheus.CounterVec
 	engineCrashes *prometheus.CounterVec
 	inflight      prometheus.Gauge
 	configVersion prometheus.Gauge
@@ -63,6 +64,9 @@
 		engineCrashes: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "marigold_gateway_engine_crashes_total", Help: "Crashes of engines with requests in progress, by service and who reported them.",
 		}, []string{"service", "source"}),
+		departures: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "marigold_gateway_server_departures_total", Help: "Backend servers that have stated that they leave, by service and what they answered.",
+		}, []string{"service", "answer_to"}),
 		inflight: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "marigold_gateway_inflight_requests", Help: "Requests that have been read and not answered.",
 		}),
@@ -70,7 +74,7 @@
 			Name: "marigold_gateway_config_version", Help: "Version of the configuration in force.",
 		}),
 	}
-	registerer.MustRegister(m.requests, m.attempts, m.retries, m.streamEnds, m.resumes, m.firstEvent, m.eventGap, m.duration, m.loadAge, m.placements, m.engineCrashes, m.inflight, m.configVersion)
+	registerer.MustRegister(m.requests, m.attempts, m.retries, m.streamEnds, m.resumes, m.firstEvent, m.eventGap, m.duration, m.loadAge, m.placements, m.engineCrashes, m.departures, m.inflight, m.configVersion)
 	return m
 }
 
--- a/internal/gateway/poison.go
+++ b/internal/gateway/poison.go
@@ -160,6 +160,7 @@
 		g.log.Write(logevent.EngineReportFailed(server.ID, err))
 		return poison.CheckUnclear
 	}
+	g.observeReport(server, report, response)
 	if report.StartedUnixMs != 0 && server.StartedUnixMs != 0 && report.StartedUnixMs != server.StartedUnixMs {
 		return poison.CheckEnded
 	}
@@ -174,6 +175,7 @@
 	case meta.Misdirected || meta.ServerID != "" && meta.ServerID != server.ID:
 		return poison.CheckEnded
 	case meta.ServerID == server.ID:
+		g.observeDeparture(server, answerToHealth, "", meta)
 		return poison.CheckAlive
 	}
 	return poison.CheckUnclear
--- a/internal/gateway/protocol.go
+++ b/internal/gateway/protocol.go
@@ -79,6 +79,8 @@
 	// It says nothing if LimitMalformed is set.
 	Limit          serverlimit.Statement
 	LimitMalformed bool
+	// Leaving is set if the server states that it leaves.
+	Leaving bool
 }
 
 // Protocol translates between the gateway and the headers used by callers and
--- a/internal/gateway/stages.go
+++ b/internal/gateway/stages.go
@@ -268,7 +268,12 @@
 	if response.status != http.StatusOK {
 		return EngineReport{}, fmt.Errorf("report answered with status %d", response.status)
 	}
-	return c.protocol.ParseReport(response.body)
+	report, err := c.protocol.ParseReport(response.body)
+	if err != nil {
+		return EngineReport{}, err
+	}
+	c.g.observeReport(server, report, response)
+	return report, nil
 }
 
 // sendOrder sends one order. It checks the lease again immediately before.
@@ -284,6 +289,8 @@
 	if err != nil {
 		outcome = err.Error()
 		c.pending[server.ID] = c.g.now() + orderOutcomeTimeout
+	} else {
+		c.g.observeOrderAnswer(server, response)
 	}
 	c.log.Write(logevent.StageOrderSent(logevent.StageOrder{
 		Server: server.ID, Service: c.service, Stage: order.TargetStage.String(), FencingToken: c.term, ExpectedOrders: report.OrdersAccepted,
--- a/internal/logevent/system.go
+++ b/internal/logevent/system.go
@@ -281,3 +281,26 @@
 func ServerLimitMalformed(server, service string) Event {
 	return info("limit of a backend server cannot be read", slog.String(keyServer, server), slog.String(keyService, service))
 }
+
+// Departure describes how a gateway learned that a backend server leaves.
+type Departure struct {
+	Server, Service string
+	// StartedUnixMs is the server's start in Unix milliseconds; 0 if unknown.
+	StartedUnixMs int64
+	// AnswerTo is what the server answered when it stated that it leaves.
+	AnswerTo string
+	// RequestID is the caller's request that the server answered; empty if it was a
+	// call of the gateway's own.
+	RequestID string
+	// RegisteredLeaving is whether the registration already said so when the answered
+	// request was sent.
+	RegisteredLeaving bool
+}
+
+// ServerLeaves reports that a backend server has stated that it leaves.
+func ServerLeaves(d Departure) Event {
+	e := info("backend server states that it leaves", slog.String(keyServer, d.Server), slog.Int64("started_unix_ms", d.StartedUnixMs),
+		slog.String(keyService, d.Service), slog.String("answer_to", d.AnswerTo), slog.Bool("registered_leaving", d.RegisteredLeaving))
+	e.withText(KeyRequestID, d.RequestID)
+	return e
+}
