Send nothing new to servers that state their departure

What callers saw: requests went on to a server after it had told the gateway, in the answer to an earlier one, that it leaves; those that reached it in its last moments were lost with it.

Cause: a departure was known from the registration only.

Ruled out as the cause here: a way to the server that does not ask (all choices, of prefill and decode engines, for resumed streams and for the coordinator, pass the placement table), and servers that were taken for others (found by the same tests to be the trap of a careless mend).

The statement is kept for one start of the server, by ID, address and start time, beside the registrations and not in them: what is registered and what was stated are joined wherever servers of a service change, so that every choice sees one state, and neither a registration that is written again nor a configuration without the service ends it. Gateways report departures to each other by the start. If all servers of a service leave, requests are refused at once (servers_leaving). An engine's report that says draining counts as well.

--- a/internal/departure/departure.go
+++ b/internal/departure/departure.go
@@ -7,7 +7,8 @@
 // server's registration, which may be late, missing or older than the statement.
 //
 // A Book holds what one gateway knows. The caller must call Observe for each
-// statement in an answer, and Retain when the registered servers change.
+// statement in an answer, Merge for each report of another gateway, and Retain
+// when the registered servers change.
 //
 // The package does no I/O, never blocks and takes all times as arguments. They
 // are durations since an origin that the caller fixes once. A Book is not safe
@@ -22,6 +23,20 @@
 	"github.com/marigoldwing/marigoldwing/internal/fleet"
 )
 
+const (
+	// memory is how long the departure of a server that is no longer registered is
+	// remembered. It exceeds the age of the copies from which the store is restored,
+	// and the time after which a registration that expired in an outage is back.
+	memory = 10 * time.Minute
+	// maxUnregistered bounds the departures of servers that are no longer registered.
+	maxUnregistered = 4096
+	// reportTTL is how long a departure is reported to other gateways that their
+	// registrations name as well.
+	reportTTL = 10 * time.Second
+	// maxReports bounds the reports in one heartbeat.
+	maxReports = 8
+)
+
 // Book holds the departures of the servers of all services. The zero value is not
 // usable; use New.
 type Book struct {
@@ -30,31 +45,48 @@
 
 // departure is what is known of one start of a server that leaves.
 type departure struct {
+	// statedAt is the time of the server's first answer that stated it.
 	statedAt time.Duration
-	// unregisteredAt is when the server was first missing from the registered ones;
-	// 0 while it is registered.
+	// registered is whether the server is registered, registeredLeaving whether its
+	// registration states the departure too.
+	registered, registeredLeaving bool
+	// unregisteredAt is when the server was first found to be missing from the
+	// registered ones.
 	unregisteredAt time.Duration
 }
 
-const (
-	// memory is how long the departure of a server that is no longer registered is
-	// remembered. It exceeds the age of the copies from which the store is restored,
-	// and the time after which a registration that expired in an outage is back.
-	memory = 10 * time.Minute
-	// maxUnregistered bounds the departures of servers that are no longer registered.
-	maxUnregistered = 4096
-)
+// Report is what one gateway reports to others about a server.
+type Report struct {
+	ServerID      string
+	StartedUnixMs int64
+	// Age is the time since the server's first answer that stated its departure.
+	Age time.Duration
+}
 
 // New returns an empty Book.
 func New() *Book { return &Book{departures: make(map[fleet.Key]*departure)} }
 
-// Observe records that a server has stated in an answer that it leaves. It reports
-// whether this was not known.
+// Observe records that a registered server has stated in an answer that it leaves.
+// It reports whether this was not known.
 func (b *Book) Observe(now time.Duration, server fleet.Key) bool {
+	return b.record(server, now)
+}
+
+// Merge records a report of another gateway about a registered server. It reports
+// whether this was not known. A report about another start of the server, or about
+// one that does not state its start, is ignored.
+func (b *Book) Merge(now time.Duration, server fleet.Key, r Report) bool {
+	if r.ServerID != server.ID || r.StartedUnixMs != server.StartedUnixMs || server.StartedUnixMs == 0 {
+		return false
+	}
+	return b.record(server, now-r.Age)
+}
+
+func (b *Book) record(server fleet.Key, statedAt time.Duration) bool {
 	if b.Leaving(server) {
 		return false
 	}
-	b.departures[server] = &departure{statedAt: now}
+	b.departures[server] = &departure{statedAt: statedAt, registered: true}
 	return true
 }
 
@@ -63,18 +95,19 @@
 
 // Retain updates which servers are registered. It forgets departures that are no
 // longer needed.
-func (b *Book) Retain(now time.Duration, registered []fleet.Key) {
-	isRegistered := make(map[fleet.Key]bool, len(registered))
-	for _, key := range registered {
-		isRegistered[key] = true
+func (b *Book) Retain(now time.Duration, servers []fleet.Server) {
+	registeredLeaving := make(map[fleet.Key]bool, len(servers))
+	for _, s := range servers {
+		registeredLeaving[s.Key()] = s.Leaving
 	}
 	var unregistered []fleet.Key
 	for key, d := range b.departures {
-		switch {
-		case isRegistered[key]:
-			d.unregisteredAt = 0
+		wasRegistered := d.registered
+		d.registeredLeaving, d.registered = registeredLeaving[key]
+		if d.registered {
 			continue
-		case d.unregisteredAt == 0:
+		}
+		if wasRegistered {
 			d.unregisteredAt = now
 		}
 		if key.StartedUnixMs == 0 || now-d.unregisteredAt > memory {
@@ -102,3 +135,19 @@
 		delete(b.departures, key)
 	}
 }
+
+// Reports returns what other gateways may not know, the newest first.
+func (b *Book) Reports(now time.Duration) []Report {
+	var reports []Report
+	for key, d := range b.departures {
+		age := now - d.statedAt
+		isKnown := d.registeredLeaving && age > reportTTL
+		if d.registered && !isKnown && key.StartedUnixMs != 0 {
+			reports = append(reports, Report{ServerID: key.ID, StartedUnixMs: key.StartedUnixMs, Age: age})
+		}
+	}
+	slices.SortFunc(reports, func(a, b Report) int {
+		return cmp.Or(cmp.Compare(a.Age, b.Age), cmp.Compare(a.ServerID, b.ServerID))
+	})
+	return reports[:min(len(reports), maxReports)]
+}
--- a/internal/departure/departure_test.go
+++ b/internal/departure/departure_test.go
@@ -14,6 +14,11 @@
 	return fleet.Key{ID: id, Address: "10.0.0.1:80", StartedUnixMs: started}
 }
 
+// registered returns the registration of a server.
+func registered(id string, started int64, leaving bool) fleet.Server {
+	return fleet.Server{ID: id, Address: "10.0.0.1:80", StartedUnixMs: started, Leaving: leaving}
+}
+
 // A statement is news once and holds for one start of a server.
 func TestDepartureHoldsForOneStart(t *testing.T) {
 	b := New()
@@ -29,12 +34,12 @@
 func TestDepartureDoesNotExpire(t *testing.T) {
 	b := New()
 	b.Observe(time.Second, key("a", 1))
-	b.Retain(2*time.Second, []fleet.Key{key("a", 1)})
-	b.Retain(100*time.Hour, []fleet.Key{key("a", 1)})
+	b.Retain(2*time.Second, []fleet.Server{registered("a", 1, false)})
+	b.Retain(100*time.Hour, []fleet.Server{registered("a", 1, false)})
 	require.True(t, b.Leaving(key("a", 1)))
 	b.Retain(101*time.Hour, nil)
-	b.Retain(101*time.Hour+memory/2, []fleet.Key{key("a", 1)})
-	b.Retain(102*time.Hour, []fleet.Key{key("a", 1)})
+	b.Retain(101*time.Hour+memory/2, []fleet.Server{registered("a", 1, false)})
+	b.Retain(102*time.Hour, []fleet.Server{registered("a", 1, false)})
 	require.True(t, b.Leaving(key("a", 1)))
 }
 
@@ -43,7 +48,7 @@
 func TestDepartureOfUnknownStartEndsWithRegistration(t *testing.T) {
 	b := New()
 	b.Observe(time.Second, key("a", 0))
-	b.Retain(2*time.Second, []fleet.Key{key("a", 0)})
+	b.Retain(2*time.Second, []fleet.Server{registered("a", 0, false)})
 	require.True(t, b.Leaving(key("a", 0)))
 	b.Retain(3*time.Second, nil)
 	require.False(t, b.Leaving(key("a", 0)))
@@ -67,3 +72,44 @@
 	b.Retain(now+memory+time.Second, nil)
 	require.Empty(t, b.departures)
 }
+
+// A report makes the named start of a server leave, and no other one.
+func TestReportNamesOneStart(t *testing.T) {
+	b := New()
+	report := Report{ServerID: "a", StartedUnixMs: 1, Age: time.Second}
+	require.False(t, b.Merge(2*time.Second, key("a", 2), report), "the next start")
+	require.False(t, b.Merge(2*time.Second, key("b", 1), report), "another server")
+	require.False(t, b.Merge(2*time.Second, key("a", 0), Report{ServerID: "a"}), "start unknown")
+	require.True(t, b.Merge(2*time.Second, key("a", 1), report))
+	require.False(t, b.Merge(3*time.Second, key("a", 1), report), "known")
+	require.False(t, b.Observe(3*time.Second, key("a", 1)), "known")
+	require.Equal(t, []Report{{ServerID: "a", StartedUnixMs: 1, Age: 2 * time.Second}}, b.Reports(3*time.Second))
+}
+
+// Departures are reported while others may not know them: for a while, and for as long
+// as the registration says otherwise.
+func TestReportsEndOnceRegistrationStatesDeparture(t *testing.T) {
+	b := New()
+	b.Observe(time.Second, key("a", 1))
+	b.Observe(time.Second, key("b", 1))
+	b.Observe(time.Second, key("c", 0))
+	servers := []fleet.Server{registered("a", 1, false), registered("b", 1, true), registered("c", 0, false)}
+	b.Retain(2*time.Second, servers)
+	require.Len(t, b.Reports(2*time.Second), 2, "c does not state its start")
+	later := time.Second + reportTTL + time.Millisecond
+	require.Equal(t, "a", b.Reports(later)[0].ServerID)
+	require.Len(t, b.Reports(later), 1)
+	b.Retain(later, nil)
+	require.Empty(t, b.Reports(later))
+}
+
+// The reports of one heartbeat are bounded, the latest departures go first.
+func TestReportsAreBounded(t *testing.T) {
+	b := New()
+	for i := range 3 * maxReports {
+		b.Observe(time.Duration(i)*time.Second, key(fmt.Sprintf("s%02d", i), 1))
+	}
+	reports := b.Reports(time.Minute)
+	require.Len(t, reports, maxReports)
+	require.Equal(t, fmt.Sprintf("s%02d", 3*maxReports-1), reports[0].ServerID)
+}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -72,7 +72,7 @@
 	decode, err := q.service.chooseDecode(q.g.now(), q.placementRequest(), c.PrefillServer)
 	if err != nil {
 		go q.g.releaseKV(c.PrefillServer, *handle)
-		return outcome{result: notExecuted, reason: "no_server", serverUntried: true}, c
+		return outcome{result: notExecuted, reason: reasonNoServer, serverUntried: true}, c
 	}
 	decode.UncachedTokens, decode.FetchFrom, decode.Deferred = c.UncachedTokens, c.FetchFrom, c.Deferred
 	out = q.send(ctx, decode, AttemptMeta{KVSource: handle}, 1)
--- a/internal/gateway/departures.go
+++ b/internal/gateway/departures.go
@@ -1,8 +1,11 @@
 package gateway
 
 import (
+	"slices"
 	"sync"
+	"time"
 
+	peerv1 "github.com/marigoldwing/marigoldwing/api/peer/v1"
 	"github.com/marigoldwing/marigoldwing/internal/departure"
 	"github.com/marigoldwing/marigoldwing/internal/fleet"
 	"github.com/marigoldwing/marigoldwing/internal/logevent"
@@ -21,7 +24,15 @@
 	answerToHealth answerKind = "health"
 )
 
-// departures are the departures that servers have stated in their answers.
+// Sources of what a gateway knows of a departure, as metric labels. Logs name the peer.
+const (
+	departureFromSelf = "own"
+	departureFromPeer = "peer"
+)
+
+// departures are the departures that servers have stated in their answers. They
+// belong to the gateway and not to a service, so that they outlive a configuration
+// without the service.
 type departures struct {
 	mu   sync.Mutex
 	book *departure.Book
@@ -29,31 +40,123 @@
 
 // observe records that a server has stated that it leaves. It reports whether this
 // was not known.
-func (d *departures) observe(g *Gateway, server fleet.Key) bool {
+func (d *departures) observe(now time.Duration, server fleet.Key) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.book.Observe(now, server)
+}
+
+// apply updates which servers are registered, and returns them with Leaving set for
+// those that have stated that they leave.
+func (d *departures) apply(now time.Duration, registered []fleet.Server) []fleet.Server {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.book.Observe(g.now(), server)
+	d.book.Retain(now, registered)
+	servers := slices.Clone(registered)
+	for i := range servers {
+		servers[i].Leaving = servers[i].Leaving || d.book.Leaving(servers[i].Key())
+	}
+	return servers
 }
 
-// retain updates which servers are registered.
-func (d *departures) retain(g *Gateway, registered []fleet.Key) {
+// merge records a report of another gateway about a registered server. It reports
+// whether this was not known.
+func (d *departures) merge(now time.Duration, server fleet.Key, r departure.Report) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.book.Retain(g.now(), registered)
+	return d.book.Merge(now, server, r)
+}
+
+// reports returns what other gateways may not know.
+func (d *departures) reports(now time.Duration) []departure.Report {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.book.Reports(now)
 }
 
 // observeDeparture records the departure that an answer of a server states. The
 // caller has made sure that the answer is the server's own. requestID is empty for
 // a call of the gateway's own.
 func (g *Gateway) observeDeparture(server fleet.Server, kind answerKind, requestID string, response ResponseMeta) {
-	if !response.Leaving || !g.departures.observe(g, server.Key()) {
+	if !response.Leaving || !g.departures.observe(g.now(), server.Key()) {
 		return
 	}
-	g.metrics.departures.WithLabelValues(server.Service, string(kind)).Inc()
-	g.log.Write(logevent.ServerLeaves(logevent.Departure{
-		Server: server.ID, StartedUnixMs: server.StartedUnixMs, Service: server.Service,
-		AnswerTo: string(kind), RequestID: requestID, RegisteredLeaving: server.Leaving,
-	}))
+	g.serverLeaves(server, logevent.Departure{Source: departureFromSelf, AnswerTo: string(kind), RequestID: requestID})
+}
+
+// mergeDepartures records the departures that another gateway reports in a heartbeat.
+func (g *Gateway) mergeDepartures(s *service, h *peerv1.Heartbeat) {
+	for _, message := range h.GetServerDepartures() {
+		report := departure.Report{
+			ServerID: message.GetBackendServer(), StartedUnixMs: message.GetStartedUnixMs(),
+			Age: time.Duration(message.GetAgeMs()) * time.Millisecond,
+		}
+		server, registered := s.server(report.ServerID)
+		if registered && g.departures.merge(g.now(), server.Key(), report) {
+			g.serverLeaves(server, logevent.Departure{Source: h.GetSender(), Age: report.Age})
+		}
+	}
+}
+
+func departuresToProto(reports []departure.Report) []*peerv1.ServerDeparture {
+	messages := make([]*peerv1.ServerDeparture, 0, len(reports))
+	for _, r := range reports {
+		messages = append(messages, &peerv1.ServerDeparture{
+			BackendServer: r.ServerID, StartedUnixMs: r.StartedUnixMs, AgeMs: r.Age.Milliseconds(),
+		})
+	}
+	return messages
+}
+
+// serverLeaves lets a server that has stated that it leaves get nothing new. learned
+// is how this gateway learned of it.
+func (g *Gateway) serverLeaves(server fleet.Server, learned logevent.Departure) {
+	g.updateMu.Lock()
+	defer g.updateMu.Unlock()
+	if s := g.state.Load().services[server.Service]; s != nil {
+		s.setLeaving(server.Key())
+	}
+	g.pool.Drop(server.Key())
+	source := departureFromSelf
+	if learned.Source != departureFromSelf {
+		source = departureFromPeer
+	}
+	g.metrics.departures.WithLabelValues(server.Service, source).Inc()
+	learned.Server, learned.StartedUnixMs, learned.Service = server.ID, server.StartedUnixMs, server.Service
+	learned.RegisteredLeaving = server.Leaving
+	g.log.Write(logevent.ServerLeaves(learned))
+}
+
+// setLeaving marks a registered server as leaving.
+func (s *service) setLeaving(key fleet.Key) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.registered = slices.Clone(s.registered)
+	for i := range s.registered {
+		if s.registered[i].Key() == key {
+			s.registered[i].Leaving = true
+		}
+	}
+	s.table.SetServers(s.engine, s.registered)
+}
+
+// server returns a registered server.
+func (s *service) server(id string) (fleet.Server, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	i := slices.IndexFunc(s.registered, func(server fleet.Server) bool { return server.ID == id })
+	if i < 0 {
+		return fleet.Server{}, false
+	}
+	return s.registered[i], true
+}
+
+// allLeaving reports whether the service has servers and all of them leave.
+func (s *service) allLeaving() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	stays := func(server fleet.Server) bool { return !server.Leaving }
+	return len(s.registered) > 0 && !slices.ContainsFunc(s.registered, stays)
 }
 
 // observeReport records the departure that an engine's report states. The engine's
@@ -62,7 +165,9 @@
 	if report.StartedUnixMs == 0 || report.StartedUnixMs != server.StartedUnixMs {
 		return
 	}
-	g.observeDeparture(server, answerToReport, "", g.opts.Protocol.ParseResponse(response.status, response.header))
+	meta := g.opts.Protocol.ParseResponse(response.status, response.header)
+	meta.Leaving = meta.Leaving || report.Leaving
+	g.observeDeparture(server, answerToReport, "", meta)
 }
 
 // observeOrderAnswer records the departure that the answer to an order states. Only
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -71,6 +71,8 @@
 	startTime time.Time
 	state     atomic.Pointer[state]
 	draining  atomic.Bool
+	// updateMu is held while the servers of services change.
+	updateMu sync.Mutex
 	// evidenceChanged is set if there is something new about crashes of engines that
 	// other gateways should learn soon.
 	evidenceChanged atomic.Bool
@@ -148,24 +150,24 @@
 func (g *Gateway) now() time.Duration { return time.Since(g.startTime) }
 
 // Update applies a configuration and a set of registered servers. A nil config
-// changes nothing. Calls must not overlap.
+// changes nothing.
 func (g *Gateway) Update(config *fleet.Config, servers []fleet.Server) {
 	if config == nil {
 		return
 	}
+	g.updateMu.Lock()
+	defer g.updateMu.Unlock()
+	servers = g.departures.apply(g.now(), servers)
 	old := g.state.Load()
 	next := &state{config: config, services: make(map[string]*service)}
 	byService := make(map[string][]fleet.Server)
 	keys := make([]fleet.Key, 0, len(servers))
-	registered := make([]fleet.Key, 0, len(servers))
 	for _, s := range servers {
 		byService[s.Service] = append(byService[s.Service], s)
-		registered = append(registered, s.Key())
 		if !s.Leaving {
 			keys = append(keys, s.Key())
 		}
 	}
-	g.departures.retain(g, registered)
 	var gone []func()
 	for _, name := range config.Services() {
 		spec, _ := config.Service(name)
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -234,7 +234,11 @@
 		q.fail(lastOutcomeOr(last, reasonVersionGone), 0)
 		return
 	}
-	q.fail(lastOutcomeOr(last, "no_server"), noServerRetryAfter)
+	reason := reasonNoServer
+	if q.service.allLeaving() {
+		reason = reasonServersLeaving
+	}
+	q.fail(lastOutcomeOr(last, reason), noServerRetryAfter)
 }
 
 // mayPrefill reports whether the prompt may be prefilled at a separate engine.
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -65,8 +65,8 @@
 			Name: "marigold_gateway_engine_crashes_total", Help: "Crashes of engines with requests in progress, by service and who reported them.",
 		}, []string{"service", "source"}),
 		departures: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "marigold_gateway_server_departures_total", Help: "Backend servers that have stated that they leave, by service and what they answered.",
-		}, []string{"service", "answer_to"}),
+			Name: "marigold_gateway_server_departures_total", Help: "Backend servers that have stated that they leave, by service and who reported it.",
+		}, []string{"service", "source"}),
 		inflight: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "marigold_gateway_inflight_requests", Help: "Requests that have been read and not answered.",
 		}),
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -28,6 +28,7 @@
 		h.Loads = append(h.Loads, loadsToProto(s.ownLoads(a.g.now()))...)
 		h.ServerLimits = append(h.ServerLimits, limitsToProto(s.limitReports(a.g.now()))...)
 	}
+	h.ServerDepartures = departuresToProto(a.g.departures.reports(a.g.now()))
 	h.PoisonReports = a.g.poisonReports()
 }
 
@@ -79,6 +80,7 @@
 	for _, s := range a.g.state.Load().services {
 		s.setPeerLoads(now, h.GetSender(), loads)
 		a.g.mergeLimits(s, h)
+		a.g.mergeDepartures(s, h)
 	}
 	a.g.mergePoison(h.GetSender(), h.GetPoisonReports())
 }
--- a/internal/gateway/stages.go
+++ b/internal/gateway/stages.go
@@ -44,6 +44,8 @@
 	StartedUnixMs int64
 	// Running and Queued are numbers of requests.
 	Running, Queued int
+	// Leaving is whether the engine takes no new work because it leaves.
+	Leaving bool
 }
 
 // StageOrder is an order to an engine to change its stage.
--- a/internal/logevent/system.go
+++ b/internal/logevent/system.go
@@ -287,7 +287,12 @@
 	Server, Service string
 	// StartedUnixMs is the server's start in Unix milliseconds; 0 if unknown.
 	StartedUnixMs int64
-	// AnswerTo is what the server answered when it stated that it leaves.
+	// Source is "own", or the gateway that reported the departure.
+	Source string
+	// Age is the time since the server's first such answer, 0 for an own one.
+	Age time.Duration
+	// AnswerTo is what the server answered when it stated that it leaves; empty if
+	// another gateway reported it.
 	AnswerTo string
 	// RequestID is the caller's request that the server answered; empty if it was a
 	// call of the gateway's own.
@@ -300,7 +305,9 @@
 // ServerLeaves reports that a backend server has stated that it leaves.
 func ServerLeaves(d Departure) Event {
 	e := info("backend server states that it leaves", slog.String(keyServer, d.Server), slog.Int64("started_unix_ms", d.StartedUnixMs),
-		slog.String(keyService, d.Service), slog.String("answer_to", d.AnswerTo), slog.Bool("registered_leaving", d.RegisteredLeaving))
+		slog.String(keyService, d.Service), slog.String("source", d.Source), milliseconds("age_ms", d.Age),
+		slog.Bool("registered_leaving", d.RegisteredLeaving))
+	e.withText("answer_to", d.AnswerTo)
 	e.withText(KeyRequestID, d.RequestID)
 	return e
 }
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -158,6 +158,17 @@
 	s.conns = append(s.conns, c)
 }
 
+// Drop closes the idle connections to a server to which no more requests are sent.
+func (p *Pool) Drop(server fleet.Key) {
+	p.mu.Lock()
+	dropped := p.servers[server]
+	delete(p.servers, server)
+	p.mu.Unlock()
+	if dropped != nil {
+		dropped.close()
+	}
+}
+
 // Retain closes the idle connections to all servers that are not in the list.
 func (p *Pool) Retain(servers []fleet.Key) {
 	keep := make(map[fleet.Key]bool, len(servers))
