Ask the next start of a server that stated its departure before using it

What callers saw: a server that is started again under its ID and leaves at once gets requests although it has said so.

Cause: answers do not name the start of their server. One that came before the new start's registration was known is counted for the earlier start, and the registration of the new one, which may say ready, then ends it. The other way round, a registration that is older than the statement, or names no start, was taken for another server.

A departure now holds for the latest start that stated it and all earlier ones. A later start is asked for its state, whose answer states the departure too, and used if it does not leave; until then it gets nothing. One that cannot be asked is used after two seconds.

--- a/internal/departure/departure_test.go
+++ b/internal/departure/departure_test.go
@@ -78,6 +78,7 @@
 	b := New()
 	report := Report{ServerID: "a", StartedUnixMs: 1, Age: time.Second}
 	require.False(t, b.Merge(2*time.Second, key("a", 2), report), "the next start")
+	require.False(t, b.Unclear(key("a", 2)))
 	require.False(t, b.Merge(2*time.Second, key("b", 1), report), "another server")
 	require.False(t, b.Merge(2*time.Second, key("a", 0), Report{ServerID: "a"}), "start unknown")
 	require.True(t, b.Merge(2*time.Second, key("a", 1), report))
@@ -113,3 +114,36 @@
 	require.Len(t, reports, maxReports)
 	require.Equal(t, fmt.Sprintf("s%02d", 3*maxReports-1), reports[0].ServerID)
 }
+
+// A registration that is older than the statement, or does not name the start, is of the
+// server that leaves.
+func TestDepartureHoldsForOlderRegistrations(t *testing.T) {
+	b := New()
+	b.Observe(time.Second, key("a", 5))
+	require.True(t, b.Leaving(key("a", 4)))
+	require.True(t, b.Leaving(key("a", 0)))
+	require.False(t, b.Observe(time.Second, key("a", 4)))
+	require.False(t, b.Leaving(key("a", 6)))
+	other := New()
+	require.True(t, other.Merge(time.Second, key("a", 4), Report{ServerID: "a", StartedUnixMs: 5}), "the registration is older than the report")
+	require.True(t, other.Leaving(key("a", 5)))
+	require.False(t, other.Leaving(key("a", 6)))
+}
+
+// The next start of a server that has left is unclear until it was asked, since the
+// statement may have been its own.
+func TestNextStartIsUnclearUntilAsked(t *testing.T) {
+	b := New()
+	require.False(t, b.Unclear(key("a", 2)), "nothing was stated")
+	b.Observe(time.Second, key("a", 1))
+	require.False(t, b.Unclear(key("a", 1)))
+	require.True(t, b.Unclear(key("a", 2)))
+	b.Stays(key("a", 2))
+	require.False(t, b.Unclear(key("a", 2)))
+	require.False(t, b.Leaving(key("a", 2)))
+	require.True(t, b.Leaving(key("a", 1)))
+	require.Empty(t, b.Reports(time.Minute), "nothing to report of an earlier start")
+	require.True(t, b.Unclear(key("a", 3)))
+	require.True(t, b.Observe(2*time.Second, key("a", 3)), "it was asked and leaves")
+	require.True(t, b.Leaving(key("a", 3)))
+}
--- a/internal/gateway/departures.go
+++ b/internal/gateway/departures.go
@@ -9,6 +9,7 @@
 	"github.com/marigoldwing/marigoldwing/internal/departure"
 	"github.com/marigoldwing/marigoldwing/internal/fleet"
 	"github.com/marigoldwing/marigoldwing/internal/logevent"
+	"github.com/marigoldwing/marigoldwing/internal/poison"
 )
 
 // answerKind is what a server has answered, as written to logs.
@@ -36,6 +37,8 @@
 type departures struct {
 	mu   sync.Mutex
 	book *departure.Book
+	// asked are the unclear servers that are being asked whether they leave.
+	asked map[fleet.Key]bool
 }
 
 // observe records that a server has stated that it leaves. It reports whether this
@@ -47,16 +50,32 @@
 }
 
 // apply updates which servers are registered, and returns them with Leaving set for
-// those that have stated that they leave.
-func (d *departures) apply(now time.Duration, registered []fleet.Server) []fleet.Server {
+// those that have stated that they leave. The unclear ones have to be asked and get
+// nothing until then.
+func (d *departures) apply(now time.Duration, registered []fleet.Server) (servers, unclear []fleet.Server) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.book.Retain(now, registered)
-	servers := slices.Clone(registered)
-	for i := range servers {
-		servers[i].Leaving = servers[i].Leaving || d.book.Leaving(servers[i].Key())
+	servers = slices.Clone(registered)
+	for i, s := range servers {
+		isUnclear := !s.Leaving && d.book.Unclear(s.Key())
+		servers[i].Leaving = s.Leaving || isUnclear || d.book.Leaving(s.Key())
+		if isUnclear && !d.asked[s.Key()] {
+			d.asked[s.Key()] = true
+			unclear = append(unclear, s)
+		}
 	}
-	return servers
+	return servers, unclear
+}
+
+// endAsk records that an unclear server was asked. It reports whether the server has
+// stated that it leaves.
+func (d *departures) endAsk(server fleet.Key) (leaving bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	delete(d.asked, server)
+	d.book.Stays(server)
+	return d.book.Leaving(server)
 }
 
 // merge records a report of another gateway about a registered server. It reports
@@ -127,6 +146,31 @@
 	g.log.Write(logevent.ServerLeaves(learned))
 }
 
+const (
+	// An unclear server is asked at most departureAsks times, departureAskInterval
+	// apart, before it is used as any other.
+	departureAsks        = 10
+	departureAskInterval = 200 * time.Millisecond
+)
+
+// askDeparture asks an unclear server for its state, whose answer states whether it
+// leaves, and then lets it be used unless it does.
+func (g *Gateway) askDeparture(s *service, server fleet.Server) {
+	answered := false
+	for range departureAsks {
+		answered = g.serverState(s, server) == poison.CheckAlive
+		if answered {
+			break
+		}
+		time.Sleep(departureAskInterval)
+	}
+	leaving := g.departures.endAsk(server.Key())
+	g.log.Write(logevent.NextStartAsked(server.ID, server.Service, server.StartedUnixMs, answered, leaving))
+	g.updateMu.Lock()
+	defer g.updateMu.Unlock()
+	g.update(g.state.Load().config, g.registered)
+}
+
 // setLeaving marks a registered server as leaving.
 func (s *service) setLeaving(key fleet.Key) {
 	s.mu.Lock()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -71,8 +71,10 @@
 	startTime time.Time
 	state     atomic.Pointer[state]
 	draining  atomic.Bool
-	// updateMu is held while the servers of services change.
-	updateMu sync.Mutex
+	// updateMu is held while the servers of services change. registered are those of
+	// the latest Update.
+	updateMu   sync.Mutex
+	registered []fleet.Server
 	// evidenceChanged is set if there is something new about crashes of engines that
 	// other gateways should learn soon.
 	evidenceChanged atomic.Bool
@@ -130,7 +132,7 @@
 		buffers:    upstream.NewBuffers(cmp.Or(opts.BufferBytes, defaultBufferBytes)),
 		metrics:    newMetrics(opts.Registerer),
 		startTime:  time.Now(),
-		departures: departures{book: departure.New()},
+		departures: departures{book: departure.New(), asked: make(map[fleet.Key]bool)},
 	}
 	g.trials = ownTrials(g)
 	g.setRetryBudget(opts.RetryBudget)
@@ -157,7 +159,13 @@
 	}
 	g.updateMu.Lock()
 	defer g.updateMu.Unlock()
-	servers = g.departures.apply(g.now(), servers)
+	g.update(config, servers)
+}
+
+// update is Update for callers that hold g.updateMu.
+func (g *Gateway) update(config *fleet.Config, registered []fleet.Server) {
+	g.registered = registered
+	servers, unclear := g.departures.apply(g.now(), registered)
 	old := g.state.Load()
 	next := &state{config: config, services: make(map[string]*service)}
 	byService := make(map[string][]fleet.Server)
@@ -186,6 +194,11 @@
 	for _, observe := range gone {
 		observe()
 	}
+	for _, server := range unclear {
+		if s := next.services[server.Service]; s != nil {
+			go g.askDeparture(s, server)
+		}
+	}
 	g.pool.Retain(keys)
 	g.metrics.configVersion.Set(float64(config.Version))
 }
--- a/internal/logevent/logevent.go
+++ b/internal/logevent/logevent.go
@@ -46,6 +46,8 @@
 	keyWhole         = "whole"
 	keyCount         = "count"
 	keyCountBefore   = "before"
+	keyStarted       = "started_unix_ms"
+	keyLeaving       = "leaving"
 )
 
 // Event is one line of the log.
--- a/internal/logevent/system.go
+++ b/internal/logevent/system.go
@@ -29,7 +29,7 @@
 // RegistrationChanged reports a change of a server's registration.
 func RegistrationChanged(r Registration, revision revision.Revision) Event {
 	return info("registration changed", slog.String(keyServer, r.Server), slog.Any(keyRevision, revision),
-		slog.Bool(keyRemoved, r.Removed), slog.Bool("unreadable", r.Unreadable), slog.Bool("leaving", r.Leaving),
+		slog.Bool(keyRemoved, r.Removed), slog.Bool("unreadable", r.Unreadable), slog.Bool(keyLeaving, r.Leaving),
 		slog.String(keyStage, r.Stage), slog.String(keyAddress, r.Address), slog.String("server_version", r.Version))
 }
 
@@ -249,6 +249,14 @@
 	return detail("fetch from a peer failed", slog.String(keyAddress, address), slog.String(keyService, service), errorText(err))
 }
 
+// NextStartAsked reports that the next start of a backend server whose earlier start had
+// stated its departure was asked whether it leaves too. answered is false if it gave no
+// answer, so that it is used as any other.
+func NextStartAsked(server, service string, startedUnixMs int64, answered, leaving bool) Event {
+	return info("next start of a leaving server was asked", slog.String(keyServer, server), slog.Int64(keyStarted, startedUnixMs),
+		slog.String(keyService, service), slog.Bool("answered", answered), slog.Bool(keyLeaving, leaving))
+}
+
 // ServerLimit describes a change of the request rate that a backend server takes
 // from all gateways together.
 type ServerLimit struct {
@@ -304,7 +312,7 @@
 
 // ServerLeaves reports that a backend server has stated that it leaves.
 func ServerLeaves(d Departure) Event {
-	e := info("backend server states that it leaves", slog.String(keyServer, d.Server), slog.Int64("started_unix_ms", d.StartedUnixMs),
+	e := info("backend server states that it leaves", slog.String(keyServer, d.Server), slog.Int64(keyStarted, d.StartedUnixMs),
 		slog.String(keyService, d.Service), slog.String("source", d.Source), milliseconds("age_ms", d.Age),
 		slog.Bool("registered_leaving", d.RegisteredLeaving))
 	e.withText("answer_to", d.AnswerTo)
