--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -27,6 +27,7 @@
 		return
 	}
 	q.g.observeDeparture(server, kind, q.meta.ID, response)
+	q.g.observePause(server, kind, q.meta.ID, response)
 	q.observeLimit(server.ID, sentAt, response)
 }
 
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -22,6 +22,7 @@
 	loadAge       prometheus.Histogram
 	placements    *prometheus.CounterVec
 	departures    *prometheus.CounterVec
+	pauses        *prometheus.CounterVec
 	engineCrashes *prometheus.CounterVec
 	inflight      prometheus.Gauge
 	configVersion prometheus.Gauge
@@ -67,6 +68,9 @@
 		departures: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "marigold_gateway_server_departures_total", Help: "Backend servers that have stated that they leave, by service and who reported it.",
 		}, []string{"service", "source"}),
+		pauses: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "marigold_gateway_server_pauses_total", Help: "Refusals in which a backend server asked for a pause, by service.",
+		}, []string{"service"}),
 		inflight: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "marigold_gateway_inflight_requests", Help: "Requests that have been read and not answered.",
 		}),
@@ -74,7 +78,7 @@
 			Name: "marigold_gateway_config_version", Help: "Version of the configuration in force.",
 		}),
 	}
-	registerer.MustRegister(m.requests, m.attempts, m.retries, m.streamEnds, m.resumes, m.firstEvent, m.eventGap, m.duration, m.loadAge, m.placements, m.engineCrashes, m.departures, m.inflight, m.configVersion)
+	registerer.MustRegister(m.requests, m.attempts, m.retries, m.streamEnds, m.resumes, m.firstEvent, m.eventGap, m.duration, m.loadAge, m.placements, m.engineCrashes, m.departures, m.pauses, m.inflight, m.configVersion)
 	return m
 }
 
--- a/internal/gateway/protocol.go
+++ b/internal/gateway/protocol.go
@@ -81,6 +81,10 @@
 	LimitMalformed bool
 	// Leaving is set if the server states that it leaves.
 	Leaving bool
+	// Pause is how long the server, which refuses the request, wants no more from this
+	// gateway; 0 if it asks for no pause. It says nothing if PauseMalformed is set.
+	Pause          time.Duration
+	PauseMalformed bool
 }
 
 // Protocol translates between the gateway and the headers used by callers and
--- a/internal/logevent/system.go
+++ b/internal/logevent/system.go
@@ -319,3 +319,29 @@
 	e.withText(KeyRequestID, d.RequestID)
 	return e
 }
+
+// Pause describes a backend server's request for a pause.
+type Pause struct {
+	Server, Service string
+	// StartedUnixMs is the server's start in Unix milliseconds; 0 if unknown.
+	StartedUnixMs int64
+	// AnswerTo is what the server refused, and RequestID the caller's request, empty if
+	// it was a call of the gateway's own.
+	AnswerTo, RequestID string
+	// Asked is how long the server wants nothing from this gateway.
+	Asked time.Duration
+}
+
+// ServerPauses reports that a backend server that refused a request has asked for a pause.
+func ServerPauses(p Pause) Event {
+	e := info("backend server asks for a pause", slog.String(keyServer, p.Server), slog.Int64(keyStarted, p.StartedUnixMs),
+		slog.String(keyService, p.Service), slog.String("answer_to", p.AnswerTo), milliseconds("pause_ms", p.Asked))
+	e.withText(KeyRequestID, p.RequestID)
+	return e
+}
+
+// ServerPauseMalformed reports that the pause that a backend server asks for cannot be
+// read, so that it is avoided like any other that refuses a request.
+func ServerPauseMalformed(server, service string) Event {
+	return info("pause of a backend server cannot be read", slog.String(keyServer, server), slog.String(keyService, service))
+}
