Keep to the pauses for which servers ask

Cause: no gateway read how long a refusing server wants nothing. It was avoided for 150 ms, twice as long after each further refusal, for one second at most, whatever it asked for. Where all servers refuse, requests were sent to each again and again, and callers were told to come back long before the first one returned.

Ruled out as the cause alone: requests that are on their way at once (pairs in one millisecond, directly after a refusal); prefills and calls of the gateway's own (the engines were decode engines, and the arrivals are the attempts). Both would break the rule after a mend that stops at the choice of a server, and are tested.

The pause is one more reason for which internal/serverlimit keeps requests from a server, so that the choice, what the coordinator excludes, the wait of a request and its refusal with the time at which the first server returns are those of the limits. It holds for one start of a server, a shorter one does not end a longer one, nor does an answer to an earlier request. Gateways prolong it by up to a tenth, each by another part, and send one request at a time until one was accepted. A request that waits for a connection is permitted once more before it is sent; reports, orders and releases of KV caches keep to the pause as well. A stream that is taken up waits for the servers of its version as long as its caller stays.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -103,7 +103,10 @@
 		FetchFrom:   c.FetchFrom,
 		Priority:    c.Priority,
 	}
-	exchange, err := q.g.pool.Do(ctx, c.PrefillServer.Key(), q.upstreamRequest(meta), q.ownsResponse)
+	exchange, err := q.g.pool.Do(ctx, c.PrefillServer.Key(), q.upstreamRequest(c.PrefillServer, meta), q.ownsResponse)
+	if errors.Is(err, upstream.ErrNotPermitted) {
+		return nil, q.withdrawn()
+	}
 	if err != nil {
 		return nil, q.prefillLost(ctx, c, err)
 	}
@@ -193,7 +196,10 @@
 		Host:   server.Address,
 		Header: http.Header{},
 	}
-	g.chargeCall(server)
+	if !g.mayCall(server) {
+		g.log.Write(logevent.HandleReleaseFailed(server.ID, errServerPaused))
+		return
+	}
 	exchange, err := g.pool.Do(ctx, server.Key(), request, func(http.Header) bool { return true })
 	if err != nil {
 		g.log.Write(logevent.HandleReleaseFailed(server.ID, err))
@@ -209,13 +215,14 @@
 const releaseTimeout = time.Second
 
 // upstreamRequest returns the request to send to a backend server.
-func (q *request) upstreamRequest(meta AttemptMeta) upstream.Request {
+func (q *request) upstreamRequest(server fleet.Server, meta AttemptMeta) upstream.Request {
 	return upstream.Request{
 		Method: q.r.Method,
 		Target: q.r.RequestURI,
 		Host:   q.r.Host,
 		Header: q.g.opts.Protocol.RequestHeader(q.r.Header, meta),
 		Body:   q.body,
+		Permit: q.permitRequest(server),
 	}
 }
 
@@ -246,8 +253,12 @@
 	sendCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	timer := q.startHeadTimer(c, cancel)
-	exchange, err := q.g.pool.Do(sendCtx, c.Server.Key(), q.upstreamRequest(meta), q.ownsResponse)
+	exchange, err := q.g.pool.Do(sendCtx, c.Server.Key(), q.upstreamRequest(c.Server, meta), q.ownsResponse)
 	headTimedOut := timer.expired()
+	if errors.Is(err, upstream.ErrNotPermitted) {
+		q.sends--
+		return q.withdrawn()
+	}
 	if err != nil {
 		return q.sendFailed(ctx, err, headTimedOut)
 	}
@@ -311,7 +322,7 @@
 	case meta.NotExecuted && !success:
 		// The body is drained so that the connection can be reused.
 		_, _ = io.Copy(io.Discard, io.LimitReader(exchange.Response.Body, maxResponseBytes))
-		return outcome{result: notExecuted, reason: fmt.Sprintf("server refused with status %d", status)}
+		return outcome{result: notExecuted, reason: fmt.Sprintf("server refused with status %d", status), paused: meta.Pause > 0}
 	case meta.RequestID != q.meta.ID:
 		return outcome{result: noResponse, reason: "answer names no request", serverFault: true}
 	case !meta.Sealed && success:
--- a/internal/gateway/coordinate.go
+++ b/internal/gateway/coordinate.go
@@ -129,7 +129,7 @@
 // placeMessage returns the Place message for a request.
 func (c *coordination) placeMessage(q *request) *peerv1.Place {
 	r := q.placementRequest()
-	r.Exclude = append(q.service.pausedServers(c.g.now()), r.Exclude...)
+	r.Exclude = append(q.service.heldServers(c.g.now()), r.Exclude...)
 	place := &peerv1.Place{
 		Service:          q.service.name,
 		Number:           c.lastNumber.Add(1),
--- a/internal/gateway/departures.go
+++ b/internal/gateway/departures.go
@@ -12,19 +12,6 @@
 	"github.com/marigoldwing/marigoldwing/internal/poison"
 )
 
-// answerKind is what a server has answered, as written to logs.
-type answerKind string
-
-const (
-	// answerToRun and answerToPrefill: a caller's request, refusals included.
-	answerToRun     answerKind = "run"
-	answerToPrefill answerKind = "prefill"
-	// answerToReport, answerToOrder and answerToHealth: a call of the gateway's own.
-	answerToReport answerKind = "report"
-	answerToOrder  answerKind = "order"
-	answerToHealth answerKind = "health"
-)
-
 // Sources of what a gateway knows of a departure, as metric labels. Logs name the peer.
 const (
 	departureFromSelf = "own"
@@ -202,22 +189,3 @@
 	stays := func(server fleet.Server) bool { return !server.Leaving }
 	return len(s.registered) > 0 && !slices.ContainsFunc(s.registered, stays)
 }
-
-// observeReport records the departure that an engine's report states. The engine's
-// start identifies it.
-func (g *Gateway) observeReport(server fleet.Server, report EngineReport, response callResponse) {
-	if report.StartedUnixMs == 0 || report.StartedUnixMs != server.StartedUnixMs {
-		return
-	}
-	meta := g.opts.Protocol.ParseResponse(response.status, response.header)
-	meta.Leaving = meta.Leaving || report.Leaving
-	g.observeDeparture(server, answerToReport, "", meta)
-}
-
-// observeOrderAnswer records the departure that the answer to an order states. Only
-// the engine that the order names answers otherwise than that it is misdirected.
-func (g *Gateway) observeOrderAnswer(server fleet.Server, response callResponse) {
-	if meta := g.opts.Protocol.ParseResponse(response.status, response.header); !meta.Misdirected {
-		g.observeDeparture(server, answerToOrder, "", meta)
-	}
-}
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -198,12 +198,9 @@
 			return
 		}
 		choice, err := q.choose(ctx)
-		if err != nil && last == nil && q.waitForLimit(ctx) {
+		if err != nil && q.waitForServer(ctx) {
 			continue
 		}
-		if err != nil && last == nil && q.refuseForLimit() {
-			return
-		}
 		if err != nil {
 			q.failNoServer(last)
 			return
@@ -234,6 +231,9 @@
 		q.fail(lastOutcomeOr(last, reasonVersionGone), 0)
 		return
 	}
+	if q.failHeld() {
+		return
+	}
 	reason := reasonNoServer
 	if q.service.allLeaving() {
 		reason = reasonServersLeaving
@@ -319,7 +319,7 @@
 		return true
 	}
 	if !q.retryAfterBackoff(ctx, out, choice) {
-		q.fail(out, busyRetryAfter)
+		q.fail(out, q.retryAfterRefusal())
 		return true
 	}
 	return false
@@ -333,7 +333,7 @@
 	if decision.Action != retry.ActionRetry {
 		return false
 	}
-	if !out.serverUntried {
+	if !out.serverUntried && !out.paused {
 		q.excluded = append(q.excluded, choice.Server.ID)
 	}
 	if decision.Backoff == 0 {
@@ -363,7 +363,7 @@
 			Ran:               out.executed(),
 			AttemptsMade:      q.sends,
 			Exhausted:         out.mayHaveExecuted() && q.possibleExecutions >= q.route.MaxAttempts,
-			Free:              out.prefillLost,
+			Free:              out.prefillLost || out.withdrawn,
 			Remaining:         q.remaining(),
 			PredictedDuration: choice.TimeToFirstEvent,
 			Seed:              q.g.seed.Add(1),
--- a/internal/gateway/limits_test.go
+++ b/internal/gateway/limits_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/marigoldwing/marigoldwing/internal/fleet"
+	"github.com/marigoldwing/marigoldwing/internal/placement"
 	"github.com/marigoldwing/marigoldwing/internal/serverlimit"
 )
 
@@ -38,15 +39,17 @@
 		spec := fleet.Service{Name: "app"}
 		s := g.newService(spec)
 		s.setServers(0, spec, []fleet.Server{{ID: "i-1", Service: "app"}, {ID: "i-2", Service: "app", Leaving: true}})
-		require.Zero(t, s.limitPause(time.Second))
+		require.Equal(t, hold{free: true}, s.hold(time.Second, placement.Request{}))
 		_, changed := s.observeLimit(time.Second, fleet.Server{ID: "i-1"}, 0, serverlimit.Statement{Rate: 0.5, Limited: true})
 		require.True(t, changed)
-		pause := s.limitPause(time.Second)
-		require.True(t, pause.limited)
-		require.Equal(t, []string{"i-1"}, s.pausedServers(time.Second))
-		if pause.ends {
+		h := s.hold(time.Second, placement.Request{})
+		require.True(t, h.held)
+		require.False(t, h.free)
+		require.False(t, h.paused)
+		require.Equal(t, []string{"i-1"}, s.heldServers(time.Second))
+		if h.ends {
 			waiting++
-			require.Equal(t, 2*time.Second, pause.wait)
+			require.Equal(t, 2*time.Second, h.wait)
 		}
 	}
 	require.Equal(t, 1, waiting)
--- a/internal/gateway/outcome.go
+++ b/internal/gateway/outcome.go
@@ -56,6 +56,12 @@
 	// prefillLost is set if the connection of the first prefill of a stream that has
 	// begun before was lost. The run that follows is its first send.
 	prefillLost bool
+	// paused is set if the server refused the request and asked for a pause, which keeps
+	// requests from it.
+	paused bool
+	// withdrawn is set if the request was not sent, because the server has stated since
+	// the choice that it wants none.
+	withdrawn bool
 	// connectionLost is set if the connection ended after the request was sent and
 	// before the answer was complete.
 	connectionLost bool
--- a/internal/gateway/poison.go
+++ b/internal/gateway/poison.go
@@ -142,7 +142,9 @@
 	if !s.isEngineService() {
 		request.Target = s.healthTarget()
 		request.Header = g.opts.Protocol.RequestHeader(http.Header{}, AttemptMeta{ServerID: server.ID, Remaining: engineCallTimeout})
-		return request, g.healthState
+		return request, func(server fleet.Server, response callResponse) poison.Check {
+			return g.healthState(s, server, response)
+		}
 	}
 	if g.opts.StageProtocol != nil {
 		request.Target = g.opts.StageProtocol.ReportTarget()
@@ -169,13 +171,13 @@
 
 // healthState compares the server that answers a health check with the one that lost
 // the connection.
-func (g *Gateway) healthState(server fleet.Server, response callResponse) poison.Check {
+func (g *Gateway) healthState(s *service, server fleet.Server, response callResponse) poison.Check {
 	meta := g.opts.Protocol.ParseResponse(response.status, response.header)
 	switch {
 	case meta.Misdirected || meta.ServerID != "" && meta.ServerID != server.ID:
 		return poison.CheckEnded
 	case meta.ServerID == server.ID:
-		g.observeDeparture(server, answerToHealth, "", meta)
+		g.observeHealth(s, server, meta)
 		return poison.CheckAlive
 	}
 	return poison.CheckUnclear
--- a/internal/gateway/stages.go
+++ b/internal/gateway/stages.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/http"
 	"slices"
@@ -194,19 +195,19 @@
 		return
 	}
 	servers := s.servers()
-	engines, reports := c.reports(ctx, servers)
+	engines, reports := c.reports(ctx, s, servers)
 	next, orders := stageplan.Decide(c.state, stageplan.DefaultOptions(s.engine.StageChangeTime), c.g.now(), engines)
 	c.state = next
 	for _, order := range orders {
 		i := slices.IndexFunc(servers, func(server fleet.Server) bool { return server.ID == order.Engine })
-		c.sendOrder(ctx, servers[i], order, reports[order.Engine])
+		c.sendOrder(ctx, s, servers[i], order, reports[order.Engine])
 	}
 }
 
 // reports polls the engines that are due in this round, in parallel. Engines
 // that are not due are returned as registered. Engines that do not answer, that
 // are leaving or that have no separate stage are left out.
-func (c *stageController) reports(ctx context.Context, servers []fleet.Server) ([]stageplan.Engine, map[string]EngineReport) {
+func (c *stageController) reports(ctx context.Context, s *service, servers []fleet.Server) ([]stageplan.Engine, map[string]EngineReport) {
 	var mu sync.Mutex
 	var known []stageplan.Engine
 	reports := make(map[string]EngineReport, maxPolledEngines)
@@ -218,14 +219,14 @@
 			continue
 		}
 		engine := stageplan.Engine{ID: server.ID, Stage: server.Stage, Changing: c.isPending(server.ID), Slots: server.Slots}
-		if i%rounds != c.pollRound%rounds || c.spare(server) {
+		if i%rounds != c.pollRound%rounds || c.spare(s, server) {
 			mu.Lock()
 			known = append(known, engine)
 			mu.Unlock()
 			continue
 		}
 		reads.Go(func() {
-			report, err := c.report(ctx, server)
+			report, err := c.report(ctx, s, server)
 			if err != nil {
 				c.log.Write(logevent.EngineReportFailed(server.ID, err))
 				return
@@ -248,10 +249,9 @@
 const limitedPollRounds = 10
 
 // spare reports whether an engine is not polled in this round because it has
-// stated a limit.
-func (c *stageController) spare(server fleet.Server) bool {
-	s := c.g.state.Load().services[c.service]
-	return s != nil && s.isLimited(server.ID) && c.pollRound%limitedPollRounds != 0
+// stated a limit or asked for a pause.
+func (c *stageController) spare(s *service, server fleet.Server) bool {
+	return s.isPaused(c.g.now(), server.ID) || s.isLimited(server.ID) && c.pollRound%limitedPollRounds != 0
 }
 
 // isPending reports whether an order without an answer may still be carried
@@ -261,13 +261,14 @@
 	return ok && c.g.now() < until
 }
 
-func (c *stageController) report(ctx context.Context, server fleet.Server) (EngineReport, error) {
+func (c *stageController) report(ctx context.Context, s *service, server fleet.Server) (EngineReport, error) {
 	request := upstream.Request{Method: http.MethodGet, Target: c.protocol.ReportTarget(), Host: server.Address, Header: http.Header{}}
 	response, err := c.g.engineCall(ctx, server, request)
 	if err != nil {
 		return EngineReport{}, err
 	}
 	if response.status != http.StatusOK {
+		c.g.observeReportRefusal(s, server, response)
 		return EngineReport{}, fmt.Errorf("report answered with status %d", response.status)
 	}
 	report, err := c.protocol.ParseReport(response.body)
@@ -279,7 +280,7 @@
 }
 
 // sendOrder sends one order. It checks the lease again immediately before.
-func (c *stageController) sendOrder(ctx context.Context, server fleet.Server, order stageplan.Order, report EngineReport) {
+func (c *stageController) sendOrder(ctx context.Context, s *service, server fleet.Server, order stageplan.Order, report EngineReport) {
 	authority, ok := c.participant.Authority()
 	if !ok || authority.Term != c.term {
 		return
@@ -288,11 +289,14 @@
 		Stage: order.TargetStage, Holder: c.g.opts.Name, FencingToken: c.term, ExpectedOrders: report.OrdersAccepted, ServerID: server.ID,
 	}))
 	outcome := fmt.Sprintf("status %d", response.status)
-	if err != nil {
+	switch {
+	case errors.Is(err, errServerPaused):
+		outcome = err.Error()
+	case err != nil:
 		outcome = err.Error()
 		c.pending[server.ID] = c.g.now() + orderOutcomeTimeout
-	} else {
-		c.g.observeOrderAnswer(server, response)
+	default:
+		c.g.observeOrderAnswer(s, server, response)
 	}
 	c.log.Write(logevent.StageOrderSent(logevent.StageOrder{
 		Server: server.ID, Service: c.service, Stage: order.TargetStage.String(), FencingToken: c.term, ExpectedOrders: report.OrdersAccepted,
@@ -312,7 +316,9 @@
 func (g *Gateway) engineCall(ctx context.Context, server fleet.Server, r upstream.Request) (callResponse, error) {
 	ctx, cancel := context.WithTimeout(ctx, engineCallTimeout)
 	defer cancel()
-	g.chargeCall(server)
+	if !g.mayCall(server) {
+		return callResponse{}, errServerPaused
+	}
 	exchange, err := g.pool.Do(ctx, server.Key(), r, func(http.Header) bool { return true })
 	if err != nil {
 		return callResponse{}, err
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -20,6 +20,9 @@
 	RetryTokens map[string]float64 `json:"retry_tokens"`
 	// ServerLimits are the limits that servers of each service have stated.
 	ServerLimits map[string][]serverlimit.Dump `json:"server_limits"`
+	// Pauses are the servers of each service that have asked for a pause and have not
+	// accepted a request since.
+	Pauses map[string][]serverlimit.PauseDump `json:"pauses"`
 	// BlockedParts are the parts of prompts that are kept from the engines of each
 	// service.
 	BlockedParts map[string][]BlockDump `json:"blocked_parts"`
@@ -59,6 +62,7 @@
 		Services:      make(map[string][]placement.ServerDump, len(current.services)),
 		RetryTokens:   make(map[string]float64, len(current.services)),
 		ServerLimits:  make(map[string][]serverlimit.Dump, len(current.services)),
+		Pauses:        make(map[string][]serverlimit.PauseDump, len(current.services)),
 		BlockedParts:  make(map[string][]BlockDump, len(current.services)),
 	}
 	if current.config != nil {
@@ -70,6 +74,7 @@
 		dump.Services[name] = s.table.Dump(now)
 		dump.RetryTokens[name] = s.budget.Tokens(now)
 		dump.ServerLimits[name] = s.limits.Dump(now)
+		dump.Pauses[name] = s.limits.DumpPauses(now)
 		dump.BlockedParts[name] = dumpBlocks(now, s.poison.Blocks())
 		s.mu.Unlock()
 	}
--- a/internal/logevent/system.go
+++ b/internal/logevent/system.go
@@ -328,14 +328,15 @@
 	// AnswerTo is what the server refused, and RequestID the caller's request, empty if
 	// it was a call of the gateway's own.
 	AnswerTo, RequestID string
-	// Asked is how long the server wants nothing from this gateway.
-	Asked time.Duration
+	// Asked is how long the server wants nothing from this gateway, and Left how long this
+	// gateway now keeps requests from it.
+	Asked, Left time.Duration
 }
 
 // ServerPauses reports that a backend server that refused a request has asked for a pause.
 func ServerPauses(p Pause) Event {
 	e := info("backend server asks for a pause", slog.String(keyServer, p.Server), slog.Int64(keyStarted, p.StartedUnixMs),
-		slog.String(keyService, p.Service), slog.String("answer_to", p.AnswerTo), milliseconds("pause_ms", p.Asked))
+		slog.String(keyService, p.Service), slog.String("answer_to", p.AnswerTo), milliseconds("pause_ms", p.Asked), milliseconds("left_ms", p.Left))
 	e.withText(KeyRequestID, p.RequestID)
 	return e
 }
@@ -345,3 +346,10 @@
 func ServerPauseMalformed(server, service string) Event {
 	return info("pause of a backend server cannot be read", slog.String(keyServer, server), slog.String(keyService, service))
 }
+
+// ServerPauseOver reports that a backend server has accepted a request after its pause, so
+// that it is used without restriction again.
+func ServerPauseOver(server, service, requestID string) Event {
+	return info("backend server accepts requests after its pause", slog.String(keyServer, server), slog.String(keyService, service),
+		slog.String(KeyRequestID, requestID))
+}
--- /dev/null
+++ b/internal/serverlimit/pause.go
@@ -0,0 +1,107 @@
+package serverlimit
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+)
+
+const (
+	// maxPause is the longest pause that is kept to.
+	maxPause = 24 * time.Hour
+	// pauseSpread and maxPauseSpread are the largest part of a pause, and the largest
+	// time, by which a gateway prolongs it, so that the gateways that were refused
+	// together do not come back together.
+	pauseSpread    = 0.1
+	maxPauseSpread = 500 * time.Millisecond
+	// trialTimeout is how long the first request after a pause may stay without an
+	// answer before another one is sent, and trialPoll how long others wait before
+	// they look again.
+	trialTimeout = time.Second
+	trialPoll    = 50 * time.Millisecond
+)
+
+// pause is the pause for which a server has asked.
+type pause struct {
+	// pausedUntil is the end of the pause; 0 if the server has never asked for one.
+	pausedUntil time.Duration
+	// returning is set from the pause until the server has accepted a request, and
+	// trialUntil is how long the answer to the latest one is awaited.
+	returning  bool
+	trialUntil time.Duration
+}
+
+// Pause records that a server has refused a request and wants no more for a time. It
+// returns when this gateway uses the server again. A shorter pause does not end a
+// longer one.
+func (b *Book) Pause(now time.Duration, key Server, asked time.Duration) (until time.Duration) {
+	s := b.server(key)
+	if s == nil {
+		return now
+	}
+	asked = min(asked, maxPause)
+	spread := min(time.Duration(pauseSpread*float64(asked)), maxPauseSpread)
+	own := float64(rankHash(key.ID, b.self)) / math.MaxUint64
+	s.pausedUntil = max(s.pausedUntil, now+asked+time.Duration(own*float64(spread)))
+	s.returning, s.trialUntil = true, 0
+	return s.pausedUntil
+}
+
+// Accepted records that a server has answered a request that was sent to it at sentAt,
+// and did not refuse it. It reports whether the server is used again without
+// restriction from now on. Requests that were sent before the end of the pause show
+// nothing.
+func (b *Book) Accepted(key Server, sentAt time.Duration) bool {
+	s := b.servers[key.ID]
+	if s == nil || !s.returning || key.StartedUnixMs < s.startedUnixMs || sentAt < s.pausedUntil {
+		return false
+	}
+	s.returning = false
+	return true
+}
+
+// Paused reports whether a server wants nothing at present.
+func (b *Book) Paused(now time.Duration, id string) bool {
+	s := b.servers[id]
+	return s != nil && now < s.pausedUntil
+}
+
+// wait returns the time until a request may be sent.
+func (p *pause) wait(now time.Duration) time.Duration {
+	switch {
+	case now < p.pausedUntil:
+		return p.pausedUntil - now
+	case p.returning && now < p.trialUntil:
+		return min(trialPoll, p.trialUntil-now)
+	}
+	return 0
+}
+
+// charge counts a request that is sent.
+func (p *pause) charge(now time.Duration) {
+	if p.returning && now >= p.pausedUntil {
+		p.trialUntil = now + trialTimeout
+	}
+}
+
+// PauseDump is the pause of one server as shown in the state of a gateway.
+type PauseDump struct {
+	ServerID string `json:"server"`
+	// LeftMS is what is left of the pause; 0 if it has ended and the server has not
+	// accepted a request since.
+	LeftMS int64 `json:"left_ms"`
+}
+
+// DumpPauses returns the servers that have asked for a pause and have not accepted a
+// request since, by server.
+func (b *Book) DumpPauses(now time.Duration) []PauseDump {
+	dump := make([]PauseDump, 0, len(b.servers))
+	for id, s := range b.servers {
+		if s.returning {
+			dump = append(dump, PauseDump{ServerID: id, LeftMS: max(0, s.pausedUntil-now).Milliseconds()})
+		}
+	}
+	slices.SortFunc(dump, func(a, b PauseDump) int { return cmp.Compare(a.ServerID, b.ServerID) })
+	return dump
+}
--- a/internal/serverlimit/serverlimit.go
+++ b/internal/serverlimit/serverlimit.go
@@ -1,23 +1,29 @@
-// Package serverlimit keeps to the request rates that backend servers in need ask
-// for. A server states the rate that it takes from all gateways together, for as
-// long as it says so.
+// Package serverlimit keeps to what backend servers in need ask for: a request rate,
+// or a pause. A server states the rate that it takes from all gateways together, for
+// as long as it says so. When it refuses a request it may ask this gateway for a
+// pause.
 //
 // Each gateway uses a share of the rate and spaces its requests evenly. The
 // gateways that may send to a limited server are determined by rendezvous hashing,
 // so that all of them agree without communication. Their number is bounded by the
 // rate, because each may be one request ahead of its share.
 //
-// A limit holds for one start of a server, whether or not it is registered meanwhile.
-// The next start under the same ID has stated nothing.
+// After a pause, a server gets one request at a time until it has accepted one: it may
+// not have recovered, and many callers may be waiting for it.
+//
+// Both hold for one start of a server, whether or not it is registered meanwhile. The
+// next start under the same ID has asked for nothing.
 //
 // A Book holds what one gateway knows of the servers of one service. The caller
 // must call:
 //
 //   - SetGateways when the fleet of gateways changes, and Retain when the
 //     registered servers change;
-//   - Observe for each answer of a server, and Merge for each report of another
-//     gateway;
-//   - Allows before a server is chosen, and Charge for each request sent to it.
+//   - Observe for each answer of a server, Pause for each refusal that asks for a
+//     pause, Accepted for each answer that is no refusal, and Merge for each report of
+//     another gateway;
+//   - Allows before a server is chosen, Charge for each request sent to it, and
+//     ChargeCall for each other call.
 //
 // The package does no I/O, never blocks and takes all times as arguments. They
 // are durations since an origin that the caller fixes once. A Book is not safe
@@ -83,6 +89,7 @@
 	unregisteredAt time.Duration
 
 	limit
+	pause
 }
 
 // limit is the limit of one server.
@@ -104,7 +111,7 @@
 }
 
 // memory is how long what a server that is no longer registered has asked for is
-// remembered. Registrations that expire in an
+// remembered, at least until the end of its pause. Registrations that expire in an
 // outage of the store, or are missing from a copy from which it is restored, are back
 // sooner.
 const memory = time.Minute
@@ -125,7 +132,7 @@
 		}
 		// A server that does not state its start and is registered again may be
 		// another start.
-		isGone := !s.registered && (s.startedUnixMs == 0 || now > s.unregisteredAt+memory)
+		isGone := !s.registered && (s.startedUnixMs == 0 || now > max(s.unregisteredAt+memory, s.pausedUntil))
 		if isGone || start > s.startedUnixMs {
 			delete(b.servers, id)
 		}
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -38,6 +38,9 @@
 	Host   string
 	Header http.Header
 	Body   []byte
+	// Permit reports whether the request may still be sent. It is called once the
+	// connection is established. Nil permits all requests.
+	Permit func() bool
 }
 
 // Exchange is one request and its response on a connection.
@@ -66,6 +69,10 @@
 	if err != nil {
 		return nil, err
 	}
+	if r.Permit != nil && !r.Permit() {
+		p.put(server, conn)
+		return nil, ErrNotPermitted
+	}
 	e := &Exchange{pool: p, server: server, conn: conn, sent: make(chan struct{})}
 	// A deadline in the past interrupts reads and writes in progress.
 	e.stopWatch = context.AfterFunc(ctx, func() { _ = conn.netConn.SetDeadline(time.Unix(1, 0)) })
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -45,6 +45,10 @@
 // have been executed.
 var ErrNotSent = errors.New("request was not sent")
 
+// ErrNotPermitted is returned if the request was not sent because Request.Permit did not
+// permit it any more. It wraps ErrNotSent.
+var ErrNotPermitted = fmt.Errorf("%w: no longer permitted", ErrNotSent)
+
 // Pool keeps idle connections to backend servers. It is safe for concurrent
 // use.
 type Pool struct {
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -97,6 +97,34 @@
 	require.ErrorIs(t, err, ErrNotSent)
 }
 
+// TestRequestIsPermittedOnceConnectionStands checks that a request that is not permitted
+// once its connection is established is not sent, and that the connection is used by the
+// next one.
+func TestRequestIsPermittedOnceConnectionStands(t *testing.T) {
+	key, read := startServer(t, func(conn net.Conn, _ *bufio.Reader, reads func() bool) {
+		for reads() {
+			write(conn, completeResponse)
+		}
+	})
+	p := NewPool()
+	refused := get
+	refused.Permit = func() bool {
+		require.Equal(t, int64(1), p.ConnectionsOpened())
+		return false
+	}
+	_, err := p.Do(t.Context(), key, refused, isMine)
+	require.ErrorIs(t, err, ErrNotPermitted)
+	require.ErrorIs(t, err, ErrNotSent)
+	permitted := get
+	permitted.Permit = func() bool { return true }
+	e, err := p.Do(t.Context(), key, permitted, isMine)
+	require.NoError(t, err)
+	_, err = readBody(t, e)
+	require.NoError(t, err)
+	require.Equal(t, int64(1), read.Load())
+	require.Equal(t, int64(1), p.ConnectionsOpened())
+}
+
 // TestClosedConnectionIsNotRetried guards against the silent retry of a request
 // whose kept connection the server closes at that moment. The request was
 // written, so it may have been executed and must be sent only once.
