Find registered servers in one place

Callers see one change: servers_leaving is said when all servers that run requests leave, whether or not prefill engines stay.

--- a/internal/gateway/coordinate.go
+++ b/internal/gateway/coordinate.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"sync/atomic"
 	"time"
 
@@ -207,9 +206,6 @@
 // usable returns a server and whether it may receive a request. The caller
 // holds s.mu.
 func (s *service) usable(now time.Duration, id string) (fleet.Server, bool) {
-	i := slices.IndexFunc(s.registered, func(server fleet.Server) bool { return server.ID == id })
-	if i < 0 || !s.table.Usable(now, id) {
-		return fleet.Server{}, false
-	}
-	return s.registered[i], true
+	server, registered := s.find(id)
+	return server, registered && s.table.Usable(now, id)
 }
--- a/internal/gateway/departures.go
+++ b/internal/gateway/departures.go
@@ -175,17 +175,23 @@
 func (s *service) server(id string) (fleet.Server, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	i := slices.IndexFunc(s.registered, func(server fleet.Server) bool { return server.ID == id })
-	if i < 0 {
-		return fleet.Server{}, false
-	}
-	return s.registered[i], true
+	return s.find(id)
 }
 
-// allLeaving reports whether the service has servers and all of them leave.
+// allLeaving reports whether the service has servers that run requests and all of them
+// leave.
 func (s *service) allLeaving() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	stays := func(server fleet.Server) bool { return !server.Leaving }
-	return len(s.registered) > 0 && !slices.ContainsFunc(s.registered, stays)
+	leaving := false
+	for _, server := range s.registered {
+		if server.Stage == fleet.StagePrefill {
+			continue
+		}
+		if !server.Leaving {
+			return false
+		}
+		leaving = true
+	}
+	return leaving
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -330,6 +330,16 @@
 	return crashes
 }
 
+// find returns a registered server. The caller holds s.mu.
+func (s *service) find(id string) (fleet.Server, bool) {
+	for _, server := range s.registered {
+		if server.ID == id {
+			return server, true
+		}
+	}
+	return fleet.Server{}, false
+}
+
 // servers returns the registered servers.
 func (s *service) servers() []fleet.Server {
 	s.mu.Lock()
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"slices"
 	"time"
 
 	peerv1 "github.com/marigoldwing/marigoldwing/api/peer/v1"
@@ -91,14 +90,11 @@
 func (s *service) mergeLimit(now time.Duration, r serverlimit.Report) (serverlimit.Change, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	i := slices.IndexFunc(s.registered, func(server fleet.Server) bool { return server.ID == r.ID })
-	if i < 0 {
-		return serverlimit.Change{}, false
-	}
+	server, registered := s.find(r.ID)
 	if r.StartedUnixMs == 0 {
-		r.StartedUnixMs = s.registered[i].StartedUnixMs
+		r.StartedUnixMs = server.StartedUnixMs
 	}
-	if r.StartedUnixMs < s.registered[i].StartedUnixMs {
+	if !registered || r.StartedUnixMs < server.StartedUnixMs {
 		return serverlimit.Change{}, false
 	}
 	return s.limits.Merge(now, r)
--- a/internal/gateway/pauses.go
+++ b/internal/gateway/pauses.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"slices"
 	"time"
 
 	"github.com/marigoldwing/marigoldwing/internal/fleet"
@@ -78,8 +77,8 @@
 func (s *service) mayReceive(now time.Duration, server fleet.Key) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	i := slices.IndexFunc(s.registered, func(r fleet.Server) bool { return r.Key() == server })
-	return i >= 0 && !s.registered[i].Leaving && !s.limits.Paused(now, server.ID)
+	registered, ok := s.find(server.ID)
+	return ok && registered.Key() == server && !registered.Leaving && !s.limits.Paused(now, server.ID)
 }
 
 func (s *service) mayCall(now time.Duration, id string) bool {
--- a/internal/gateway/stages.go
+++ b/internal/gateway/stages.go
@@ -291,7 +291,7 @@
 	outcome := fmt.Sprintf("status %d", response.status)
 	switch {
 	case errors.Is(err, errServerPaused):
-		outcome = err.Error()
+		outcome = "not sent: " + err.Error()
 	case err != nil:
 		outcome = err.Error()
 		c.pending[server.ID] = c.g.now() + orderOutcomeTimeout
--- a/internal/gateway/streams.go
+++ b/internal/gateway/streams.go
@@ -268,10 +268,8 @@
 func (s *service) versionOf(id, otherwise string) string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, server := range s.registered {
-		if server.ID == id {
-			return server.Version
-		}
+	if server, registered := s.find(id); registered {
+		return server.Version
 	}
 	return otherwise
 }
