Count the first request after a pause when it is permitted

What callers saw: now and then two of them were sent at once to a server that had just come back from its pause, and were both refused.

Cause: a request was chosen under one lock and counted under another, so that two could be chosen in between.

The permission at the moment of the send decides and counts under one lock; a request that comes second is withdrawn and chooses again.

--- a/internal/gateway/pauses.go
+++ b/internal/gateway/pauses.go
@@ -73,12 +73,13 @@
 	return s.limits.Paused(now, id)
 }
 
-// mayReceive reports whether a caller's request may be sent to a server.
+// mayReceive reports whether a caller's request that was chosen for a server may be sent
+// to it now.
 func (s *service) mayReceive(now time.Duration, server fleet.Key) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	registered, ok := s.find(server.ID)
-	return ok && registered.Key() == server && !registered.Leaving && !s.limits.Paused(now, server.ID)
+	return ok && registered.Key() == server && !registered.Leaving && s.limits.Permit(now, server.ID)
 }
 
 func (s *service) mayCall(now time.Duration, id string) bool {
@@ -87,6 +88,6 @@
 	if s.limits.Paused(now, id) {
 		return false
 	}
-	s.limits.ChargeCall(now, id)
+	s.limits.Charge(now, id)
 	return true
 }
--- a/internal/serverlimit/pause.go
+++ b/internal/serverlimit/pause.go
@@ -67,6 +67,23 @@
 	return s != nil && now < s.pausedUntil
 }
 
+// Permit reports whether a request that was chosen for a server may be sent to it now. If
+// the server has not accepted one since its pause, the request shows whether it does, and
+// no other is permitted until then.
+func (b *Book) Permit(now time.Duration, id string) bool {
+	s := b.servers[id]
+	if s == nil {
+		return true
+	}
+	if s.pause.wait(now) > 0 {
+		return false
+	}
+	if s.returning {
+		s.trialUntil = now + trialTimeout
+	}
+	return true
+}
+
 // wait returns the time until a request may be sent.
 func (p *pause) wait(now time.Duration) time.Duration {
 	switch {
@@ -78,13 +95,6 @@
 	return 0
 }
 
-// charge counts a request that is sent.
-func (p *pause) charge(now time.Duration) {
-	if p.returning && now >= p.pausedUntil {
-		p.trialUntil = now + trialTimeout
-	}
-}
-
 // PauseDump is the pause of one server as shown in the state of a gateway.
 type PauseDump struct {
 	ServerID string `json:"server"`
--- a/internal/serverlimit/serverlimit.go
+++ b/internal/serverlimit/serverlimit.go
@@ -22,8 +22,8 @@
 //   - Observe for each answer of a server, Pause for each refusal that asks for a
 //     pause, Accepted for each answer that is no refusal, and Merge for each report of
 //     another gateway;
-//   - Allows before a server is chosen, Charge for each request sent to it, and
-//     ChargeCall for each other call.
+//   - Allows before a server is chosen, Charge for each request or call to it, and
+//     Permit for each request at the moment of its send.
 //
 // The package does no I/O, never blocks and takes all times as arguments. They
 // are durations since an origin that the caller fixes once. A Book is not safe
--- a/internal/serverlimit/share.go
+++ b/internal/serverlimit/share.go
@@ -81,17 +81,8 @@
 	return max(wait, s.nextAt-now), s.share > 0
 }
 
-// Charge counts a request that is sent to a server.
+// Charge counts a request or another call to a server against its limit.
 func (b *Book) Charge(now time.Duration, id string) {
-	b.ChargeCall(now, id)
-	if s := b.servers[id]; s != nil {
-		s.pause.charge(now)
-	}
-}
-
-// ChargeCall counts a call to a server that is no request of a caller. It does not show
-// whether the server accepts requests.
-func (b *Book) ChargeCall(now time.Duration, id string) {
 	if b.Limited(id) {
 		s := b.servers[id]
 		s.nextAt = max(s.nextAt, now) + s.interval()
