Let a requested pause take the place of the guessed one

What callers saw: a server that had said when it takes requests again was kept from them for longer, up to a second, because its earlier refusals counted as well; a stream that waits for the servers of its version was refused although they were back.

Cause: the backoff after refusals, which grows with each of them, went on beside the pause.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -119,7 +119,7 @@
 		return nil, q.prefillLost(ctx, c, err)
 	}
 	if response.NotExecuted {
-		q.service.recordRefusal(q.g.now(), c.PrefillServer.ID)
+		q.service.recordRefusal(q.g.now(), c.PrefillServer.ID, response.Pause)
 		return nil, q.prefillFailed(ctx, c, fmt.Sprintf("refused with status %d", exchange.Response.StatusCode))
 	}
 	if response.RequestID != q.meta.ID {
@@ -271,7 +271,7 @@
 	if response.NotExecuted && meta.KVSource == nil {
 		// With a KV source, the server may have refused the source rather than
 		// the request.
-		q.service.recordRefusal(q.g.now(), c.Server.ID)
+		q.service.recordRefusal(q.g.now(), c.Server.ID, response.Pause)
 	} else if !response.NotExecuted {
 		q.service.recordAcceptance(c.Server.ID)
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -426,10 +426,10 @@
 	s.table.RecordLoad(now, id, meta.Load)
 }
 
-func (s *service) recordRefusal(now time.Duration, id string) {
+func (s *service) recordRefusal(now time.Duration, id string, pause time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.table.RecordRefusal(now, id)
+	s.table.RecordRefusal(now, id, pause)
 }
 
 func (s *service) recordAcceptance(id string) {
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -154,7 +154,7 @@
 	table := newTable(engines(0, 2))
 	first, err := table.Choose(0, short(1))
 	require.NoError(t, err)
-	table.RecordRefusal(0, first.Server.ID)
+	table.RecordRefusal(0, first.Server.ID, 0)
 	c, err := table.Choose(time.Millisecond, short(1))
 	require.NoError(t, err)
 	require.NotEqual(t, first.Server.ID, c.Server.ID)
--- a/internal/placement/table.go
+++ b/internal/placement/table.go
@@ -254,10 +254,11 @@
 
 // RecordRefusal records that a server refused a request because it was full or
 // was executing an order. The server is not usable until the end of an
-// exponential backoff.
-func (t *Table) RecordRefusal(now time.Duration, id string) {
+// exponential backoff. A pause for which the server has asked takes its place,
+// unless it is shorter than any backoff; the caller keeps to it.
+func (t *Table) RecordRefusal(now time.Duration, id string, pause time.Duration) {
 	s := t.find(id)
-	if s == nil || now < s.backoffUntil {
+	if s == nil || now < s.backoffUntil || pause >= minRefusalBackoff {
 		return
 	}
 	backoff := min(minRefusalBackoff<<min(s.consecutiveRefusals, 8), maxRefusalBackoff)
