--- a/internal/gateway/log.go
+++ b/internal/gateway/log.go
@@ -25,6 +25,7 @@
 		FetchFrom:     c.FetchFrom,
 		Result:        out.result.String(),
 		Reason:        out.reason,
+		Sent:          max(0, q.sentAt-q.arrivedAt),
 		Elapsed:       q.g.now() - q.arrivedAt,
 		PlacedBy:      q.placedBy,
 		ServerVersion: c.Server.Version,
--- a/internal/logevent/logevent_test.go
+++ b/internal/logevent/logevent_test.go
@@ -33,12 +33,13 @@
 func TestAttemptFields(t *testing.T) {
 	plain := Attempt{
 		RequestID: "r1", Route: "stamps", Service: "passport", ConfigVersion: 4, Number: 1, Server: "i-1",
-		Predicted: 20 * time.Millisecond, LoadAge: -time.Millisecond, Result: "delivered", Elapsed: 31 * time.Millisecond,
+		Predicted: 20 * time.Millisecond, LoadAge: -time.Millisecond, Result: "delivered",
+		Sent: 4 * time.Millisecond, Elapsed: 31 * time.Millisecond,
 	}
 	require.Equal(t, map[string]any{
 		"level": "INFO", "msg": "attempt", "request_id": "r1", "route": "stamps", "service": "passport",
 		"config_version": 4.0, "attempt": 1.0, "server": "i-1", "predicted_ms": 20.0, "load_age_ms": -1.0,
-		"result": "delivered", "elapsed_ms": 31.0,
+		"result": "delivered", "sent_ms": 4.0, "elapsed_ms": 31.0,
 	}, line(t, slog.LevelInfo, plain.Event()))
 
 	split := plain
--- a/internal/logevent/request.go
+++ b/internal/logevent/request.go
@@ -51,8 +51,9 @@
 	LostRequest string
 	Result      string
 	Reason      string
-	// Elapsed is the time since the request arrived.
-	Elapsed time.Duration
+	// Sent is the time from the arrival of the request to the latest send to a server
+	// that is to run it, and Elapsed that to the end of the attempt.
+	Sent, Elapsed time.Duration
 }
 
 // StreamEnd describes how a server ended a stream.
@@ -74,7 +75,7 @@
 
 // attemptFields is the largest number of fields of an Attempt line. It sizes
 // the field slice so that one allocation suffices.
-const attemptFields = 24
+const attemptFields = 25
 
 // Event returns the log line.
 func (a Attempt) Event() Event {
@@ -111,6 +112,7 @@
 	e.withText("lost_request", a.LostRequest)
 	e.with(slog.String(keyResult, a.Result))
 	e.withText(keyReason, a.Reason)
+	e.with(milliseconds("sent_ms", a.Sent))
 	e.with(milliseconds(keyElapsed, a.Elapsed))
 	return e
 }
--- a/internal/logtrace/summary_test.go
+++ b/internal/logtrace/summary_test.go
@@ -19,7 +19,9 @@
 {"time":"2026-12-04T10:00:11Z","msg":"request ended","request_id":"r6","route":"ask","outcome":"caller_left","attempts":1,"elapsed_ms":8000,"first_event_ms":100,"server":"d2"}
 {"time":"2026-12-04T10:00:11Z","msg":"request ended","request_id":"r7","route":"ask","outcome":"answered","attempts":2,"elapsed_ms":800,"first_event_ms":700,"objective_ms":300,"server":"d2"}
 {"time":"2026-12-04T10:00:11Z","msg":"request ended","request_id":"r8","route":"book","outcome":"answered","attempts":1,"elapsed_ms":150,"objective_ms":100,"server":"s1"}
-{"time":"broken","msg":"request ended","request_id":"r9"
+{"time":"2026-12-04T10:00:12Z","msg":"request ended","request_id":"r9","route":"book","outcome":"refused","reason":"servers_paused","attempts":0,"elapsed_ms":1}
+{"time":"2026-12-04T10:00:12Z","msg":"request ended","request_id":"r10","route":"book","outcome":"refused","reason":"servers_leaving","attempts":0,"elapsed_ms":1}
+{"time":"broken","msg":"request ended","request_id":"r11"
 `
 
 // TestSummaryNamesCauses checks the cause and the server of each request that
@@ -27,7 +29,7 @@
 func TestSummaryNamesCauses(t *testing.T) {
 	s := NewSummary(10 * time.Second)
 	require.NoError(t, s.Read(strings.NewReader(gatewayLogs)))
-	require.Equal(t, map[string]int{"ask": 6, "book": 2}, s.Requests)
+	require.Equal(t, map[string]int{"ask": 6, "book": 4}, s.Requests)
 	require.Equal(t, []Row{
 		{0, "ask", CausePredictedLate, "p1", 1},
 		{0, "ask", CausePrefill, "p1", 1},
@@ -36,6 +38,8 @@
 		{10 * time.Second, "ask", CauseLeftBefore, "d2", 1},
 		{10 * time.Second, "ask", CauseRetried, "d2", 1},
 		{10 * time.Second, "book", CauseDecode, "s1", 1},
+		{10 * time.Second, "book", "refused: servers_leaving", "", 1},
+		{10 * time.Second, "book", "refused: servers_paused", "", 1},
 	}, s.Rows())
 	var out bytes.Buffer
 	require.NoError(t, s.Write(&out))
