Keep what is left of a pause for the next start of its server

What callers saw: a gateway that was cut off from the store sent dozens of requests to a server in the pause for which it had just asked.

Cause: answers do not name the start of their server. The refusal of an engine that had crashed and started again was counted for the start that was still registered; the registration of the new one, read from the store once it was reached again, then ended the pause.

TestPauseOfNextStartIsKept failed before. The same confusion as with departures, where the next start is asked; a pause is short enough to be kept.

The next start keeps what is left, 3 s at most, and then gets one request at a time, so that one that does want nothing gets no more than it may.

--- a/internal/serverlimit/pause.go
+++ b/internal/serverlimit/pause.go
@@ -20,6 +20,10 @@
 	// they look again.
 	trialTimeout = time.Second
 	trialPoll    = 50 * time.Millisecond
+	// maxNextStartPause bounds what the next start of a server keeps of a pause. It
+	// exceeds the time after which the registration of a start is known while the store
+	// answers.
+	maxNextStartPause = 3 * time.Second
 )
 
 // pause is the pause for which a server has asked.
@@ -84,6 +88,14 @@
 	return true
 }
 
+// ofNextStart returns the pause of the next start of the server.
+func (p *pause) ofNextStart(now time.Duration) pause {
+	if now >= p.pausedUntil {
+		return pause{}
+	}
+	return pause{pausedUntil: min(p.pausedUntil, now+maxNextStartPause), returning: true}
+}
+
 // wait returns the time until a request may be sent.
 func (p *pause) wait(now time.Duration) time.Duration {
 	switch {
--- a/internal/serverlimit/pause_test.go
+++ b/internal/serverlimit/pause_test.go
@@ -85,7 +85,11 @@
 	}
 	b := state()
 	b.Retain(2*time.Second, []Server{next})
-	require.False(t, b.Paused(2*time.Second, serverID))
+	require.True(t, b.Paused(2*time.Second, serverID), "the refusal may have been its own")
+	end := 2*time.Second + maxNextStartPause
+	require.False(t, b.Paused(end, serverID))
+	require.True(t, b.Permit(end, serverID))
+	require.False(t, b.Permit(end, serverID), "one at a time until it accepts one")
 	b = state()
 	b.Pause(2*time.Second, next, time.Second)
 	require.False(t, b.Paused(time.Minute, serverID), "the next start has asked for less")
--- a/internal/serverlimit/serverlimit.go
+++ b/internal/serverlimit/serverlimit.go
@@ -12,7 +12,8 @@
 // not have recovered, and many callers may be waiting for it.
 //
 // Both hold for one start of a server, whether or not it is registered meanwhile. The
-// next start under the same ID has asked for nothing.
+// next start under the same ID has no limit. Answers do not name the start, so that it
+// keeps what is left of a pause for a short time: the refusal may have been its own.
 //
 // A Book holds what one gateway knows of the servers of one service. The caller
 // must call:
@@ -133,8 +134,11 @@
 		// A server that does not state its start and is registered again may be
 		// another start.
 		isGone := !s.registered && (s.startedUnixMs == 0 || now > max(s.unregisteredAt+memory, s.pausedUntil))
-		if isGone || start > s.startedUnixMs {
+		switch {
+		case isGone:
 			delete(b.servers, id)
+		case start > s.startedUnixMs:
+			b.servers[id] = &server{startedUnixMs: start, registered: true, pause: s.pause.ofNextStart(now)}
 		}
 	}
 }
