Let the test of the resumed planner log why it sees no new planner

The one on the planner took an error of the store for a missing plan without a word, so that the one failure cannot be told from a plan that was not written. Nothing changes for callers.

--- a/test/e2e/fencing_test.go
+++ b/test/e2e/fencing_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"net/http"
 	"strings"
 	"testing"
@@ -14,6 +15,7 @@
 	configv1 "github.com/marigoldwing/marigoldwing/api/config/v1"
 	peerv1 "github.com/marigoldwing/marigoldwing/api/peer/v1"
 	"github.com/marigoldwing/marigoldwing/internal/lease"
+	"github.com/marigoldwing/marigoldwing/internal/platform"
 	"github.com/marigoldwing/marigoldwing/internal/plannerloop"
 	"github.com/marigoldwing/marigoldwing/internal/reconcile"
 	"github.com/marigoldwing/marigoldwing/internal/standin/engine"
@@ -130,7 +132,11 @@
 	ctx, cancel := context.WithTimeout(context.Background(), startTimeout)
 	defer cancel()
 	obj, err := f.store.Get(ctx, plannerloop.PlanKey(modelService))
+	if errors.Is(err, platform.ErrNotFound) {
+		return nil
+	}
 	if err != nil {
+		f.t.Logf("%s: reading the plan: %v", time.Now().Format(time.StampMilli), err)
 		return nil
 	}
 	plan, err := plannerloop.DecodePlan(obj)
@@ -168,8 +174,13 @@
 	holder := f.planner(f.storedPlan())
 	require.NotNil(t, holder)
 	holder.pause()
+	t.Logf("%s: %s is paused", time.Now().Format(time.StampMilli), holder.name)
 	require.Eventually(t, func() bool {
-		m := f.planner(f.storedPlan())
+		plan := f.storedPlan()
+		m := f.planner(plan)
+		if m == nil {
+			t.Logf("%s: plan %d of %q", time.Now().Format(time.StampMilli), plan.GetVersion(), plan.GetPlanner())
+		}
 		return m != nil && m != holder
 	}, 3*lease.DefaultTTL, 200*time.Millisecond, "no entry takes over the lease")
 	plan := f.storedPlan()
