--- a/internal/departure/departure_test.go
+++ b/internal/departure/departure_test.go
@@ -19,7 +19,7 @@
 	return fleet.Server{ID: id, Address: "10.0.0.1:80", StartedUnixMs: started, Leaving: leaving}
 }
 
-// A statement is news once and holds for one start of a server.
+// A statement is reported as new once and holds for one start of a server.
 func TestDepartureHoldsForOneStart(t *testing.T) {
 	b := New()
 	require.True(t, b.Observe(time.Second, key("a", 1)))
@@ -29,8 +29,7 @@
 	require.False(t, b.Leaving(key("b", 1)), "another server at the address")
 }
 
-// A registered server leaves for as long as it is registered, and one whose
-// registration was missing for a while is still the same start.
+// A departure lasts as long as the registration, and over its absence.
 func TestDepartureDoesNotExpire(t *testing.T) {
 	b := New()
 	b.Observe(time.Second, key("a", 1))
@@ -43,8 +42,7 @@
 	require.True(t, b.Leaving(key("a", 1)))
 }
 
-// A server that does not state its start may be another one when it is registered
-// again.
+// A server without a start time may be another one when it is registered again.
 func TestDepartureOfUnknownStartEndsWithRegistration(t *testing.T) {
 	b := New()
 	b.Observe(time.Second, key("a", 0))
@@ -87,8 +85,7 @@
 	require.Equal(t, []Report{{ServerID: "a", StartedUnixMs: 1, Age: 2 * time.Second}}, b.Reports(3*time.Second))
 }
 
-// Departures are reported while others may not know them: for a while, and for as long
-// as the registration says otherwise.
+// Departures are reported while others may not know them.
 func TestReportsEndOnceRegistrationStatesDeparture(t *testing.T) {
 	b := New()
 	b.Observe(time.Second, key("a", 1))
@@ -115,8 +112,7 @@
 	require.Equal(t, fmt.Sprintf("s%02d", 3*maxReports-1), reports[0].ServerID)
 }
 
-// A registration that is older than the statement, or does not name the start, is of the
-// server that leaves.
+// A registration of an earlier start, or of none, is of the server that leaves.
 func TestDepartureHoldsForOlderRegistrations(t *testing.T) {
 	b := New()
 	b.Observe(time.Second, key("a", 5))
@@ -130,8 +126,7 @@
 	require.False(t, other.Leaving(key("a", 6)))
 }
 
-// The next start of a server that has left is unclear until it was asked, since the
-// statement may have been its own.
+// The statement may have been that of the next start.
 func TestNextStartIsUnclearUntilAsked(t *testing.T) {
 	b := New()
 	require.False(t, b.Unclear(key("a", 2)), "nothing was stated")
--- a/internal/departure/spread_test.go
+++ b/internal/departure/spread_test.go
@@ -31,8 +31,8 @@
 	return f
 }
 
-// round lets every gateway exchange heartbeats with the peers whose turn it is. They tell
-// each other what they knew before the round.
+// round lets every gateway exchange heartbeats with the peers whose turn it is. They exchange
+// what they knew before the round.
 func (f *spreadFleet) round(now time.Duration, servers []fleet.Server) {
 	var reports [][]Report
 	for _, b := range f.books {
@@ -71,8 +71,7 @@
 	return n
 }
 
-// At the size of the target, all gateways know of a departure within two seconds from
-// the answer that one of them got, while seven other servers leave.
+// At the target's size all gateways know within two seconds, while eight servers leave.
 func TestDepartureSpreadsThroughLargeFleet(t *testing.T) {
 	const gateways = 350
 	var servers []fleet.Server
--- a/internal/gateway/pauses_test.go
+++ b/internal/gateway/pauses_test.go
@@ -20,8 +20,7 @@
 	return g, s
 }
 
-// TestRequestIsWithdrawnBeforeSend checks to which servers a request is still sent that was
-// chosen before they stated what they want.
+// TestRequestIsWithdrawnBeforeSend checks requests that were chosen before a statement.
 func TestRequestIsWithdrawnBeforeSend(t *testing.T) {
 	ready, leaving, paused := fleet.Server{ID: "i-1", StartedUnixMs: 1}, fleet.Server{ID: "i-2"}, fleet.Server{ID: "i-3"}
 	_, s := newTestService(ready, leaving, paused)
@@ -39,8 +38,7 @@
 	require.True(t, s.mayCall(3*time.Second, "i-3"))
 }
 
-// TestHoldNamesFirstServerToReturn checks what keeps a request from the servers that could
-// run it: not those of another software version or stage, nor those that leave.
+// TestHoldNamesFirstServerToReturn checks versions, stages and servers that leave.
 func TestHoldNamesFirstServerToReturn(t *testing.T) {
 	a, b := fleet.Server{ID: "i-a", Stage: fleet.StageDecode, Version: "v1"}, fleet.Server{ID: "i-b", Stage: fleet.StageDecode, Version: "v2"}
 	prefill, leaving := fleet.Server{ID: "i-p", Stage: fleet.StagePrefill}, fleet.Server{ID: "i-l", Stage: fleet.StageDecode, Leaving: true}
--- a/internal/serverlimit/pause_test.go
+++ b/internal/serverlimit/pause_test.go
@@ -8,8 +8,7 @@
 	"github.com/stretchr/testify/require"
 )
 
-// TestPauseEnds checks that nothing is allowed until the end of a pause, which may be
-// prolonged a little, and something from then on.
+// TestPauseEnds checks that nothing is allowed until the end of a pause.
 func TestPauseEnds(t *testing.T) {
 	for _, asked := range []time.Duration{0, time.Millisecond, 300 * time.Millisecond, 3 * time.Second, time.Hour} {
 		b := New("a", 1)
@@ -38,8 +37,7 @@
 	require.Greater(t, b.Pause(3*time.Second, theServer, 5*time.Second), long)
 }
 
-// TestGatewaysReturnApart checks that gateways that were refused together do not come back
-// together.
+// TestGatewaysReturnApart checks gateways that were refused together.
 func TestGatewaysReturnApart(t *testing.T) {
 	ends := make(map[time.Duration]bool)
 	for i := range 50 {
@@ -48,8 +46,7 @@
 	require.Greater(t, len(ends), 35)
 }
 
-// TestOneRequestAtATimeAfterPause checks that a server that has not accepted a request
-// since its pause gets one at a time.
+// TestOneRequestAtATimeAfterPause checks a server that has not accepted a request since.
 func TestOneRequestAtATimeAfterPause(t *testing.T) {
 	b := New("a", 1)
 	end := b.Pause(time.Second, theServer, time.Second)
@@ -69,8 +66,7 @@
 	require.False(t, b.Accepted(theServer, end), "known")
 }
 
-// TestPauseHoldsForOneStart checks that a pause outlives a registration that is missing for
-// a while, and not the start of the server.
+// TestPauseHoldsForOneStart checks missing registrations and a next start.
 func TestPauseHoldsForOneStart(t *testing.T) {
 	next := Server{ID: serverID, StartedUnixMs: 2}
 	state := func() *Book {
@@ -97,8 +93,7 @@
 	require.False(t, b.Paused(time.Minute, serverID))
 }
 
-// TestStatementsOfGoneServersAreForgotten checks that servers that come and go for days
-// take no memory.
+// TestStatementsOfGoneServersAreForgotten checks servers that come and go for hours.
 func TestStatementsOfGoneServersAreForgotten(t *testing.T) {
 	b := New("a", 1)
 	now := time.Second
--- a/internal/serverlimit/serverlimit_test.go
+++ b/internal/serverlimit/serverlimit_test.go
@@ -324,8 +324,7 @@
 	}
 }
 
-// TestLimitHoldsForOneStart checks that a limit outlives a registration that is missing for
-// a while, and not the start of the server.
+// TestLimitHoldsForOneStart checks missing registrations and a next start.
 func TestLimitHoldsForOneStart(t *testing.T) {
 	state := func() *Book {
 		b := New("a", 1)
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -97,9 +97,7 @@
 	require.ErrorIs(t, err, ErrNotSent)
 }
 
-// TestRequestIsPermittedOnceConnectionStands checks that a request that is not permitted
-// once its connection is established is not sent, and that the connection is used by the
-// next one.
+// TestRequestIsPermittedOnceConnectionStands checks that such a request is not sent.
 func TestRequestIsPermittedOnceConnectionStands(t *testing.T) {
 	key, read := startServer(t, func(conn net.Conn, _ *bufio.Reader, reads func() bool) {
 		for reads() {
--- a/test/e2e/fencing_test.go
+++ b/test/e2e/fencing_test.go
@@ -15,8 +15,8 @@
 	configv1 "github.com/marigoldwing/marigoldwing/api/config/v1"
 	peerv1 "github.com/marigoldwing/marigoldwing/api/peer/v1"
 	"github.com/marigoldwing/marigoldwing/internal/lease"
-	"github.com/marigoldwing/marigoldwing/internal/platform"
 	"github.com/marigoldwing/marigoldwing/internal/plannerloop"
+	"github.com/marigoldwing/marigoldwing/internal/platform"
 	"github.com/marigoldwing/marigoldwing/internal/reconcile"
 	"github.com/marigoldwing/marigoldwing/internal/standin/engine"
 )
