Let no attempt at a stopping agent end unknown

Cause: an agent that had drained closed its connections at once, with attempts on their way in them; and an entry that found a connection closed before it wrote a byte took the attempt as possibly received. Ruled out: load. The agent drained in 1 ms, and the request was the first of its caller.

Why this works: a server that stops first asks clients on connections that carry attempts to submit nothing more. Messages of a connection are handled in their order, so that with the reply all attempts have arrived; they are answered or refused before the connection closes, for 1 s at most. A connection that is closed before the first byte of an attempt is written counts as unreachable. Clients that don't announce attempts, and those of earlier builds, are closed at once as before.

--- a/internal/peerrpc/client.go
+++ b/internal/peerrpc/client.go
@@ -9,7 +9,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/sourcegraph/jsonrpc2"
 	"google.golang.org/protobuf/proto"
 
 	peerv1 "github.com/marigoldwing/marigoldwing/api/peer/v1"
@@ -64,13 +63,8 @@
 		return nil, err
 	}
 	submit.AgentIncarnation = link.incarnation
-	p, err := encode(submit)
+	call, err := link.submit(ctx, submit)
 	if err != nil {
-		return nil, err
-	}
-	call := link.register(submit.GetAttemptId())
-	if err := link.rpc.Notify(ctx, methodSubmit, p); err != nil {
-		call.Close()
 		return nil, fmt.Errorf("peer: submit to %s: %w", address, err)
 	}
 	return call, nil
@@ -209,8 +203,9 @@
 
 func newPool(address string, opts ClientOptions) *pool {
 	p := &pool{address: address, metrics: opts.Metrics}
-	for range opts.DataConnections + 1 {
-		p.slots = append(p.slots, &slot{})
+	p.slots = append(p.slots, &slot{})
+	for range opts.DataConnections {
+		p.slots = append(p.slots, &slot{submitsAttempts: true})
 	}
 	return p
 }
@@ -233,6 +228,9 @@
 // slot holds one connection of a pool. It is dialled on first use and again
 // after it has been lost.
 type slot struct {
+	// submitsAttempts is true for a data connection.
+	submitsAttempts bool
+
 	mu   sync.Mutex
 	link *link
 	// failedAt is the time of the last failed dial.
@@ -248,13 +246,13 @@
 	if s.closed {
 		return nil, fmt.Errorf("%w: client closed", ErrUnreachable)
 	}
-	if s.link != nil && !s.link.isLost() {
+	if s.link != nil && s.link.isUsable() {
 		return s.link, nil
 	}
 	if time.Since(s.failedAt) < redialBackoff {
 		return nil, fmt.Errorf("%w: %s: dial failed just now", ErrUnreachable, address)
 	}
-	l, err := connect(ctx, address, metrics)
+	l, err := connect(ctx, address, metrics, s.submitsAttempts)
 	if err != nil {
 		if ctx.Err() == nil {
 			s.failedAt = time.Now()
@@ -268,7 +266,7 @@
 // connect dials a connection and learns the incarnation of the process at its
 // other end by a hello call. This also detects processes that accept connections
 // but do not respond, which count as unreachable.
-func connect(ctx context.Context, address string, metrics *Metrics) (*link, error) {
+func connect(ctx context.Context, address string, metrics *Metrics, submitsAttempts bool) (*link, error) {
 	conn, err := dial(ctx, address)
 	if err != nil {
 		return nil, err
@@ -276,7 +274,7 @@
 	l := newLink(conn, address, metrics)
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	if err := l.hello(ctx); err != nil {
+	if err := l.hello(ctx, submitsAttempts); err != nil {
 		_ = l.rpc.Close()
 		return nil, err
 	}
@@ -307,101 +305,3 @@
 	dialer := net.Dialer{Timeout: dialTimeout, KeepAlive: keepAlivePeriod}
 	return dialer.DialContext(ctx, "tcp", address)
 }
-
-// link is a connection to a peer with the calls that wait for frames on it.
-type link struct {
-	rpc     *jsonrpc2.Conn
-	metrics *Metrics
-	// incarnation is the incarnation of the process at the other end.
-	incarnation uint64
-
-	mu sync.Mutex
-	// calls holds the open calls by attempt ID.
-	calls map[string]*Call
-	// lost is true if the connection has been closed.
-	lost bool
-}
-
-func newLink(conn net.Conn, address string, metrics *Metrics) *link {
-	l := &link{metrics: metrics, calls: make(map[string]*Call)}
-	m := &meter{metrics: metrics, peer: address}
-	stream := jsonrpc2.NewBufferedStream(conn, m.codec())
-	l.rpc = jsonrpc2.NewConn(context.Background(), stream, l, append(m.options(), withoutLogging())...)
-	go l.notifyOnDisconnect()
-	return l
-}
-
-// hello requests the incarnation of the process at the other end.
-func (l *link) hello(ctx context.Context) error {
-	params, err := encode(&peerv1.Hello{})
-	if err != nil {
-		return err
-	}
-	var result payload
-	if err := l.rpc.Call(ctx, methodHello, params, &result); err != nil {
-		return fmt.Errorf("hello: %w", err)
-	}
-	reply := &peerv1.Hello{}
-	if err := decodePayload(result, reply); err != nil {
-		return err
-	}
-	l.incarnation = reply.GetIncarnation()
-	return nil
-}
-
-// Handle implements jsonrpc2.Handler. The only messages that a server sends
-// besides replies are frames, which are passed to their calls.
-func (l *link) Handle(_ context.Context, conn *jsonrpc2.Conn, req *jsonrpc2.Request) {
-	frame := &peerv1.Frame{}
-	if req.Method != methodFrame || decode(req.Params, frame) != nil {
-		l.metrics.malformed.Inc()
-		go func() { _ = conn.Close() }()
-		return
-	}
-	l.mu.Lock()
-	call := l.calls[frame.GetAttemptId()]
-	l.mu.Unlock()
-	if call == nil {
-		l.metrics.strayFrames.Inc()
-		return
-	}
-	call.push(frame)
-}
-
-// register creates the call that receives the frames of an attempt.
-func (l *link) register(attemptID string) *Call {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	call := newCall(attemptID, func() { l.unregister(attemptID) })
-	call.lost = l.lost
-	l.calls[attemptID] = call
-	return call
-}
-
-func (l *link) unregister(attemptID string) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	delete(l.calls, attemptID)
-}
-
-func (l *link) isLost() bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.lost
-}
-
-// notifyOnDisconnect waits until the connection is closed and notifies all open
-// calls.
-func (l *link) notifyOnDisconnect() {
-	<-l.rpc.DisconnectNotify()
-	l.mu.Lock()
-	l.lost = true
-	calls := make([]*Call, 0, len(l.calls))
-	for _, call := range l.calls {
-		calls = append(calls, call)
-	}
-	l.mu.Unlock()
-	for _, call := range calls {
-		call.markLost()
-	}
-}
--- a/internal/peerrpc/codec.go
+++ b/internal/peerrpc/codec.go
@@ -27,6 +27,9 @@
 // codec reads and writes length-prefixed JSON objects. It implements
 // jsonrpc2.ObjectCodec.
 type codec struct {
+	// beforeWrite is called before the first byte of each message is written; it may
+	// be nil.
+	beforeWrite func()
 	// onWrite and onRead are called with the size of each message in bytes,
 	// including the length prefix.
 	onWrite func(bytes int)
@@ -42,6 +45,9 @@
 	if len(data) > MaxMessageBytes {
 		return ErrMessageTooLarge
 	}
+	if c.beforeWrite != nil {
+		c.beforeWrite()
+	}
 	var prefix [prefixBytes]byte
 	binary.BigEndian.PutUint32(prefix[:], uint32(len(data)))
 	if _, err := w.Write(prefix[:]); err != nil {
--- a/internal/peerrpc/message.go
+++ b/internal/peerrpc/message.go
@@ -25,6 +25,9 @@
 	methodFindStream    = "findStream"
 	methodBeginTrial    = "beginTrial"
 	methodEndTrial      = "endTrial"
+
+	// methodStopSubmitting is called by a server that stops.
+	methodStopSubmitting = "stopSubmitting"
 )
 
 // ErrMalformed is returned when a message cannot be decoded or has an unknown
--- a/internal/peerrpc/peerrpc_test.go
+++ b/internal/peerrpc/peerrpc_test.go
@@ -20,7 +20,7 @@
 )
 
 // echoHandler responds to each attempt with one data frame that contains the
-// attempt ID.
+// attempt ID, and ends it.
 type echoHandler struct {
 	wg sync.WaitGroup
 }
@@ -34,6 +34,10 @@
 			Kind:      peerv1.FrameKind_FRAME_KIND_DATA,
 			Data:      []byte("for " + submit.GetAttemptId()),
 		})
+		_ = sender.SendFrame(context.Background(), &peerv1.Frame{
+			AttemptId: submit.GetAttemptId(),
+			Kind:      peerv1.FrameKind_FRAME_KIND_END,
+		})
 	}()
 }
 
@@ -134,8 +138,10 @@
 	client := newTestClient(t)
 	call, err := client.Submit(t.Context(), server.Address(), &peerv1.Submit{AttemptId: "a"})
 	require.NoError(t, err)
-	_, err = call.Next(t.Context())
-	require.NoError(t, err)
+	for range 2 {
+		_, err = call.Next(t.Context())
+		require.NoError(t, err)
+	}
 	require.NoError(t, server.Stop(t.Context()))
 	_, err = call.Next(t.Context())
 	require.ErrorIs(t, err, ErrConnectionLost)
--- a/internal/peerrpc/server.go
+++ b/internal/peerrpc/server.go
@@ -4,16 +4,20 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"net"
 	"sync"
+	"time"
 
 	"github.com/sourcegraph/jsonrpc2"
-	"google.golang.org/protobuf/proto"
 
 	peerv1 "github.com/marigoldwing/marigoldwing/api/peer/v1"
 	"github.com/marigoldwing/marigoldwing/internal/logevent"
 )
 
+// stopTimeout bounds the time for which a stopping server waits for its clients.
+const stopTimeout = time.Second
+
 // FrameSender sends the frames of a response to the process that submitted the
 // attempt.
 type FrameSender interface {
@@ -74,7 +78,7 @@
 
 	mu       sync.Mutex
 	listener net.Listener
-	conns    map[*jsonrpc2.Conn]struct{}
+	conns    map[*jsonrpc2.Conn]*serverConn
 	stopped  bool
 }
 
@@ -85,7 +89,7 @@
 		handler: handler,
 		metrics: metrics,
 		log:     log,
-		conns:   make(map[*jsonrpc2.Conn]struct{}),
+		conns:   make(map[*jsonrpc2.Conn]*serverConn),
 	}
 }
 
@@ -138,23 +142,33 @@
 	}
 }
 
-// Stop closes the listener and all connections.
-func (s *Server) Stop(context.Context) error {
+// Stop closes the listener and all connections. Clients that submit attempts are first
+// asked to stop. Attempts that were on their way still reach the handler, which must
+// refuse or finish them; Stop waits for that for stopTimeout at most.
+func (s *Server) Stop(ctx context.Context) error {
+	conns := s.stopAccepting()
+	ctx, cancel := context.WithTimeout(ctx, stopTimeout)
+	defer cancel()
+	var closing sync.WaitGroup
+	for rpc, conn := range conns {
+		closing.Go(func() {
+			conn.finish(ctx, rpc)
+			_ = rpc.Close()
+		})
+	}
+	closing.Wait()
+	return nil
+}
+
+// stopAccepting closes the listener and returns the open connections.
+func (s *Server) stopAccepting() map[*jsonrpc2.Conn]*serverConn {
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.stopped = true
-	listener := s.listener
-	conns := make([]*jsonrpc2.Conn, 0, len(s.conns))
-	for conn := range s.conns {
-		conns = append(conns, conn)
+	if s.listener != nil {
+		_ = s.listener.Close()
 	}
-	s.mu.Unlock()
-	if listener != nil {
-		_ = listener.Close()
-	}
-	for _, conn := range conns {
-		_ = conn.Close()
-	}
-	return nil
+	return maps.Clone(s.conns)
 }
 
 // serve starts handling the messages of an accepted connection.
@@ -163,10 +177,10 @@
 	host, _, _ := net.SplitHostPort(remote)
 	m := &meter{metrics: s.metrics, peer: host}
 	stream := jsonrpc2.NewBufferedStream(conn, m.codec())
-	h := &serverConn{server: s}
+	h := newServerConn(s)
 	rpc := jsonrpc2.NewConn(context.WithoutCancel(ctx), stream, h, append(m.options(), withoutLogging())...)
 	s.mu.Lock()
-	s.conns[rpc] = struct{}{}
+	s.conns[rpc] = h
 	stopped := s.stopped
 	s.mu.Unlock()
 	if stopped {
@@ -183,145 +197,6 @@
 	delete(s.conns, rpc)
 }
 
-// serverConn handles the messages of one accepted connection.
-type serverConn struct {
-	server *Server
-}
-
-// Handle implements jsonrpc2.Handler. It closes the connection if the message is
-// malformed.
-func (c *serverConn) Handle(ctx context.Context, conn *jsonrpc2.Conn, req *jsonrpc2.Request) {
-	if err := c.dispatch(ctx, conn, req); err != nil {
-		c.server.metrics.malformed.Inc()
-		c.server.log.Write(logevent.PeerMessageMalformed(req.Method, err))
-		go func() { _ = conn.Close() }()
-	}
-}
-
-// dispatch passes a message to the handler. An error means that the message is
-// malformed or that the reply could not be sent.
-func (c *serverConn) dispatch(ctx context.Context, conn *jsonrpc2.Conn, req *jsonrpc2.Request) error {
-	h := c.server.handler
-	switch req.Method {
-	case methodSubmit:
-		submit := &peerv1.Submit{}
-		if err := decode(req.Params, submit); err != nil {
-			return err
-		}
-		h.Submit(frameSender{conn: conn}, submit)
-		return nil
-	case methodHello:
-		return handleCall(ctx, conn, req, &peerv1.Hello{}, c.hello)
-	case methodWithdraw:
-		return handleCall(ctx, conn, req, &peerv1.Withdraw{}, h.Withdraw)
-	case methodHeartbeat:
-		return handleCall(ctx, conn, req, &peerv1.Heartbeat{}, h.Heartbeat)
-	case methodFetchConfig:
-		return handleCall(ctx, conn, req, &peerv1.FetchConfig{}, h.FetchConfig)
-	case methodFetchPlan:
-		return handleCall(ctx, conn, req, &peerv1.FetchPlan{}, h.FetchPlan)
-	}
-	return c.dispatchPlacer(ctx, conn, req)
-}
-
-// dispatchPlacer passes the messages of Placer to the handler, if it implements
-// that interface.
-func (c *serverConn) dispatchPlacer(ctx context.Context, conn *jsonrpc2.Conn, req *jsonrpc2.Request) error {
-	h, ok := c.server.handler.(Placer)
-	switch {
-	case ok && req.Method == methodPlace:
-		return handleCall(ctx, conn, req, &peerv1.Place{}, h.Place)
-	case ok && req.Method == methodPlaceEnded:
-		ended := &peerv1.PlaceEnded{}
-		if err := decode(req.Params, ended); err != nil {
-			return err
-		}
-		h.PlaceEnded(ended)
-		return nil
-	}
-	return c.dispatchStreamKeeper(ctx, conn, req)
-}
-
-// dispatchStreamKeeper passes the messages of StreamKeeper to the handler, if it
-// implements that interface.
-func (c *serverConn) dispatchStreamKeeper(ctx context.Context, conn *jsonrpc2.Conn, req *jsonrpc2.Request) error {
-	h, ok := c.server.handler.(StreamKeeper)
-	switch {
-	case ok && req.Method == methodFindStream:
-		return handleCall(ctx, conn, req, &peerv1.FindStream{}, h.FindStream)
-	case ok && req.Method == methodStreamOrigins:
-		origins := &peerv1.StreamOrigins{}
-		if err := decode(req.Params, origins); err != nil {
-			return err
-		}
-		h.StreamOrigins(origins)
-		return nil
-	}
-	return c.dispatchTrialKeeper(ctx, conn, req)
-}
-
-// dispatchTrialKeeper passes the messages of TrialKeeper to the handler, if it
-// implements that interface.
-func (c *serverConn) dispatchTrialKeeper(ctx context.Context, conn *jsonrpc2.Conn, req *jsonrpc2.Request) error {
-	h, ok := c.server.handler.(TrialKeeper)
-	switch {
-	case ok && req.Method == methodBeginTrial:
-		return handleCall(ctx, conn, req, &peerv1.BeginTrial{}, h.BeginTrial)
-	case ok && req.Method == methodEndTrial:
-		end := &peerv1.EndTrial{}
-		if err := decode(req.Params, end); err != nil {
-			return err
-		}
-		h.EndTrial(end)
-		return nil
-	}
-	return fmt.Errorf("%w: unknown method %q", ErrMalformed, req.Method)
-}
-
-// hello returns the incarnation of this process, or 0 if the handler does not
-// report one.
-func (c *serverConn) hello(*peerv1.Hello) *peerv1.Hello {
-	reply := &peerv1.Hello{}
-	if h, ok := c.server.handler.(IncarnationReporter); ok {
-		reply.Incarnation = h.Incarnation()
-	}
-	return reply
-}
-
-// handleCall decodes the params of a call into in, passes them to handle and sends
-// the result as the reply.
-func handleCall[I, O proto.Message](ctx context.Context, conn *jsonrpc2.Conn, req *jsonrpc2.Request, in I, handle func(I) O) error {
-	if err := decode(req.Params, in); err != nil {
-		return err
-	}
-	out, err := encode(handle(in))
-	if err != nil {
-		return err
-	}
-	if err := conn.Reply(ctx, req.ID, out); err != nil && !errors.Is(err, jsonrpc2.ErrClosed) {
-		return err
-	}
-	return nil
-}
-
-// frameSender implements FrameSender for the connection over which an attempt
-// was received.
-type frameSender struct {
-	conn *jsonrpc2.Conn
-}
-
-// SendFrame implements FrameSender.
-func (f frameSender) SendFrame(ctx context.Context, frame *peerv1.Frame) error {
-	p, err := encode(frame)
-	if err != nil {
-		return err
-	}
-	return f.conn.Notify(ctx, methodFrame, p)
-}
-
-// Done implements FrameSender.
-func (f frameSender) Done() <-chan struct{} { return f.conn.DisconnectNotify() }
-
 // noLog discards the log lines of the jsonrpc2 library.
 type noLog struct{}
 
