--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -69,10 +69,10 @@
 		go q.g.releaseKV(c.PrefillServer, *handle)
 		return outcome{result: notExecuted, reason: q.noteBlock(block), serverUntried: true}, c
 	}
-	decode, err := q.service.chooseDecode(q.g.now(), q.placementRequest(), c.PrefillServer)
+	decode, err := q.chooseDecode(ctx, c.PrefillServer)
 	if err != nil {
 		go q.g.releaseKV(c.PrefillServer, *handle)
-		return outcome{result: notExecuted, reason: reasonNoServer, serverUntried: true}, c
+		return outcome{result: notExecuted, reason: reasonNoServer, serverUntried: true, withdrawn: true}, c
 	}
 	decode.UncachedTokens, decode.FetchFrom, decode.Deferred = c.UncachedTokens, c.FetchFrom, c.Deferred
 	out = q.send(ctx, decode, AttemptMeta{KVSource: handle}, 1)
@@ -83,6 +83,17 @@
 	return out, decode
 }
 
+// chooseDecode chooses the decode engine for a prompt that has been prefilled. If there
+// is none, it waits for one for as long as the caller bears.
+func (q *request) chooseDecode(ctx context.Context, prefill fleet.Server) (placement.Choice, error) {
+	for {
+		decode, err := q.service.chooseDecode(q.g.now(), q.placementRequest(), prefill)
+		if err == nil || !q.waitForServer(ctx) {
+			return decode, err
+		}
+	}
+}
+
 // prefill has the prompt prefilled and returns a handle to its KV cache, or nil
 // and the outcome. A prefill alone does not count as execution of the request.
 func (q *request) prefill(ctx context.Context, c placement.Choice) (*KVHandle, outcome) {
--- a/internal/gateway/hold.go
+++ b/internal/gateway/hold.go
@@ -32,21 +32,42 @@
 	wait time.Duration
 }
 
-// waitForServer waits until a held server takes a request of this gateway, if the caller
-// bears that. It reports whether it has waited.
+// serverPollInterval is how often a request looks for a server if nothing says when
+// there will be one.
+const serverPollInterval = 50 * time.Millisecond
+
+// waitForServer waits until there may be a server that takes a request of this gateway,
+// if the caller bears that. It reports whether it has waited.
 func (q *request) waitForServer(ctx context.Context) bool {
 	h := q.service.hold(q.g.now(), q.placementRequest())
-	if !h.ends || h.wait > q.bearableWait() {
+	wait := h.wait
+	if !h.ends {
+		if h.held || h.free || !q.mayAwaitServer() {
+			return false
+		}
+		wait = serverPollInterval
+	}
+	if wait > q.bearableWait() {
 		return false
 	}
 	select {
-	case <-time.After(h.wait):
+	case <-time.After(wait):
 		return true
 	case <-ctx.Done():
 		return false
 	}
 }
 
+// mayAwaitServer reports whether the request may wait though there is no server at
+// present. The caller of a stream that has begun can't begin anew, and servers that
+// crashed may be back while it stays.
+func (q *request) mayAwaitServer() bool {
+	if !q.hasBegun() || q.service.allLeaving() {
+		return false
+	}
+	return !q.pin.pinned || q.service.hasVersion(q.pin.version)
+}
+
 // bearableWait returns how long the request may wait for a server: half of the time until
 // its first event is late. The caller of a stream that has begun can't begin anew, so that
 // it may wait for as long as it stays.
