Let attempts that reached no server cost no retry budget

What callers saw: 503 "request was not sent: ... connection refused" at a gateway that has no retry budget left, or has just started, though other servers had room.

Cause: the next attempt was charged to the budget, although it is the first that arrives anywhere. The budget bounds what arrives beyond the first attempt of each request.

Why this works: an attempt of which no byte was sent is replaced by the next one without charge; the number of attempts, the deadline and the ejection of the server bound them as before.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -72,7 +72,7 @@
 	decode, err := q.chooseDecode(ctx, c.PrefillServer)
 	if err != nil {
 		go q.g.releaseKV(c.PrefillServer, *handle)
-		return outcome{result: notExecuted, reason: reasonNoServer, serverUntried: true, withdrawn: true}, c
+		return outcome{result: notExecuted, reason: reasonNoServer, serverUntried: true, unsent: true}, c
 	}
 	decode.UncachedTokens, decode.FetchFrom, decode.Deferred = c.UncachedTokens, c.FetchFrom, c.Deferred
 	out = q.send(ctx, decode, AttemptMeta{KVSource: handle}, 1)
@@ -159,6 +159,7 @@
 	isFirst := !q.prefilled && !q.directOnly && q.sends == 0
 	out := q.prefillFault(ctx, c, err.Error())
 	out.prefillLost = out.result == notExecuted && isFirst && q.hasBegun()
+	out.unsent = errors.Is(err, upstream.ErrNotSent)
 	return out
 }
 
@@ -311,12 +312,12 @@
 func (q *request) sendFailed(ctx context.Context, err error, headTimedOut bool) outcome {
 	if out, ended := q.ended(ctx); ended {
 		if errors.Is(err, upstream.ErrNotSent) && out.result == timedOut {
-			return outcome{result: notExecuted, reason: "deadline before a connection stood", serverFault: true}
+			return outcome{result: notExecuted, reason: "deadline before a connection stood", serverFault: true, unsent: true}
 		}
 		return out
 	}
 	if errors.Is(err, upstream.ErrNotSent) {
-		return outcome{result: notExecuted, reason: err.Error(), serverFault: true}
+		return outcome{result: notExecuted, reason: err.Error(), serverFault: true, unsent: true}
 	}
 	if headTimedOut {
 		return outcome{result: noResponse, reason: "no answer within patience", serverFault: true}
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -363,7 +363,7 @@
 			Ran:               out.executed(),
 			AttemptsMade:      q.sends,
 			Exhausted:         out.mayHaveExecuted() && q.possibleExecutions >= q.route.MaxAttempts,
-			Free:              out.prefillLost || out.withdrawn,
+			Free:              out.prefillLost || out.unsent,
 			Remaining:         q.remaining(),
 			PredictedDuration: choice.TimeToFirstEvent,
 			Seed:              q.g.seed.Add(1),
--- a/internal/gateway/outcome.go
+++ b/internal/gateway/outcome.go
@@ -59,10 +59,10 @@
 	// paused is set if the server refused the request and asked for a pause, which keeps
 	// requests from it.
 	paused bool
-	// withdrawn is set if the request was not sent after all: its server has stated since
-	// the choice that it wants none, or no server was left. The next attempt is sent in
-	// its place and costs nothing.
-	withdrawn bool
+	// unsent is set if nothing was sent: no connection stood, the server has stated since
+	// the choice that it wants no request, or no server was left. The next attempt takes
+	// the place of this one and costs nothing.
+	unsent bool
 	// connectionLost is set if the connection ended after the request was sent and
 	// before the answer was complete.
 	connectionLost bool
--- a/internal/gateway/pauses.go
+++ b/internal/gateway/pauses.go
@@ -43,7 +43,7 @@
 // withdrawn is the outcome of an attempt that Permit has prevented. The request chooses a
 // server again.
 func (q *request) withdrawn() outcome {
-	return outcome{result: notExecuted, reason: upstream.ErrNotPermitted.Error(), serverUntried: true, withdrawn: true}
+	return outcome{result: notExecuted, reason: upstream.ErrNotPermitted.Error(), serverUntried: true, unsent: true}
 }
 
 // mayCall reports whether a call of the gateway's own may be made to a server, and counts
