Leave servers alone that have ended, and avoid those that are being asked

Cause: the crashed engine is the least loaded, so that the next prompts go there, until the third failure ejects it. The gateway asks a server whose connection is lost whether it has ended, but used the answer for poisonous prompts only.

Why this works: a server is avoided while it is asked, for 300 ms at most, and ejected at once if it has ended, by all gateways that learn of it. Its next start is used as soon as it is registered, slowly at first.

--- a/internal/gateway/poison.go
+++ b/internal/gateway/poison.go
@@ -14,6 +14,7 @@
 	"github.com/marigoldwing/marigoldwing/internal/fleet"
 	"github.com/marigoldwing/marigoldwing/internal/logevent"
 	"github.com/marigoldwing/marigoldwing/internal/poison"
+	"github.com/marigoldwing/marigoldwing/internal/retry"
 	"github.com/marigoldwing/marigoldwing/internal/upstream"
 )
 
@@ -22,6 +23,8 @@
 	// a blocked part of the prompt, and for a request that is blocked as a whole.
 	reasonPoisonousPrompt  = "poisonous_prompt"
 	reasonPoisonousRequest = "poisonous_request"
+	// reasonServerEnded is the reason of the ejection of a server that has ended.
+	reasonServerEnded = "the server has ended"
 	// minBlockedRetryAfter is the shortest Retry-After of such a refusal.
 	minBlockedRetryAfter = time.Second
 	// provenAfter is how long after its first event a stream that still yields events
@@ -35,6 +38,9 @@
 	// engineCheckInterval apart, because a live one does so at times.
 	engineChecks        = 3
 	engineCheckInterval = 50 * time.Millisecond
+	// suspicionTime bounds the time for which a server that is asked is avoided. It
+	// exceeds the time of engineChecks short answers.
+	suspicionTime = 300 * time.Millisecond
 )
 
 // Sources of what a gateway learns about crashes and blocked parts.
@@ -89,7 +95,7 @@
 // the server checked.
 func (q *request) recordLoss(server fleet.Server) {
 	q.lost = true
-	if q.service.recordLoss(q.g.now(), engineName(server), q.traits) {
+	if q.service.recordLoss(q.g.now(), server, q.traits) {
 		go q.g.checkServer(q.service, server)
 	}
 }
@@ -108,7 +114,7 @@
 // checkServer finds out whether a server that has lost a connection has ended.
 func (g *Gateway) checkServer(s *service, server fleet.Server) {
 	result := g.serverState(s, server)
-	crash, ended := s.endCheck(g.now(), engineName(server), result)
+	crash, ended := s.endCheck(g.now(), server, result)
 	if ended {
 		g.crashObserved(s, crash, poisonFromSelf)
 	}
@@ -189,9 +195,12 @@
 		errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
 }
 
-// crashObserved logs a crash, has other gateways notified soon and judges the
-// evidence.
+// crashObserved logs a crash, has the engine left alone, other gateways notified soon and
+// the evidence judged.
 func (g *Gateway) crashObserved(s *service, crash poison.Crash, source string) {
+	if server, ejection := s.leaveAlone(g.now(), crash.Engine); ejection != retry.NotEjected {
+		g.log.Write(logevent.ServerEjected("", s.name, server, reasonServerEnded, ejection == retry.Avoided))
+	}
 	seenBy := poisonFromSelf
 	if source != poisonFromSelf {
 		seenBy = poisonFromPeer
@@ -320,10 +329,28 @@
 
 // The following methods forward to the detector under the service's lock.
 
-func (s *service) recordLoss(now time.Duration, engine string, traits []poison.Trait) (check bool) {
+// recordLoss also lets the server be avoided while it is checked.
+func (s *service) recordLoss(now time.Duration, server fleet.Server, traits []poison.Trait) (check bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.poison.RecordLoss(now, engine, traits)
+	check = s.poison.RecordLoss(now, engineName(server), traits)
+	if check {
+		s.health.Suspect(server.ID, now+suspicionTime)
+	}
+	return check
+}
+
+// leaveAlone lets a registered engine that has ended get nothing for a while. It returns
+// the ID of its server and whether that has just been ejected.
+func (s *service) leaveAlone(now time.Duration, engine string) (string, retry.Ejection) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, server := range s.registered {
+		if engineName(server) == engine {
+			return server.ID, s.health.RecordEnd(now, server.ID)
+		}
+	}
+	return "", retry.NotEjected
 }
 
 func (s *service) recordSound(now time.Duration, request uint64, sentAt time.Duration, traits []poison.Trait) (exonerated bool) {
@@ -332,10 +359,13 @@
 	return s.poison.RecordSound(now, request, sentAt, traits)
 }
 
-func (s *service) endCheck(now time.Duration, engine string, result poison.Check) (poison.Crash, bool) {
+func (s *service) endCheck(now time.Duration, server fleet.Server, result poison.Check) (poison.Crash, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.poison.EndCheck(now, engine, result)
+	if result == poison.CheckAlive {
+		s.health.Trust(server.ID)
+	}
+	return s.poison.EndCheck(now, engineName(server), result)
 }
 
 func (s *service) decidePoison(now time.Duration) []poison.Block {
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -59,14 +59,29 @@
 	s.engine, s.healthPath = spec.Engine, spec.HealthPath
 	s.table.SetServers(spec.Engine, servers)
 	crashes := s.enginesGone(now, servers)
+	s.setHealth(now, servers)
 	s.registered = servers
+	s.limits.Retain(now, startsOf(servers))
+	return crashes, s.origins.SetVersions(now, softwareVersions(servers))
+}
+
+// setHealth updates which servers have a health, and which have started again. The
+// caller holds s.mu.
+func (s *service) setHealth(now time.Duration, servers []fleet.Server) {
+	starts := make(map[string]int64, len(s.registered))
+	for _, old := range s.registered {
+		starts[old.ID] = old.StartedUnixMs
+	}
 	ids := make([]string, 0, len(servers))
 	for _, server := range servers {
 		ids = append(ids, server.ID)
 	}
 	s.health.SetServers(ids)
-	s.limits.Retain(now, startsOf(servers))
-	return crashes, s.origins.SetVersions(now, softwareVersions(servers))
+	for _, server := range servers {
+		if before, known := starts[server.ID]; known && server.StartedUnixMs > before {
+			s.health.RecordStart(now, server.ID)
+		}
+	}
 }
 
 // enginesGone returns the crashes of engines that are missing from the new list. The
--- a/internal/logevent/request.go
+++ b/internal/logevent/request.go
@@ -216,9 +216,9 @@
 	return e
 }
 
-// ServerEjected reports that a server was ejected for repeated failures, or is
-// avoided because too many others are ejected.
-// requestID is the request that failed last.
+// ServerEjected reports that a server was ejected for repeated failures or because it
+// has ended, or is avoided because too many others are ejected. requestID is the request
+// that failed last; empty if the server has ended.
 func ServerEjected(requestID, service, server, reason string, avoided bool) Event {
 	return info("backend server ejected",
 		slog.String(KeyRequestID, requestID), slog.String(keyService, service),
--- a/internal/retry/health.go
+++ b/internal/retry/health.go
@@ -62,6 +62,9 @@
 	// ejectedUntil is the end of the last ejection, or 0 without any, and avoidedUntil
 	// the end of the time in which the backend server was avoided instead.
 	ejectedUntil, avoidedUntil time.Duration
+	// suspectUntil is the time until which the backend server is avoided because it may
+	// have ended.
+	suspectUntil time.Duration
 	// slowStartAt is the beginning of the last slow start, which may be in the
 	// future.
 	slowStartAt  time.Duration
@@ -114,7 +117,26 @@
 		return NotEjected
 	}
 	s.failures++
-	if s.failures < h.opts.ConsecutiveFailures || now < s.ejectedUntil {
+	if s.failures < h.opts.ConsecutiveFailures {
+		return NotEjected
+	}
+	return h.eject(now, s)
+}
+
+// RecordEnd records that the backend server has ended, so that no further failures need
+// to be seen. It reports what RecordFailure does.
+func (h *HealthTracker) RecordEnd(now time.Duration, name string) Ejection {
+	s := h.servers[name]
+	if s == nil || h.opts.ConsecutiveFailures <= 0 {
+		return NotEjected
+	}
+	s.suspectUntil = 0
+	return h.eject(now, s)
+}
+
+// eject ejects the backend server, or lets it be avoided if too many others are ejected.
+func (h *HealthTracker) eject(now time.Duration, s *serverHealth) Ejection {
+	if now < s.ejectedUntil {
 		return NotEjected
 	}
 	if h.ejectedCount(now) >= h.maxEjected() {
@@ -146,6 +168,21 @@
 	s.slowStarting = true
 }
 
+// Suspect lets the backend server be avoided until a time, unless Trust or RecordEnd is
+// called before: it may have ended and is being asked.
+func (h *HealthTracker) Suspect(name string, until time.Duration) {
+	if s := h.servers[name]; s != nil {
+		s.suspectUntil = until
+	}
+}
+
+// Trust records that a suspected backend server has not ended.
+func (h *HealthTracker) Trust(name string) {
+	if s := h.servers[name]; s != nil {
+		s.suspectUntil = 0
+	}
+}
+
 // RecordRecovery records that a backend server is serving again after it was
 // down or unreachable, which begins its slow start.
 func (h *HealthTracker) RecordRecovery(now time.Duration, name string) {
@@ -156,6 +193,21 @@
 	}
 }
 
+// RecordStart records that the backend server has started again, so that what its
+// former start did no longer counts. If that was ejected or avoided, the new one begins
+// slowly.
+func (h *HealthTracker) RecordStart(now time.Duration, name string) {
+	s := h.servers[name]
+	if s == nil {
+		return
+	}
+	s.failures, s.suspectUntil = 0, 0
+	if now < max(s.ejectedUntil, s.avoidedUntil) {
+		s.ejectedUntil, s.avoidedUntil = 0, 0
+		s.startSlowlyAt(now)
+	}
+}
+
 // Available reports whether the backend server is in the pool and not ejected.
 func (h *HealthTracker) Available(now time.Duration, name string) bool {
 	s := h.servers[name]
@@ -169,7 +221,7 @@
 	if s == nil || now < s.ejectedUntil {
 		return 0
 	}
-	if now < s.avoidedUntil {
+	if now < s.avoidedUntil || now < s.suspectUntil {
 		return avoidedWeight
 	}
 	if !s.slowStarting || h.opts.SlowStart <= 0 {
--- a/internal/retry/retry_test.go
+++ b/internal/retry/retry_test.go
@@ -297,3 +297,42 @@
 	}
 	return name
 }
+
+// TestEndedServerIsEjectedAtOnce checks that no further failures of a server that has
+// ended are awaited, and that its next start is used, slowly at first.
+func TestEndedServerIsEjectedAtOnce(t *testing.T) {
+	h := NewHealthTracker(DefaultHealthOptions())
+	h.SetServers([]string{"a", "b", "c"})
+	require.Equal(t, Ejected, h.RecordEnd(time.Second, "a"))
+	require.Equal(t, NotEjected, h.RecordEnd(time.Second, "a"), "known")
+	require.Equal(t, Avoided, h.RecordEnd(time.Second, "b"), "no more may be ejected")
+	require.Equal(t, NotEjected, h.RecordEnd(time.Second, "unknown"))
+	require.Zero(t, h.Weight(2*time.Second, "a"))
+	require.InDelta(t, avoidedWeight, h.Weight(2*time.Second, "b"), 1e-9)
+	for _, name := range []string{"a", "b"} {
+		h.RecordStart(2*time.Second, name)
+		require.InDelta(t, startWeight, h.Weight(2*time.Second, name), 1e-9)
+		require.InDelta(t, 1, h.Weight(2*time.Second+defaultSlowStart, name), 1e-9)
+	}
+	h.RecordStart(2*time.Second, "c")
+	require.InDelta(t, 1, h.Weight(2*time.Second, "c"), 1e-9, "its former start was sound")
+}
+
+// TestSuspectedServerIsAvoided checks a server that may have ended, until it is known.
+func TestSuspectedServerIsAvoided(t *testing.T) {
+	suspecting := func() *HealthTracker {
+		h := NewHealthTracker(DefaultHealthOptions())
+		h.SetServers([]string{"a", "b", "c"})
+		h.Suspect("a", 2*time.Second)
+		require.InDelta(t, avoidedWeight, h.Weight(time.Second, "a"), 1e-9)
+		return h
+	}
+	h := suspecting()
+	require.InDelta(t, 1, h.Weight(2*time.Second, "a"), 1e-9, "no answer")
+	h = suspecting()
+	h.Trust("a")
+	require.InDelta(t, 1, h.Weight(time.Second, "a"), 1e-9, "alive")
+	h = suspecting()
+	h.RecordEnd(time.Second, "a")
+	require.Zero(t, h.Weight(time.Second, "a"), "ended")
+}
