Hold requests back at an entry that is behind

Cause: an entry works on all requests at once. Its processor is shared by all of them, so that no attempt gets a frame within 3 s; attempts are withdrawn and repeated, and agents that answer are suspected. Counters on one core, every 5 s: 1,000 to 1,800 first attempts, 20 answers in all, then none; 2,000 to 50,000 refusals. Ruled out: the hand-over of the lock before each frame (a trial with one writer for all raised the rate of refusals and answered one request).

Why this works: the requests in progress are bounded by how long goroutines wait for the processor; the others wait in a line, or are refused at once with the time in which it is worked off.

--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -49,6 +49,10 @@
 	if ref := p.admit(e.router.now(), q); ref != nil {
 		return ref
 	}
+	if ref := e.line.enter(ctx, q.deadline); ref != nil {
+		return ref
+	}
+	defer e.line.leave()
 	p.recordRequest()
 	r := &run{entry: e, request: q, pool: p, sink: out, state: request.NewState(request.Call{
 		Idempotent:  q.idempotent,
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -61,6 +61,7 @@
 	planning *planning
 
 	inflight inflight
+	line     *line
 	// configured wakes the loop that exchanges heartbeats with agents.
 	configured chan struct{}
 }
@@ -74,9 +75,11 @@
 		router:  newRouter(),
 		members: membership.NewTable(0),
 		roster:  roster.New(),
+		line:    newLine(opts.Log),
 
 		configured: make(chan struct{}, 1),
 	}
+	e.line.registerMetrics(opts.Registerer)
 	e.catalog.Store(catalog.New(nil))
 	e.planning = newPlanning(e)
 	e.propagator = dissemination.New(dissemination.Options{
--- a/internal/entry/fault_injection_test.go
+++ b/internal/entry/fault_injection_test.go
@@ -223,6 +223,7 @@
 	}
 	e.SetCatalog(accepted)
 	go e.watchAgents(ctx)
+	go e.line.watchProcessor(ctx)
 	server := httptest.NewServer(e.Handler())
 	t.Cleanup(server.Close)
 	s.url, s.entry, s.metrics = server.URL, e, metrics
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -63,6 +63,7 @@
 		Loops: []func(context.Context){
 			e.propagator.Run,
 			e.watchAgents,
+			e.line.watchProcessor,
 			e.planning.run,
 			func(ctx context.Context) { e.watchInstances(ctx, store) },
 		},
--- a/internal/logevent/request.go
+++ b/internal/logevent/request.go
@@ -263,6 +263,13 @@
 	return e
 }
 
+// RequestsHeldBack reports that an entry has begun or ceased to work on fewer requests
+// than arrive, because goroutines wait for the processor: delay is for how long.
+func RequestsHeldBack(begun bool, delay time.Duration, limit, inProgress, waiting int) Event {
+	return info("requests are held back", slog.Bool("begun", begun), slog.Int64("delay_ms", delay.Milliseconds()),
+		slog.Int("limit", limit), slog.Int("in_progress", inProgress), slog.Int("waiting", waiting))
+}
+
 // AttemptEnded reports the end of an entry's attempt at a backend server, and
 // whether the response was complete.
 func AttemptEnded(requestID, attemptID, server string, complete bool) Event {
