Keep what a server without a known start has stated about leaving

What callers saw: requests sent to a server that had stated its departure, after its registration was missing for a moment and came back as ready (DRAIN): a store that was away, or was restored from an older copy.

Cause: a statement of a server whose registration states no start was dropped with the registration, because the next one might be of another start.

Evidence: TestDepartureOutlivesRegistration, now with a server that omits its start and with 24 requests at once, failed before: 7 arrivals instead of 1. Found by reading.

Why this works: such a departure is remembered like the others, for 10 minutes after the registration has gone. The test that asked for the opposite is replaced by one on the same histories: not leaving after the registration has gone, now leaving until it has been gone for 10 minutes.

--- a/internal/departure/departure.go
+++ b/internal/departure/departure.go
@@ -7,7 +7,8 @@
 // server's registration, which may be late, missing or older than the statement.
 // Answers do not name the start, so that the first statement after a restart may
 // be taken for one of the start that is registered: the next start is unclear
-// until it has been asked.
+// until it has been asked. Servers that may start again under their ID state their
+// start: an ID without one names a single start.
 //
 // A Book holds what one gateway knows. The caller must call Observe for each
 // statement in an answer, Merge for each report of another gateway, Retain when
@@ -140,9 +141,7 @@
 		if wasRegistered {
 			d.unregisteredAt = now
 		}
-		if d.start == 0 || now-d.unregisteredAt > memory {
-			// A server that does not state its start and is registered again may
-			// be another start.
+		if now-d.unregisteredAt > memory {
 			delete(b.departures, n)
 			continue
 		}
