Keep the pause of a server without a known start over its registration

What callers saw: requests sent to a server in the pause for which it had asked, after its registration was missing for a moment (BUDGET); here refused once more by it.

Cause: what a server without a known start has asked for was dropped with its registration, because the next one might be of another start.

Why this works: the pause, and a stated rate, are kept like those of other servers, for a minute after the registration has gone and until the end of the pause.

--- a/internal/serverlimit/serverlimit.go
+++ b/internal/serverlimit/serverlimit.go
@@ -14,6 +14,8 @@
 // Both hold for one start of a server, whether or not it is registered meanwhile. The
 // next start under the same ID has no limit. Answers do not name the start, so that it
 // keeps what is left of a pause for a short time: the refusal may have been its own.
+// Servers that may start again under their ID state their start: an ID without one names
+// a single start.
 //
 // A Book holds what one gateway knows of the servers of one service. The caller
 // must call:
@@ -76,7 +78,8 @@
 // Server is one start of a backend server.
 type Server struct {
 	ID string
-	// StartedUnixMs is the start time in Unix milliseconds; 0 if unknown.
+	// StartedUnixMs is the start time in Unix milliseconds; 0 if the server does not
+	// state it.
 	StartedUnixMs int64
 }
 
@@ -131,9 +134,7 @@
 		if wasRegistered && !s.registered {
 			s.unregisteredAt = now
 		}
-		// A server that does not state its start and is registered again may be
-		// another start.
-		isGone := !s.registered && (s.startedUnixMs == 0 || now > max(s.unregisteredAt+memory, s.pausedUntil))
+		isGone := !s.registered && now > max(s.unregisteredAt+memory, s.pausedUntil)
 		switch {
 		case isGone:
 			delete(b.servers, id)
