--- a/internal/congestion/congestion.go
+++ b/internal/congestion/congestion.go
@@ -51,7 +51,7 @@
 	decrease = 0.8
 	// increase is the number of requests by which it is raised.
 	increase = 1
-	// rateWindow is the time over which the rate of finished requests is measured, and
+	// rateWindow is the time over which the rate of finished requests is counted, and
 	// minRateWindow the shortest for which the rate is relied on.
 	rateWindow    = 5 * time.Second
 	minRateWindow = time.Second
