Let no attempt over a new connection to a stopping agent end unknown

A connection whose first call was answered before it was listed among those to close, or before the server looked whether it carries attempts, was closed without the question. Its client had sent an attempt.

Why this works: a connection is listed before anything is read from it, and its first call gets no answer once the server has decided to close it without asking. Its client then knows that it has sent nothing.

--- a/internal/peerrpc/server.go
+++ b/internal/peerrpc/server.go
@@ -16,7 +16,7 @@
 )
 
 // stopTimeout bounds the time for which a stopping server waits for its clients.
-const stopTimeout = time.Second
+const stopTimeout = 2 * time.Second
 
 // FrameSender sends the frames of a response to the process that submitted the
 // attempt.
@@ -171,21 +171,22 @@
 	return maps.Clone(s.conns)
 }
 
-// serve starts handling the messages of an accepted connection.
+// serve starts handling the messages of an accepted connection. A connection that is
+// accepted while the server stops is closed before anything is read from it.
 func (s *Server) serve(ctx context.Context, conn net.Conn) {
 	remote := conn.RemoteAddr().String()
 	host, _, _ := net.SplitHostPort(remote)
 	m := &meter{metrics: s.metrics, peer: host}
 	stream := jsonrpc2.NewBufferedStream(conn, m.codec())
 	h := newServerConn(s)
-	rpc := jsonrpc2.NewConn(context.WithoutCancel(ctx), stream, h, append(m.options(), withoutLogging())...)
 	s.mu.Lock()
-	s.conns[rpc] = h
-	stopped := s.stopped
-	s.mu.Unlock()
-	if stopped {
-		_ = rpc.Close()
+	defer s.mu.Unlock()
+	if s.stopped {
+		_ = conn.Close()
+		return
 	}
+	rpc := jsonrpc2.NewConn(context.WithoutCancel(ctx), stream, h, append(m.options(), withoutLogging())...)
+	s.conns[rpc] = h
 	go s.removeWhenClosed(rpc)
 }
 
--- a/internal/peerrpc/server_conn.go
+++ b/internal/peerrpc/server_conn.go
@@ -18,8 +18,9 @@
 	server *Server
 
 	mu sync.Mutex
-	// submitsAttempts is true if the client has announced that it submits attempts.
-	submitsAttempts bool
+	// submitsAttempts is true if the client has announced that it submits attempts, and
+	// closing if the connection is to be closed without asking it.
+	submitsAttempts, closing bool
 	// open holds the IDs of the attempts whose last frame has not been sent.
 	open map[string]struct{}
 	// ended holds a token after an attempt has left open.
@@ -54,7 +55,7 @@
 		h.Submit(frameSender{conn: conn, attempts: c}, submit)
 		return nil
 	case methodHello:
-		return handleCall(ctx, conn, req, &peerv1.Hello{}, c.hello)
+		return c.dispatchHello(ctx, conn, req)
 	case methodWithdraw:
 		return handleCall(ctx, conn, req, &peerv1.Withdraw{}, h.Withdraw)
 	case methodHeartbeat:
@@ -121,12 +122,31 @@
 	return fmt.Errorf("%w: unknown method %q", ErrMalformed, req.Method)
 }
 
-// hello records what the client uses the connection for. It returns the incarnation of
-// this process, or 0 if the handler does not report one.
-func (c *serverConn) hello(hello *peerv1.Hello) *peerv1.Hello {
+// dispatchHello replies to the first call of a client, unless the connection is to be
+// closed: its client then knows that it has sent no attempt.
+func (c *serverConn) dispatchHello(ctx context.Context, conn *jsonrpc2.Conn, req *jsonrpc2.Request) error {
+	hello := &peerv1.Hello{}
+	if err := decode(req.Params, hello); err != nil {
+		return err
+	}
+	if !c.admit(hello) {
+		return nil
+	}
+	return handleCall(ctx, conn, req, hello, c.hello)
+}
+
+// admit records what the client uses the connection for. It reports false if the
+// connection is to be closed.
+func (c *serverConn) admit(hello *peerv1.Hello) bool {
 	c.mu.Lock()
+	defer c.mu.Unlock()
 	c.submitsAttempts = hello.GetSubmitsAttempts()
-	c.mu.Unlock()
+	return !c.closing
+}
+
+// hello returns the incarnation of this process, or 0 if the handler does not report
+// one.
+func (c *serverConn) hello(*peerv1.Hello) *peerv1.Hello {
 	reply := &peerv1.Hello{}
 	if h, ok := c.server.handler.(IncarnationReporter); ok {
 		reply.Incarnation = h.Incarnation()
@@ -202,7 +222,7 @@
 // finish asks a client that submits attempts for no more of them. It returns when all
 // that have been submitted are answered, the connection is closed or ctx is done.
 func (c *serverConn) finish(ctx context.Context, rpc *jsonrpc2.Conn) {
-	if !c.carriesAttempts() {
+	if !c.mayCarryAttempts() {
 		return
 	}
 	// The messages of a connection are handled in their order, so that after the reply
@@ -221,9 +241,12 @@
 	}
 }
 
-func (c *serverConn) carriesAttempts() bool {
+// mayCarryAttempts reports whether the client has announced that it submits attempts.
+// If it has not, it can't do so any more.
+func (c *serverConn) mayCarryAttempts() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.closing = !c.submitsAttempts
 	return c.submitsAttempts
 }
 
