Let an entry work on as many streams as the target has for it

3 M tokens/s at 51 ms a token are 153,000 streams, 440 for each of 350 daemons and twice as many if half of them are lost; 1,024 left little room. Beyond that, callers saw their streams held back though the processor was idle.

--- a/internal/congestion/congestion.go
+++ b/internal/congestion/congestion.go
@@ -38,14 +38,14 @@
 }
 
 // DefaultOptions returns the default options of an entry. An instance at the target's
-// rate has some 50 requests in progress, most of which wait for engines.
+// rate has some 440 streams in progress, twice as many if half of the instances are lost.
 func DefaultOptions() Options {
 	return Options{MinLimit: defaultMinLimit, MaxLimit: defaultMaxLimit, MaxDelay: defaultMaxDelay}
 }
 
 const (
 	defaultMinLimit = 32
-	defaultMaxLimit = 1024
+	defaultMaxLimit = 2048
 	defaultMaxDelay = 100 * time.Millisecond
 	// decrease is the factor by which the bound is lowered.
 	decrease = 0.8
