End no gateway because a server ends a long body early

Cause: a body of 16 KiB or more is sent by a goroutine of the exchange, which read the field that the end of the exchange sets to nil when reading the answer fails first. The goroutine also outlived its exchange, and with it the request whose body and header it reads.

Change: the connection belongs to the caller of the exchange until Release or Abort and is not taken away from it; the writer of the connection belongs to the sending goroutine until it is done; the end of an exchange closes the connection, which interrupts the write, and waits for that goroutine. Nothing refers to a request after its exchanges.

The soak did not show it: its bodies are shorter than 30 bytes.

--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"bufio"
 	"context"
 	"errors"
 	"fmt"
@@ -44,6 +45,12 @@
 }
 
 // Exchange is one request and its response on a connection.
+//
+// Its caller owns the connection until Release or Abort, reads the response, and is
+// the only one to close it. A long body is sent by a goroutine of the exchange that
+// owns the connection's writer until sent is closed. The end of an exchange waits
+// for it: closing the connection interrupts the write, so that the wait is short,
+// and nothing refers to the request afterwards.
 type Exchange struct {
 	// Response is the response with its header read. Its body returns io.EOF
 	// only at the end of a complete body.
@@ -51,7 +58,9 @@
 
 	pool   *Pool
 	server fleet.Key
-	conn   *Conn
+	// conn is not changed while the exchange lasts; ended is set by Release and Abort.
+	conn  *Conn
+	ended bool
 	// sent is closed when the request has been written; sendErr is set before.
 	sent      chan struct{}
 	sendErr   error
@@ -89,20 +98,21 @@
 
 // send writes the request; a long body is written in the background.
 func (e *Exchange) send(r Request) error {
+	w := e.conn.writer
 	if len(r.Body) < asyncBodyBytes {
-		e.sendErr = e.write(r)
+		e.sendErr = r.write(w)
 		close(e.sent)
 		return e.sendErr
 	}
 	go func() {
-		e.sendErr = e.write(r)
+		e.sendErr = r.write(w)
 		close(e.sent)
 	}()
 	return nil
 }
 
-func (e *Exchange) write(r Request) error {
-	w := e.conn.writer
+// write writes the request to w, which buffers it, and flushes it.
+func (r Request) write(w *bufio.Writer) error {
 	// Errors of a bufio.Writer are sticky and are returned by Flush.
 	_, _ = w.WriteString(r.Method)
 	_ = w.WriteByte(' ')
@@ -212,23 +222,18 @@
 // Release ends the exchange. The connection is kept if the response was read
 // completely and both sides permit it, and closed otherwise.
 func (e *Exchange) Release() {
-	if e.conn == nil {
-		return
-	}
-	if !e.reusable() {
-		e.Abort()
+	if e.ended {
 		return
 	}
-	if !e.stopWatch() {
+	if !e.reusable() || !e.stopWatch() {
 		e.Abort()
 		return
 	}
-	conn := e.conn
-	e.conn = nil
+	e.ended = true
 	if keep := parseKeepAlive(e.Response.Header); keep > 0 {
-		conn.keepAlive = keep
+		e.conn.keepAlive = keep
 	}
-	e.pool.put(e.server, conn)
+	e.pool.put(e.server, e.conn)
 }
 
 // reusable reports whether another request may be sent on the connection.
@@ -245,14 +250,15 @@
 }
 
 // Abort ends the exchange and closes the connection, which cancels the request
-// at the server.
+// at the server and ends a body that is still being sent.
 func (e *Exchange) Abort() {
-	if e.conn == nil {
+	if e.ended {
 		return
 	}
+	e.ended = true
 	e.stopWatch()
 	e.conn.Close()
-	e.conn = nil
+	<-e.sent
 }
 
 // parseKeepAlive returns how long a connection may be idle according to the
