Let candidates for a lease read again soon after a failed call

Cause, as far as a run shows it: a candidate of rank 1 reads every 10 s and counts the lease's 15 s from the read in which it first sees the last renewal. A read that fails was followed by a pause of 10 s: two failed reads move the takeover from 30 s to 50 s after the last renewal, beyond the bound of the test.

Change: the candidates who read at least once per TTL retry at the interval of the first one. Entries log who acquires and loses the lease to plan; without these lines the failed run could not be traced.

--- a/internal/entry/planning.go
+++ b/internal/entry/planning.go
@@ -152,6 +152,9 @@
 		Observer:  p.tracker,
 		Publisher: e.propagator,
 		OnError:   func(err error) { e.log.Write(logevent.PlanningFailed(service, err)) },
+		OnAuthority: func(term uint64, acquired bool) {
+			e.log.Write(logevent.PlannerLeaseChanged(service, term, acquired))
+		},
 	})
 	var wg sync.WaitGroup
 	wg.Go(func() { participant.Run(ctx) })
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -311,12 +311,19 @@
 }
 
 // retryInterval is the time until the next attempt after the store did not
-// respond. It is short for a holder, whose lease is about to expire.
+// respond. It is short for a holder, whose lease is about to expire. The first
+// candidates retry sooner than they read, because they find out later that the
+// holder is silent the longer they do not read. The others do not, so that an
+// outage of the store does not multiply their calls.
 func (s State) retryInterval(o Options) time.Duration {
-	if s.holding {
+	switch {
+	case s.holding:
 		return o.renewInterval() / renewalsPerTTL
+	case o.readInterval() <= o.ttl():
+		return o.renewInterval()
+	default:
+		return o.readInterval()
 	}
-	return o.readInterval()
 }
 
 // resume handles a stored record of this very incarnation that is not the
--- a/internal/logevent/system.go
+++ b/internal/logevent/system.go
@@ -186,6 +186,12 @@
 	return detail("reading an engine's report failed", slog.String(keyServer, server), errorText(err))
 }
 
+// PlannerLeaseChanged reports that this entry acquired or lost the lease to plan for
+// a service.
+func PlannerLeaseChanged(service string, term uint64, acquired bool) Event {
+	return info("lease for planning changed", slog.String(keyService, service), slog.Uint64("term", term), slog.Bool("acquired", acquired))
+}
+
 // PlanningFailed reports that no plan was made for a service.
 func PlanningFailed(service string, err error) Event {
 	return detail("planning failed", slog.String(keyService, service), errorText(err))
--- a/internal/plannerloop/loop.go
+++ b/internal/plannerloop/loop.go
@@ -80,6 +80,9 @@
 	Interval time.Duration
 	// OnError is called with the error of a failed step. It may be nil.
 	OnError func(error)
+	// OnAuthority is called when a step finds that this process has acquired the
+	// lease or lost it, with its term. It may be nil.
+	OnAuthority func(term uint64, acquired bool)
 }
 
 // Loop runs the planner of one service.
@@ -90,6 +93,8 @@
 	// taken over.
 	term uint64
 	plan *peerv1.Plan
+	// reported is the term last passed to OnAuthority as acquired, 0 if it was lost.
+	reported uint64
 
 	mu   sync.Mutex
 	last *peerv1.Explanation
@@ -136,6 +141,7 @@
 // step ended.
 func (l *Loop) Step(ctx context.Context) error {
 	authority, ok := l.config.Authority.Authority()
+	l.reportAuthority(authority.Term)
 	if !ok {
 		l.plan = nil
 		return nil
@@ -164,6 +170,22 @@
 	return nil
 }
 
+// reportAuthority calls OnAuthority if term, 0 for none, differs from the term
+// reported last.
+func (l *Loop) reportAuthority(term uint64) {
+	before := l.reported
+	l.reported = term
+	if term == before || l.config.OnAuthority == nil {
+		return
+	}
+	if before != 0 {
+		l.config.OnAuthority(before, false)
+	}
+	if term != 0 {
+		l.config.OnAuthority(term, true)
+	}
+}
+
 func (l *Loop) setLastExplanation(e *peerv1.Explanation) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
