--- a/internal/gateway/coordinate.go
+++ b/internal/gateway/coordinate.go
@@ -67,7 +67,7 @@
 // chooses itself.
 func (q *request) choose(ctx context.Context) (placement.Choice, error) {
 	coordination := q.g.coordination
-	if coordination == nil || q.service.engine == nil || q.meta.PromptTokens < placement.MinCoordinatedTokens || q.pin.pinned {
+	if coordination == nil || q.service.engineSpec() == nil || q.meta.PromptTokens < placement.MinCoordinatedTokens || q.pin.pinned {
 		return q.service.choose(q.g.now(), q.placementRequest())
 	}
 	name, address := coordination.coordinatorOf(q.service.name)
--- a/internal/gateway/poison.go
+++ b/internal/gateway/poison.go
@@ -145,7 +145,7 @@
 // if it can't be asked, and the function that judges the response.
 func (g *Gateway) stateRequest(s *service, server fleet.Server) (upstream.Request, func(fleet.Server, callResponse) poison.Check) {
 	request := upstream.Request{Method: http.MethodGet, Host: server.Address, Header: http.Header{}}
-	if !s.isEngineService() {
+	if s.engineSpec() == nil {
 		request.Target = s.healthTarget()
 		request.Header = g.opts.Protocol.RequestHeader(http.Header{}, AttemptMeta{ServerID: server.ID, Remaining: engineCallTimeout})
 		return request, func(server fleet.Server, response callResponse) poison.Check {
@@ -313,13 +313,6 @@
 	q.g.trials.end(q.service, q.trial.Trait, q.proven)
 }
 
-// isEngineService reports whether the service's servers are engines.
-func (s *service) isEngineService() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.engine != nil
-}
-
 // healthTarget returns the target of health checks; empty if the service has none.
 func (s *service) healthTarget() string {
 	s.mu.Lock()
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -16,10 +16,11 @@
 // service holds the state of one service under its own lock, so that requests
 // to different services do not contend.
 type service struct {
-	name   string
-	engine *fleet.EngineSpec
+	name string
 
-	mu         sync.Mutex
+	mu sync.Mutex
+	// engine is nil for a service without engines; use engineSpec to read it.
+	engine     *fleet.EngineSpec
 	healthPath string
 	table      *placement.Table
 	health     *retry.HealthTracker
@@ -110,6 +111,14 @@
 	return fleet.Server{}, false
 }
 
+// engineSpec returns the description of the service's engines, or nil if its servers
+// are no engines. A configuration may change it at any time.
+func (s *service) engineSpec() *fleet.EngineSpec {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.engine
+}
+
 // servers returns the registered servers.
 func (s *service) servers() []fleet.Server {
 	s.mu.Lock()
--- a/internal/gateway/stages.go
+++ b/internal/gateway/stages.go
@@ -130,7 +130,7 @@
 	defer running.Wait()
 	runEvery(ctx, pollInterval, func() {
 		for name, s := range cs.g.state.Load().services {
-			if s.engine == nil || started[name] {
+			if s.engineSpec() == nil || started[name] {
 				continue
 			}
 			started[name] = true
@@ -191,12 +191,16 @@
 		return
 	}
 	s := c.g.state.Load().services[c.service]
-	if s == nil || s.engine == nil {
+	if s == nil {
+		return
+	}
+	spec := s.engineSpec()
+	if spec == nil {
 		return
 	}
 	servers := s.servers()
 	engines, reports := c.reports(ctx, s, servers)
-	next, orders := stageplan.Decide(c.state, stageplan.DefaultOptions(s.engine.StageChangeTime), c.g.now(), engines)
+	next, orders := stageplan.Decide(c.state, stageplan.DefaultOptions(spec.StageChangeTime), c.g.now(), engines)
 	c.state = next
 	for _, order := range orders {
 		i := slices.IndexFunc(servers, func(server fleet.Server) bool { return server.ID == order.Engine })
