Keep listening to other gateways after a late notice (CONFIG)

Cause, by the logs of all 103 gateways: the store dropped its history when version 13 was written, so that no watch delivered it. The gateways that had been started since knew it after 23.3 s and reported it in their heartbeats; those that answered 404 never reacted and found it when their watches ended, at 28 to 30 s. A notice that arrives while the objects are listed stays signalled; the goroutine of the next watch takes it, finds nothing newer and ends, so that the watch is deaf to all later notices. On a fleet of four gateways watches end before that matters.

Change: the goroutine listens until its watch ends.

--- a/internal/registry/watch.go
+++ b/internal/registry/watch.go
@@ -107,17 +107,21 @@
 // endIfPeerNewer ends a watch if another gateway knows of a change that does
 // not arrive through it within peerNewerDelay. It returns when ctx is done.
 func (f *Follower) endIfPeerNewer(ctx context.Context, end context.CancelCauseFunc, kind string) {
-	select {
-	case <-f.relist[kind]:
-	case <-ctx.Done():
-		return
-	}
-	sleep(ctx, peerNewerDelay)
-	f.mu.Lock()
-	behind := f.behind(kind)
-	f.mu.Unlock()
-	if behind {
-		end(errPeerNewer)
+	for {
+		select {
+		case <-f.relist[kind]:
+		case <-ctx.Done():
+			return
+		}
+		sleep(ctx, peerNewerDelay)
+		f.mu.Lock()
+		behind := f.behind(kind)
+		f.mu.Unlock()
+		// The signal may be of a change that has been listed meanwhile.
+		if behind {
+			end(errPeerNewer)
+			return
+		}
 	}
 }
 
