Spread the ends of the watches of a large fleet (CONFIG)

Cause: watches of a large fleet last up to 10 s in the expectation that some watch ends early and its gateway notifies the others. A change starts all watches anew at the same moment, with 8 to 10 s each, so that none ends within the bound of 4 s.

Change: their timeouts are spread from that of a gateway without others (2.4 s here) on.

Evidence: TestChangeMissedByAllWatches (4, 103 and 350 gateways in virtual time) failed before at 103.

--- a/internal/registry/follower.go
+++ b/internal/registry/follower.go
@@ -23,8 +23,8 @@
 	perGatewayShare = 0.1
 	// maxWatchTimeout bounds the watch timeout, since network devices on the
 	// path drop connections that are idle for longer. watchTimeoutJitter is the
-	// fraction by which it is randomly shortened, so that watches do not end
-	// simultaneously.
+	// fraction by which it is at least randomly shortened, so that watches do not
+	// end simultaneously.
 	maxWatchTimeout    = 10 * time.Second
 	watchTimeoutJitter = 0.2
 	// minBackoff and maxBackoff bound the backoff between calls to a store that
--- a/internal/registry/notified_test.go
+++ b/internal/registry/notified_test.go
@@ -130,6 +130,24 @@
 	require.Zero(t, behind, "of %d followers have an older configuration", len(followers))
 }
 
+// TestChangeMissedByAllWatches guards against watches that end so late, all together,
+// that a change which none of them has delivered is in force too late.
+func TestChangeMissedByAllWatches(t *testing.T) {
+	for _, count := range []int{4, 103, 350} {
+		synctest.Test(t, func(t *testing.T) {
+			s := newConfigStore()
+			followers := startFollowers(t, s, count, 6)
+			time.Sleep(time.Minute)
+			s.write(false)
+			time.Sleep(time.Second)
+			requireVersion(t, followers, 2)
+			s.write(true)
+			time.Sleep(configBound)
+			requireVersion(t, followers, 3)
+		})
+	}
+}
+
 // TestPeersAreBelievedAfterLateNotice guards against a watch that no longer listens to
 // other gateways because one of them has reported a change while it was being listed.
 func TestPeersAreBelievedAfterLateNotice(t *testing.T) {
--- a/internal/registry/watch.go
+++ b/internal/registry/watch.go
@@ -145,12 +145,14 @@
 // watchTimeout returns the timeout of a watch for a propagation bound. It is
 // longer if many gateways notify each other: a change that the watches of some
 // gateways miss is found by another one whose watch has just ended, which then
-// notifies the others.
+// notifies the others. Since a change starts all watches anew at the same time,
+// their timeouts are spread from that of a gateway without others on.
 func (f *Follower) watchTimeout(bound time.Duration) time.Duration {
-	ownTimeout := watchTimeoutShare * float64(bound)
-	sharedTimeout := perGatewayShare * float64(bound) * float64(f.gatewayCount())
-	wait := min(max(ownTimeout, sharedTimeout), float64(maxWatchTimeout))
-	return time.Duration(wait * (1 - watchTimeoutJitter*rand.Float64()))
+	alone := watchTimeoutShare * float64(bound)
+	shared := perGatewayShare * float64(bound) * float64(f.gatewayCount())
+	longest := min(max(alone, shared), float64(maxWatchTimeout))
+	shortest := min(alone, (1-watchTimeoutJitter)*longest)
+	return time.Duration(longest - (longest-shortest)*rand.Float64())
 }
 
 // sleep waits for d or until ctx is done.
