Let an idle fleet change to its split of stages at once

Cause: 31 of 144 engines have to change to reach the default split, four at a time, 3.5 s apart. The bound protects callers, but the fleet is idle for the 8 s between the first order and the first caller.

Change: while no polled engine has anything to do, and has not had for a while, up to a quarter of the engines change at once.

Evidence: TestLargeIdleFleetHasItsSplitWithinSeconds (48, 144 and 940 engines) failed before. Two tests of the bound used idle fleets as an example; they now use fleets that run requests, and TestBusyFleetChangesAFewEnginesAtATime adds fleets of which one engine is busy, or was busy a moment before.

--- a/internal/stageplan/stageplan.go
+++ b/internal/stageplan/stageplan.go
@@ -4,7 +4,9 @@
 // The mix of long prompts and long outputs can shift faster than engines can be
 // added. An engine that changes its stage is unavailable for seconds, so only a
 // few change at a time, only towards the stage whose load makes callers wait,
-// and only if the other stage has capacity to spare. Decide depends on its
+// and only if the other stage has capacity to spare. While a service has nothing to
+// do, its engines change to the default split in larger numbers, so that a fleet of
+// hundreds has it when its callers come. Decide depends on its
 // arguments alone; the caller sends the orders to the engines.
 package stageplan
 
@@ -61,6 +63,9 @@
 	// least one and at most MaxChanging engines.
 	MaxChangingShare float64
 	MaxChanging      int
+	// MaxChangingIdleShare is the share of engines that may change at once while
+	// none of them has anything to do.
+	MaxChangingIdleShare float64
 }
 
 // DefaultOptions returns the default options for engines whose changes take the
@@ -76,6 +81,7 @@
 		MinEnginesPerStage:    2,
 		MaxChangingShare:      1.0 / 12,
 		MaxChanging:           4,
+		MaxChangingIdleShare:  0.25,
 	}
 }
 
@@ -156,7 +162,8 @@
 	s := totalsOf(engines)
 	st = st.observe(o, now, s)
 	var orders []Order
-	for s.changing < o.maxConcurrent(s) {
+	limit := o.maxConcurrent(s, st.idle(s))
+	for s.changing < limit {
 		target, ok := st.stageInNeed(o, s)
 		if !ok {
 			break
@@ -173,9 +180,25 @@
 	return st, orders
 }
 
+// idleUtilization and idleQueue are the smoothed load below which a service is idle.
+const (
+	idleUtilization = 0.01
+	idleQueue       = 0.01
+)
+
+// idle reports whether no engine with known load has anything to do and the service
+// has been without load for a while. A change then makes no caller wait.
+func (st State) idle(s stageTotals) bool {
+	return s.prompts == 0 && s.used == 0 && st.prefillQueue < idleQueue && st.decodeUtilization < idleUtilization
+}
+
 // maxConcurrent returns the number of engines that may change at once.
-func (o Options) maxConcurrent(s stageTotals) int {
-	return min(max(1, int(o.MaxChangingShare*float64(s.engines))), o.MaxChanging)
+func (o Options) maxConcurrent(s stageTotals, idle bool) int {
+	bound := min(max(1, int(o.MaxChangingShare*float64(s.engines))), o.MaxChanging)
+	if idle {
+		return max(bound, int(o.MaxChangingIdleShare*float64(s.engines)))
+	}
+	return bound
 }
 
 // applyRecentOrders returns a copy of the engines in which those with a recent
