Let few gateways of a large fleet read the store

What callers see: nothing.

Cause: each of 103 gateways watches configuration and registrations for itself. The registrations of 150 servers wake all of them at the start, each change of a stage again; a list without a configuration was repeated by all of them until there was one.

Change: two relays in each failure domain read the newest state. Who is a candidate for the lease of stage orders is ranked among all known gateways, not only among those heard of. Fleets of fewer than 24 gateways are unchanged but for the list without a configuration.

--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -21,9 +21,10 @@
 // revision and loads at the servers to a heartbeat.
 func (a peerAdapter) fillHeartbeat(h *peerv1.Heartbeat) {
 	h.Leaving = a.g.draining.Load()
-	version, servers := a.follower.Versions()
-	h.ConfigRevision = uint64(version)
-	h.ServersGeneration, h.ServersRevision = servers.Generation(), servers.Number()
+	confirmation := a.follower.Confirmation()
+	h.ConfigRevision, h.StoreAgeMs = uint64(confirmation.ConfigVersion), ageToProto(confirmation.ConfigAge)
+	h.ServersGeneration, h.ServersRevision = confirmation.ChangeRevision.Generation(), confirmation.ChangeRevision.Number()
+	h.ServersAgeMs = ageToProto(confirmation.ServersAge)
 	for _, s := range a.g.state.Load().services {
 		h.Loads = append(h.Loads, loadsToProto(s.ownLoads(a.g.now()))...)
 		h.ServerLimits = append(h.ServerLimits, limitsToProto(s.limitReports(a.g.now()))...)
@@ -32,6 +33,28 @@
 	h.PoisonReports = a.g.poisonReports()
 }
 
+// ageToProto returns an age in milliseconds, rounded up, plus one; 0 for a negative one,
+// which means that there is none.
+func ageToProto(age time.Duration) uint64 {
+	if age < 0 {
+		return 0
+	}
+	return uint64((age+time.Millisecond-1)/time.Millisecond) + 1
+}
+
+// ageFromProto is the inverse of ageToProto.
+func ageFromProto(ms uint64) time.Duration {
+	return time.Duration(ms)*time.Millisecond - time.Millisecond
+}
+
+// handleReply processes the reply to a heartbeat that was sent elapsed ago.
+func (a peerAdapter) handleReply(h *peerv1.Heartbeat, elapsed time.Duration) {
+	a.follower.ObserveConfirmation(registry.Confirmation{
+		ConfigVersion: int64(h.GetConfigRevision()), ConfigAge: ageFromProto(h.GetStoreAgeMs()),
+		ChangeRevision: revision.Join(h.GetServersGeneration(), h.GetServersRevision()), ServersAge: ageFromProto(h.GetServersAgeMs()),
+	}, elapsed)
+}
+
 func loadsToProto(loads []placement.GatewayLoad) []*peerv1.Load {
 	messages := make([]*peerv1.Load, 0, len(loads))
 	for _, l := range loads {
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -94,14 +94,15 @@
 	streams := g.EnableStreamOrigins(client)
 	trials := g.EnableTrials(client, func(key string) (name, address string) { return heartbeater.Owner(key) })
 	heartbeater = gatewaypeers.NewHeartbeater(gatewaypeers.Options{
-		Name: s.GetName(), Address: s.GetPeerAddress(), Incarnation: uint64(time.Now().UnixNano()),
-		Store: deps.Peers, Client: client, Log: log, FillHeartbeat: adapter.fillHeartbeat, OnHeartbeat: adapter.handleHeartbeat, Placer: placer, Streams: streams, Trials: trials,
+		Name: s.GetName(), FailureDomain: s.GetFailureDomain(), Address: s.GetPeerAddress(), Incarnation: uint64(time.Now().UnixNano()),
+		Store: deps.Peers, Client: client, Log: log, FillHeartbeat: adapter.fillHeartbeat, OnHeartbeat: adapter.handleHeartbeat, OnReply: adapter.handleReply, Placer: placer, Streams: streams, Trials: trials,
 	})
 	g.peers = heartbeater
 	stageOptions := StageControllerOptions{
-		Protocol: deps.StageProtocol, Leases: deps.Leases, LeaseDuration: milliseconds(s.GetOrderLeaseMs()), Members: heartbeater.LiveNames,
+		Protocol: deps.StageProtocol, Leases: deps.Leases, LeaseDuration: milliseconds(s.GetOrderLeaseMs()), Members: heartbeater.SharingNames,
 	}
 	follower.SetGatewayCount(heartbeater.LiveCount)
+	follower.SetRelay(heartbeater.Relay, lease.BootTime)
 	follower.SetOnChange(heartbeater.NotifyPeers)
 	mux := telemetry.NewMux(telemetry.MuxOptions{
 		Metrics: metrics,
@@ -227,6 +228,24 @@
 		_, failed := f.StoreCalls()
 		return float64(failed)
 	})
+	counter("marigold_gateway_store_stale_calls_total", "Calls to the platform's store that may miss the latest changes.", func() float64 {
+		return float64(f.StaleStoreCalls())
+	})
+	gauge := func(name, help string, value func() float64) {
+		registerer.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, value))
+	}
+	gauge("marigold_gateway_reads_store", "1 if this gateway reads the newest state of the store for itself and others.", func() float64 {
+		if f.Relays() {
+			return 1
+		}
+		return 0
+	})
+	gauge("marigold_gateway_config_confirmed_age_seconds", "Time since the configuration was confirmed to be the newest one; negative if never.", func() float64 {
+		return f.Confirmation().ConfigAge.Seconds()
+	})
+	gauge("marigold_gateway_servers_confirmed_age_seconds", "Time since the registrations were confirmed to be the newest ones; negative if never.", func() float64 {
+		return f.Confirmation().ServersAge.Seconds()
+	})
 	counter("marigold_gateway_store_restores_total", "Restores of the platform's store from an older copy that were observed.", func() float64 {
 		return float64(f.StoreRestores())
 	})
--- a/internal/gatewaypeers/gatewaypeers.go
+++ b/internal/gatewaypeers/gatewaypeers.go
@@ -40,6 +40,8 @@
 type Peer struct {
 	Name    string
 	Address string
+	// failureDomain is empty if it is not known.
+	failureDomain string
 	// incarnation increases with each start of the gateway.
 	incarnation   uint64
 	addedAt       time.Duration
@@ -51,9 +53,11 @@
 // Table holds the peers known to one gateway. It is not safe for concurrent
 // use. Times are monotonic, measured from an origin chosen by the caller.
 type Table struct {
-	self  string
-	peers map[string]*Peer
-	round uint64
+	self string
+	// domain is the failure domain of this gateway.
+	domain string
+	peers  map[string]*Peer
+	round  uint64
 }
 
 // NewTable returns a table without peers.
@@ -177,10 +181,62 @@
 	return addresses
 }
 
+// SetFailureDomain records the failure domain of a known peer, or of this gateway.
+func (t *Table) SetFailureDomain(name, domain string) {
+	if name == t.self {
+		t.domain = domain
+	}
+	if p := t.peers[name]; p != nil {
+		p.failureDomain = domain
+	}
+}
+
+// relaysPerDomain is the number of gateways in each failure domain that read the store
+// for the others.
+const relaysPerDomain = 2
+
+// IsRelay reports whether this gateway is among the relaysPerDomain known ones in its
+// failure domain with the highest hashes. Silent peers count until they are evicted; the
+// others do not depend on any relay being alive.
+func (t *Table) IsRelay() bool { return len(t.higherInDomain()) < relaysPerDomain }
+
+// higherInDomain returns the peers in this gateway's failure domain that become relays
+// before it.
+func (t *Table) higherInDomain() []Peer {
+	own := ownerHash(t.domain, t.self)
+	var higher []Peer
+	for _, p := range t.peers {
+		if t.domain != "" && p.failureDomain == t.domain && !p.leaving && ownerHash(t.domain, p.Name) > own {
+			higher = append(higher, *p)
+		}
+	}
+	return higher
+}
+
+// relayPeers returns the relay to contact in this round, if this gateway is none itself:
+// one that is live or has not been heard of yet.
+func (t *Table) relayPeers(now time.Duration) []Peer {
+	relays := t.higherInDomain()
+	if len(relays) < relaysPerDomain {
+		return nil
+	}
+	slices.SortFunc(relays, func(a, b Peer) int {
+		return cmp.Compare(ownerHash(t.domain, b.Name), ownerHash(t.domain, a.Name))
+	})
+	p := relays[t.round%relaysPerDomain]
+	if p.hasHeartbeat && !t.isLive(now, &p) {
+		return nil
+	}
+	return []Peer{p}
+}
+
+// KnownCount returns the number of gateways that may be serving, this one included.
+func (t *Table) KnownCount(now time.Duration) int { return len(t.SharingNames(now)) }
+
 func ownerHash(key, name string) uint64 { return xxhash.Sum64String(key + "\x00" + name) }
 
 // HeartbeatPeers starts a new round and returns the peers to contact in it:
-// live peers in rotation, and a silent one. Peers that have been silent for too
+// live peers in rotation, a silent one, and a relay of the failure domain. Peers that have been silent for too
 // long are evicted.
 func (t *Table) HeartbeatPeers(now time.Duration) []Peer {
 	t.round++
@@ -196,7 +252,8 @@
 			silent = append(silent, *p)
 		}
 	}
-	return append(t.rotate(live, livePeersPerRound), t.rotate(silent, silentPeersPerRound)...)
+	contacts := append(t.rotate(live, livePeersPerRound), t.rotate(silent, silentPeersPerRound)...)
+	return append(contacts, t.relayPeers(now)...)
 }
 
 // LivePeers returns at most the given number of live peers, for a notification
--- a/internal/gatewaypeers/heartbeater.go
+++ b/internal/gatewaypeers/heartbeater.go
@@ -12,6 +12,7 @@
 	"google.golang.org/protobuf/proto"
 
 	peerv1 "github.com/marigoldwing/marigoldwing/api/peer/v1"
+	"github.com/marigoldwing/marigoldwing/internal/lease"
 	"github.com/marigoldwing/marigoldwing/internal/logevent"
 	"github.com/marigoldwing/marigoldwing/internal/peerrpc"
 	"github.com/marigoldwing/marigoldwing/internal/platform"
@@ -43,6 +44,8 @@
 // Options configures a Heartbeater.
 type Options struct {
 	Name string
+	// FailureDomain of this gateway.
+	FailureDomain string
 	// Address (IP:port) of the peer listener.
 	Address     string
 	Incarnation uint64
@@ -55,6 +58,9 @@
 	// OnHeartbeat is called with each heartbeat received from a peer, replies
 	// included.
 	OnHeartbeat func(*peerv1.Heartbeat)
+	// OnReply is called with each reply to a heartbeat and the time since the heartbeat
+	// was sent, suspension included; it may be nil.
+	OnReply func(reply *peerv1.Heartbeat, elapsed time.Duration)
 	// Placer places prompts on behalf of peers; nil if this gateway does not.
 	Placer peerrpc.Placer
 	// Streams remembers the origins of streams for peers; nil if this gateway does not.
@@ -81,6 +87,7 @@
 func NewHeartbeater(opts Options) *Heartbeater {
 	h := &Heartbeater{opts: opts, origin: time.Now(), notify: make(chan struct{}, 1), table: NewTable(opts.Name)}
 	h.liveCount.Store(1)
+	h.table.SetFailureDomain(opts.Name, opts.FailureDomain)
 	return h
 }
 
@@ -119,6 +126,14 @@
 	return h.table.Keepers(h.now(), key, n)
 }
 
+// Relay returns the number of known gateways, and whether this one is one of those in its
+// failure domain that read the store for the others.
+func (h *Heartbeater) Relay() (gateways int, isRelay bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.table.KnownCount(h.now()), h.table.IsRelay()
+}
+
 // NotifyPeers schedules an immediate heartbeat to some peers, to notify them of
 // a change.
 func (h *Heartbeater) NotifyPeers() {
@@ -175,6 +190,7 @@
 func (h *Heartbeater) exchange(ctx context.Context, p Peer) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
+	sentAt := lease.BootTime()
 	reply, err := h.opts.Client.Heartbeat(ctx, p.Address, h.heartbeat())
 	if err != nil {
 		if !errors.Is(err, peerrpc.ErrUnreachable) {
@@ -184,29 +200,34 @@
 		h.opts.Log.Write(logevent.PeerHeartbeatFailed(p.Name, err))
 		return
 	}
-	h.processHeartbeat(reply)
+	if h.processHeartbeat(reply) && h.opts.OnReply != nil {
+		h.opts.OnReply(reply, lease.BootTime()-sentAt)
+	}
 }
 
 func (h *Heartbeater) heartbeat() *peerv1.Heartbeat {
 	hb := &peerv1.Heartbeat{
-		Sender:      h.opts.Name,
-		SenderRole:  KindGateway,
-		Address:     h.opts.Address,
-		Incarnation: h.opts.Incarnation,
+		Sender:        h.opts.Name,
+		SenderRole:    KindGateway,
+		FailureDomain: h.opts.FailureDomain,
+		Address:       h.opts.Address,
+		Incarnation:   h.opts.Incarnation,
 	}
 	h.opts.FillHeartbeat(hb)
 	return hb
 }
 
 // processHeartbeat processes a heartbeat of a peer, received as request or
-// reply.
-func (h *Heartbeater) processHeartbeat(hb *peerv1.Heartbeat) {
+// reply. It reports whether the heartbeat was used.
+func (h *Heartbeater) processHeartbeat(hb *peerv1.Heartbeat) bool {
 	h.mu.Lock()
 	use := h.table.ObserveHeartbeat(h.now(), hb.GetSender(), hb.GetAddress(), hb.GetIncarnation(), hb.GetLeaving())
+	h.table.SetFailureDomain(hb.GetSender(), hb.GetFailureDomain())
 	h.mu.Unlock()
 	if use {
 		h.opts.OnHeartbeat(hb)
 	}
+	return use
 }
 
 // restoredRegisterSpread is the time over which the gateways of a fleet register
@@ -276,7 +297,9 @@
 // incarnation. If the response to a write is lost, the next attempt finds the
 // object.
 func (h *Heartbeater) register(ctx context.Context) error {
-	value, err := proto.Marshal(&peerv1.Heartbeat{Sender: h.opts.Name, Address: h.opts.Address, Incarnation: h.opts.Incarnation})
+	value, err := proto.Marshal(&peerv1.Heartbeat{
+		Sender: h.opts.Name, FailureDomain: h.opts.FailureDomain, Address: h.opts.Address, Incarnation: h.opts.Incarnation,
+	})
 	if err != nil {
 		return fmt.Errorf("gatewaypeers: encode address: %w", err)
 	}
@@ -309,6 +332,7 @@
 			continue
 		}
 		h.table.AddPeer(h.now(), hb.GetSender(), hb.GetAddress())
+		h.table.SetFailureDomain(hb.GetSender(), hb.GetFailureDomain())
 	}
 	return nil
 }
--- a/internal/logevent/system.go
+++ b/internal/logevent/system.go
@@ -186,6 +186,18 @@
 	return detail("reading an engine's report failed", slog.String(keyServer, server), errorText(err))
 }
 
+// StoreReadChanged reports whether this gateway reads the newest state of the store for
+// itself and others, or depends on the gateways that do.
+func StoreReadChanged(kind string, reads bool, gateways int) Event {
+	return info("role in reading the store changed", slog.String(keyKind, kind), slog.Bool("reads", reads), slog.Int("gateways", gateways))
+}
+
+// StateUnconfirmed reports that no other gateway has confirmed the state for too long, so
+// that this gateway lists it from the store.
+func StateUnconfirmed(kind string, revision any) Event {
+	return detail("state not confirmed by other gateways, listing", slog.String(keyKind, kind), slog.Any(keyRevision, revision))
+}
+
 // PlannerLeaseChanged reports that this entry acquired or lost the lease to plan for
 // a service.
 func PlannerLeaseChanged(service string, term uint64, acquired bool) Event {
--- a/internal/registry/follower.go
+++ b/internal/registry/follower.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -33,9 +34,9 @@
 	// maxBackoff is short.
 	minBackoff = 50 * time.Millisecond
 	maxBackoff = 300 * time.Millisecond
-	// coalesceDelay delays the next watch after a change, so that changes in
-	// quick succession arrive in one response.
-	coalesceDelay = 150 * time.Millisecond
+	// minCoalesceDelay delays the next watch after a change at least, so that
+	// changes in quick succession arrive in one response.
+	minCoalesceDelay = 150 * time.Millisecond
 	// expireInterval is how often servers missing from the registry are checked
 	// for the end of their grace period.
 	expireInterval = 100 * time.Millisecond
@@ -57,6 +58,9 @@
 	// onState is called with each new state.
 	onState func(*fleet.Config, []fleet.Server)
 
+	// relay and clock are those of SetRelay.
+	relay func() (gateways int, isRelay bool)
+	clock func() time.Duration
 	// gatewayCount returns the number of gateways that notify each other, this
 	// one included.
 	gatewayCount func() int
@@ -79,12 +83,18 @@
 	// version and the newest registration change that other gateways reported.
 	peerConfigVersion  int64
 	peerChangeRevision revision.Revision
+	// confirmedAt holds, by kind of object, the latest moment on clock at which the
+	// state was the newest one; reads whether this gateway reads for itself.
+	confirmedAt map[string]time.Duration
+	reads       map[string]bool
 
 	// storeCallCount and storeFailureCount count calls to the store,
 	// lastResponse is the time of its last response since origin.
 	storeCallCount    atomic.Int64
 	storeFailureCount atomic.Int64
-	lastResponse      atomic.Int64
+	// staleCallCount counts those of the calls that may miss changes.
+	staleCallCount atomic.Int64
+	lastResponse   atomic.Int64
 	// storeRestoreCount counts the restores of the store that were observed.
 	storeRestoreCount atomic.Int64
 }
@@ -92,11 +102,16 @@
 // NewFollower returns a Follower that calls onState with every new state, one
 // call at a time. Run starts it.
 func NewFollower(source Source, bounds Bounds, log logevent.Log, onState func(*fleet.Config, []fleet.Server)) *Follower {
+	origin := time.Now()
 	return &Follower{
-		source: source, bounds: bounds, log: log, origin: time.Now(), onState: onState, view: fleet.NewView(),
+		source: source, bounds: bounds, log: log, origin: origin, onState: onState, view: fleet.NewView(),
+		relay:        func() (int, bool) { return 1, true },
+		clock:        func() time.Duration { return time.Since(origin) },
 		gatewayCount: func() int { return 1 },
 		onChange:     func() {},
 		relist:       map[string]chan struct{}{kindConfig: make(chan struct{}, 1), kindServers: make(chan struct{}, 1)},
+		confirmedAt:  make(map[string]time.Duration),
+		reads:        make(map[string]bool),
 	}
 }
 
@@ -113,13 +128,6 @@
 	f.bounds = b
 }
 
-// currentBounds returns the current bounds.
-func (f *Follower) currentBounds() Bounds {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.bounds
-}
-
 // Ready reports whether both the configuration and the servers have been read.
 func (f *Follower) Ready() bool {
 	f.mu.Lock()
@@ -133,6 +141,9 @@
 	return f.storeCallCount.Load(), f.storeFailureCount.Load()
 }
 
+// StaleStoreCalls returns how many of the calls to the store may have missed changes.
+func (f *Follower) StaleStoreCalls() int64 { return f.staleCallCount.Load() }
+
 // StoreRestores returns the number of restores of the store from an older copy
 // that were observed.
 func (f *Follower) StoreRestores() int64 { return f.storeRestoreCount.Load() }
@@ -156,15 +167,16 @@
 
 func (f *Follower) listConfig(ctx context.Context) (revision.Revision, error) {
 	config, asOf, err := f.source.Config(ctx)
-	if err != nil {
+	if err != nil && (!errors.Is(err, ErrNoConfig) || asOf == 0) {
 		return 0, err
 	}
+	// Without a configuration the first one is awaited by a watch.
 	f.updateConfig(config, asOf)
 	return asOf, nil
 }
 
-func (f *Follower) watchConfig(ctx context.Context, since revision.Revision) (revision.Revision, error) {
-	config, asOf, err := f.source.ConfigChanges(ctx, since, f.watchTimeout(f.currentBounds().Config))
+func (f *Follower) watchConfig(ctx context.Context, w Watch) (revision.Revision, error) {
+	config, asOf, err := f.source.ConfigChanges(ctx, w)
 	if err != nil {
 		return 0, err
 	}
@@ -218,8 +230,8 @@
 	return asOf, nil
 }
 
-func (f *Follower) watchServers(ctx context.Context, since revision.Revision) (revision.Revision, error) {
-	changes, asOf, err := f.source.ServerChanges(ctx, since, f.watchTimeout(f.currentBounds().Leaving))
+func (f *Follower) watchServers(ctx context.Context, w Watch) (revision.Revision, error) {
+	changes, asOf, err := f.source.ServerChanges(ctx, w)
 	if err != nil {
 		return 0, err
 	}
--- a/internal/registry/peers.go
+++ b/internal/registry/peers.go
@@ -16,10 +16,16 @@
 func (f *Follower) Versions() (configVersion int64, changeRevision revision.Revision) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.config != nil {
-		configVersion = f.config.Version
+	return f.configVersion(), f.changeRevision
+}
+
+// configVersion returns the version of the configuration in force, 0 if there is none.
+// The caller holds f.mu.
+func (f *Follower) configVersion() int64 {
+	if f.config == nil {
+		return 0
 	}
-	return configVersion, f.changeRevision
+	return f.config.Version
 }
 
 // ObservePeerVersions processes the versions that another gateway reported in a
@@ -42,7 +48,7 @@
 // holds f.mu.
 func (f *Follower) behind(kind string) bool {
 	if kind == kindConfig {
-		return f.config != nil && f.peerConfigVersion > f.config.Version
+		return f.peerConfigVersion > f.configVersion()
 	}
 	return f.peerChangeRevision > f.knownRevision
 }
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -34,20 +34,29 @@
 	ErrNoConfig = errors.New("no configuration has been written")
 )
 
+// Watch is a call that waits for changes.
+type Watch struct {
+	// Since is the revision after which changes are reported.
+	Since revision.Revision
+	// Wait is the longest time for which the store may hold the call.
+	Wait time.Duration
+	// AllowStale permits a response that lacks the changes of the last seconds. It
+	// costs the store less.
+	AllowStale bool
+}
+
 // Source reads the store. Each call returns the revision to continue watching
 // from.
 type Source interface {
 	// Servers lists all registrations.
 	Servers(ctx context.Context) ([]fleet.Change, revision.Revision, error)
-	// ServerChanges watches for registration changes after a revision, for at
-	// most wait.
-	ServerChanges(ctx context.Context, since revision.Revision, wait time.Duration) ([]fleet.Change, revision.Revision, error)
+	// ServerChanges watches for registration changes.
+	ServerChanges(ctx context.Context, w Watch) ([]fleet.Change, revision.Revision, error)
 	// Config reads the newest configuration. If there is none it returns
 	// ErrNoConfig and a revision to watch from.
 	Config(ctx context.Context) (*fleet.Config, revision.Revision, error)
-	// ConfigChanges watches for a configuration written after a revision, for
-	// at most wait. It returns nil if there was none.
-	ConfigChanges(ctx context.Context, since revision.Revision, wait time.Duration) (*fleet.Config, revision.Revision, error)
+	// ConfigChanges watches for a configuration. It returns nil if there was none.
+	ConfigChanges(ctx context.Context, w Watch) (*fleet.Config, revision.Revision, error)
 	// Generation returns the newest generation of the store that any of its
 	// answers reported; 0 if none did.
 	Generation() uint64
--- a/internal/registry/watch.go
+++ b/internal/registry/watch.go
@@ -16,7 +16,7 @@
 type objectKind struct {
 	name  string
 	list  func(ctx context.Context) (revision.Revision, error)
-	watch func(ctx context.Context, since revision.Revision) (revision.Revision, error)
+	watch func(ctx context.Context, w Watch) (revision.Revision, error)
 }
 
 // Run follows the store until ctx is done.
@@ -34,8 +34,9 @@
 }
 
 // follow lists once and then watches. It lists again if the revision to watch
-// from has been compacted, if the store was restored, if a call fails, or if another gateway knows of a
-// change that the watch has missed.
+// from has been compacted, if the store was restored, if a call fails, if another
+// gateway knows of a change that the watch has missed, or if nothing confirms the state
+// any more.
 func (f *Follower) follow(ctx context.Context, kind objectKind) {
 	var since revision.Revision
 	backoff := minBackoff
@@ -48,7 +49,7 @@
 				f.log.Write(logevent.StoreRecovered(kind.name, next))
 			}
 			if since != 0 && next != since {
-				sleep(ctx, coalesceDelay)
+				sleep(ctx, f.coalesceDelay(kind.name))
 			}
 			since, backoff, storeLost = next, minBackoff, false
 			continue
@@ -56,6 +57,10 @@
 			f.log.Write(logevent.PeerHasNewerRevision(kind.name, since))
 			since = 0
 			continue
+		case errors.Is(err, errUnconfirmed):
+			f.log.Write(logevent.StateUnconfirmed(kind.name, since))
+			since = 0
+			continue
 		case errors.Is(err, ErrRestored):
 			f.log.Write(logevent.StoreRestored(kind.name, since, f.source.Generation()))
 			since = 0
@@ -91,19 +96,46 @@
 // watch.
 func (f *Follower) step(ctx context.Context, kind objectKind, since revision.Revision) (revision.Revision, error) {
 	f.storeCallCount.Add(1)
+	begun := f.clock()
 	if since == 0 {
-		return kind.list(ctx)
+		next, err := kind.list(ctx)
+		f.confirmRead(kind.name, begun, err)
+		return next, err
 	}
+	reads := f.readsForItself()
+	f.logRelay(kind.name, reads)
+	w := Watch{Since: since, Wait: f.watchTimeout(kind.name, reads), AllowStale: !reads}
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	go f.endIfPeerNewer(ctx, cancel, kind.name)
-	next, err := kind.watch(ctx, since)
-	if err != nil && errors.Is(context.Cause(ctx), errPeerNewer) {
-		return 0, errPeerNewer
+	if w.AllowStale {
+		f.staleCallCount.Add(1)
+		go f.endIfUnconfirmed(ctx, cancel, kind.name)
+	}
+	next, err := kind.watch(ctx, w)
+	if cause := context.Cause(ctx); err != nil && (errors.Is(cause, errPeerNewer) || errors.Is(cause, errUnconfirmed)) {
+		return 0, cause
 	}
+	if w.AllowStale {
+		return sameOrNewer(next, since), err
+	}
+	if next == since {
+		// The store has held the call until nothing had changed for so long.
+		begun += w.Wait
+	}
+	f.confirmRead(kind.name, min(begun, f.clock()), err)
 	return next, err
 }
 
+// sameOrNewer returns next unless it is older than since in the same generation of the
+// store, as the response to a call with AllowStale may be.
+func sameOrNewer(next, since revision.Revision) revision.Revision {
+	if next.Generation() == since.Generation() {
+		return max(next, since)
+	}
+	return next
+}
+
 // endIfPeerNewer ends a watch if another gateway knows of a change that does
 // not arrive through it within peerNewerDelay. It returns when ctx is done.
 func (f *Follower) endIfPeerNewer(ctx context.Context, end context.CancelCauseFunc, kind string) {
@@ -142,16 +174,23 @@
 	*storeLost = true
 }
 
-// watchTimeout returns the timeout of a watch for a propagation bound. It is
-// longer if many gateways notify each other: a change that the watches of some
+// watchTimeout returns the timeout of a watch for the propagation bound of a kind. It
+// is longer if many gateways notify each other: a change that the watches of some
 // gateways miss is found by another one whose watch has just ended, which then
 // notifies the others. Since a change starts all watches anew at the same time,
-// their timeouts are spread from that of a gateway without others on.
-func (f *Follower) watchTimeout(bound time.Duration) time.Duration {
-	alone := watchTimeoutShare * float64(bound)
-	shared := perGatewayShare * float64(bound) * float64(f.gatewayCount())
-	longest := min(max(alone, shared), float64(maxWatchTimeout))
+// their timeouts are spread from that of a gateway without others on. Relays, on which
+// others depend, do not depend on others.
+func (f *Follower) watchTimeout(kind string, reads bool) time.Duration {
+	f.mu.Lock()
+	bound := float64(f.bound(kind))
+	f.mu.Unlock()
+	alone := watchTimeoutShare * bound
+	longest := min(max(alone, perGatewayShare*bound*float64(f.gatewayCount())), float64(maxWatchTimeout))
 	shortest := min(alone, (1-watchTimeoutJitter)*longest)
+	if reads && f.hasRelays() {
+		longest = relayWatchShare * bound
+		shortest = (1 - relayWatchJitter) * longest
+	}
 	return time.Duration(longest - (longest-shortest)*rand.Float64())
 }
 
