Let a gateway that is out of step refuse streams it does not know (ORDER)

What callers of systems like this one saw: streams that had begun at engines of a new version were taken up at a gateway that was out of step, and went on at another version.

Cause: a stream that is not known goes on at any server if only one version has been seen, here and by the gateways that are asked. Silence of all of them counted as agreement.

Change: without any answer the registrations are listed anew, and if the store does not answer either the stream is refused with a time to come back.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -12,6 +12,7 @@
 
 import (
 	"cmp"
+	"context"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -81,6 +82,9 @@
 	retryBudget atomic.Pointer[RetryBudget]
 	// peers reports on the other gateways; nil if the gateway runs without peers.
 	peers Peers
+	// readServers reads the registrations anew and reports whether the known ones are the
+	// newest; nil if the gateway runs without peers.
+	readServers func(ctx context.Context) bool
 	// coordination lets one gateway per service place all long prompts; nil if
 	// the gateway runs without peers.
 	coordination *coordination
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -98,6 +98,7 @@
 		Store: deps.Peers, Client: client, Log: log, FillHeartbeat: adapter.fillHeartbeat, OnHeartbeat: adapter.handleHeartbeat, OnReply: adapter.handleReply, Placer: placer, Streams: streams, Trials: trials,
 	})
 	g.peers = heartbeater
+	g.readServers = follower.ConfirmServers
 	stageOptions := StageControllerOptions{
 		Protocol: deps.StageProtocol, Leases: deps.Leases, LeaseDuration: milliseconds(s.GetOrderLeaseMs()), Members: heartbeater.SharingNames,
 	}
--- a/internal/gateway/streams.go
+++ b/internal/gateway/streams.go
@@ -37,6 +37,14 @@
 // another software version than an unknown one.
 const reasonUnknownVersion = "stream_version_unknown"
 
+// reasonVersionUnconfirmed is the reason of the refusal of a stream by a gateway that is
+// cut off, so that it may not know of the version that began the stream.
+const reasonVersionUnconfirmed = "stream_version_unconfirmed"
+
+// unconfirmedRetryAfter is when a caller may come back after such a refusal, most likely
+// to another gateway.
+const unconfirmedRetryAfter = 500 * time.Millisecond
+
 // reasonVersionGone is the reason of the refusal of a stream whose software version no
 // server has any more.
 const reasonVersionGone = "stream_version_gone"
@@ -140,7 +148,8 @@
 	return &peerv1.FindStreamReply{Known: a.Known, Version: a.Version, Versions: a.Versions}
 }
 
-// ask asks other gateways for the origin of a stream, until one knows it.
+// ask asks other gateways for the origin of a stream, until one knows it. It returns the
+// answers of those that know the service's servers.
 func (o *streamOrigins) ask(ctx context.Context, service string, stream streamorigin.Stream) []streamorigin.Answer {
 	if o == nil || o.g.peers == nil {
 		return nil
@@ -154,7 +163,7 @@
 			reply, err := o.client.FindStream(ctx, address, &peerv1.FindStream{Service: service, Stream: uint64(stream)})
 			if err != nil {
 				o.g.log.Write(logevent.StreamNotAsked(address, err))
-				reply = &peerv1.FindStreamReply{}
+				reply = nil
 			}
 			replies <- reply
 		}()
@@ -162,7 +171,9 @@
 	var answers []streamorigin.Answer
 	for range addresses {
 		r := <-replies
-		answers = append(answers, streamorigin.Answer{Version: r.GetVersion(), Known: r.GetKnown(), Versions: r.GetVersions()})
+		if r.GetKnown() || len(r.GetVersions()) > 0 {
+			answers = append(answers, streamorigin.Answer{Version: r.GetVersion(), Known: r.GetKnown(), Versions: r.GetVersions()})
+		}
 		if r.GetKnown() {
 			break
 		}
@@ -206,7 +217,7 @@
 		return true
 	}
 	decision, version := q.decideTakeUp(ctx)
-	for decision == streamorigin.Nowhere && q.g.now() < joinTime && ctx.Err() == nil {
+	for isRefusal(decision) && q.g.now() < joinTime && ctx.Err() == nil {
 		time.Sleep(joinInterval)
 		decision, version = q.decideTakeUp(ctx)
 	}
@@ -217,10 +228,18 @@
 	case streamorigin.Nowhere:
 		q.refuse(refusal{status: http.StatusServiceUnavailable, reason: reasonUnknownVersion})
 		return false
+	case streamorigin.Unconfirmed:
+		q.refuse(refusal{status: http.StatusServiceUnavailable, reason: reasonVersionUnconfirmed, retryAfter: unconfirmedRetryAfter})
+		return false
 	}
 	return true
 }
 
+// isRefusal reports whether a stream is refused.
+func isRefusal(d streamorigin.Decision) bool {
+	return d == streamorigin.Nowhere || d == streamorigin.Unconfirmed
+}
+
 // hasBegun reports whether the caller has a part of the stream already.
 func (q *request) hasBegun() bool { return q.route.Kind == fleet.Streaming && q.lastEventID != "" }
 
@@ -239,14 +258,32 @@
 	stream := q.streamID()
 	own := q.service.findStream(q.g.now(), stream)
 	answers := []streamorigin.Answer{own}
+	confirmed := own.Known
 	if !own.Known {
 		answers = append(answers, q.g.origins.ask(ctx, q.service.name, stream)...)
+		confirmed = len(answers) > 1 || q.g.confirmServers(ctx)
+		own = q.service.findStream(q.g.now(), stream)
 	}
-	decision, version := streamorigin.Decide(own.Versions, answers)
+	decision, version := streamorigin.Decide(own.Versions, answers, confirmed)
 	q.g.log.Write(logevent.StreamTakenUp(q.meta.ID, q.service.name, q.meta.Resumes, decision.String(), version, own.Versions, len(answers)-1))
 	return decision, version
 }
 
+// confirmTimeout bounds the question to the store whether the registrations are the
+// newest ones.
+const confirmTimeout = 800 * time.Millisecond
+
+// confirmServers reads the registrations anew, because no other gateway has answered. It
+// reports whether the known ones are the newest.
+func (g *Gateway) confirmServers(ctx context.Context) bool {
+	if g.readServers == nil {
+		return true
+	}
+	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
+	defer cancel()
+	return g.readServers(ctx)
+}
+
 // findStream returns what this gateway knows about a stream.
 func (s *service) findStream(now time.Duration, stream streamorigin.Stream) streamorigin.Answer {
 	s.mu.Lock()
--- a/internal/registry/confirm.go
+++ b/internal/registry/confirm.go
@@ -33,6 +33,9 @@
 	// confirmInterval is the time between two checks of whether a watch is still
 	// confirmed.
 	confirmInterval = 100 * time.Millisecond
+	// confirmPollInterval is the time between two checks of whether a confirmation that
+	// is wanted has come.
+	confirmPollInterval = 10 * time.Millisecond
 	// relayCoalesceShare and relayedCoalesceShare are the parts of a propagation bound
 	// by which changes may arrive later at relays and at the others so that they
 	// arrive together.
@@ -118,6 +121,29 @@
 	}
 }
 
+// ConfirmServers waits until the registrations are confirmed as of now or later, for
+// which it has them listed if nobody else confirms them. It reports false if ctx ends
+// before.
+func (f *Follower) ConfirmServers(ctx context.Context) bool {
+	f.mu.Lock()
+	wanted := f.clock()
+	f.confirmationWanted = max(f.confirmationWanted, wanted)
+	f.mu.Unlock()
+	signal(f.relist[kindServers])
+	for {
+		f.mu.Lock()
+		at, ok := f.confirmedAt[kindServers]
+		f.mu.Unlock()
+		if ok && at >= wanted {
+			return true
+		}
+		if ctx.Err() != nil {
+			return false
+		}
+		sleep(ctx, confirmPollInterval)
+	}
+}
+
 // isConfirmed reports whether the state of a kind has been confirmed recently enough.
 func (f *Follower) isConfirmed(kind string) bool {
 	f.mu.Lock()
--- a/internal/registry/follower.go
+++ b/internal/registry/follower.go
@@ -87,6 +87,8 @@
 	// state was the newest one; reads whether this gateway reads for itself.
 	confirmedAt map[string]time.Duration
 	reads       map[string]bool
+	// confirmationWanted is the latest moment on clock at which ConfirmServers was called.
+	confirmationWanted time.Duration
 
 	// storeCallCount and storeFailureCount count calls to the store,
 	// lastResponse is the time of its last response since origin.
--- a/internal/registry/peers.go
+++ b/internal/registry/peers.go
@@ -44,13 +44,13 @@
 	}
 }
 
-// behind reports whether another gateway knows of a newer version. The caller
-// holds f.mu.
+// behind reports whether another gateway knows of a newer version, or a confirmation
+// of the registrations is wanted. The caller holds f.mu.
 func (f *Follower) behind(kind string) bool {
 	if kind == kindConfig {
 		return f.peerConfigVersion > f.configVersion()
 	}
-	return f.peerChangeRevision > f.knownRevision
+	return f.peerChangeRevision > f.knownRevision || f.confirmationWanted > f.confirmedAt[kindServers]
 }
 
 func signal(c chan struct{}) {
--- a/internal/streamorigin/streamorigin.go
+++ b/internal/streamorigin/streamorigin.go
@@ -138,16 +138,21 @@
 	SameVersion
 	// Nowhere: it is not known which version began it, and there are several.
 	Nowhere
+	// Unconfirmed: it is not known which version began it, and nobody has confirmed that
+	// there is only the one that this gateway has seen.
+	Unconfirmed
 )
 
-var decisionNames = map[Decision]string{AnyVersion: "any_version", SameVersion: "same_version", Nowhere: "nowhere"}
+var decisionNames = map[Decision]string{AnyVersion: "any_version", SameVersion: "same_version", Nowhere: "nowhere", Unconfirmed: "unconfirmed"}
 
 // String returns the decision as written to logs and metrics.
 func (d Decision) String() string { return decisionNames[d] }
 
 // Decide returns how a stream may go on, and the version that began it if it is known,
 // from the answers of other gateways and from the versions that this one has seen.
-func Decide(versions []string, answers []Answer) (Decision, string) {
+// confirmed is whether another gateway or the store has answered since the stream was
+// taken up.
+func Decide(versions []string, answers []Answer, confirmed bool) (Decision, string) {
 	all := slices.Clone(versions)
 	for _, a := range answers {
 		if a.Known {
@@ -159,5 +164,8 @@
 	if len(slices.Compact(all)) > 1 {
 		return Nowhere, ""
 	}
+	if !confirmed {
+		return Unconfirmed, ""
+	}
 	return AnyVersion, ""
 }
--- a/internal/streamorigin/streamorigin_test.go
+++ b/internal/streamorigin/streamorigin_test.go
@@ -23,8 +23,13 @@
 		"another one was seen elsewhere":  {[]string{"v1"}, []Answer{{Versions: []string{"v1", "v2"}}}, Nowhere, ""},
 		"the same was seen elsewhere":     {[]string{"v1"}, []Answer{{Versions: []string{"v1"}}, {}}, AnyVersion, ""},
 	} {
-		decision, version := Decide(c.versions, c.answers)
+		decision, version := Decide(c.versions, c.answers, true)
 		require.Equal(t, c.decision, decision, name)
+		if c.decision == AnyVersion {
+			c.decision = Unconfirmed
+		}
+		unconfirmed, _ := Decide(c.versions, c.answers, false)
+		require.Equal(t, c.decision, unconfirmed, name)
 		require.Equal(t, c.version, version, name)
 	}
 }
