--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -83,8 +83,10 @@
 	// peers reports on the other gateways; nil if the gateway runs without peers.
 	peers Peers
 	// readServers reads the registrations anew and reports whether the known ones are the
-	// newest; nil if the gateway runs without peers.
-	readServers func(ctx context.Context) bool
+	// newest; nil if the gateway runs without peers. versionsLoaded is set once the stored
+	// software versions are known.
+	readServers    func(ctx context.Context) bool
+	versionsLoaded atomic.Bool
 	// coordination lets one gateway per service place all long prompts; nil if
 	// the gateway runs without peers.
 	coordination *coordination
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -125,6 +125,7 @@
 		Loops: []func(context.Context){
 			follower.Run, heartbeater.Run, g.updateShares, g.runPoison, reloads.run,
 			func(ctx context.Context) { g.KeepBlocks(ctx, deps.Blocks) },
+			func(ctx context.Context) { g.KeepSoftwareVersions(ctx, deps.Blocks) },
 			func(ctx context.Context) { g.RunStageControllers(ctx, stageOptions) },
 		},
 		Drain:         g.Drain,
--- a/internal/gateway/streams.go
+++ b/internal/gateway/streams.go
@@ -261,7 +261,7 @@
 	confirmed := own.Known
 	if !own.Known {
 		answers = append(answers, q.g.origins.ask(ctx, q.service.name, stream)...)
-		confirmed = len(answers) > 1 || q.g.confirmServers(ctx)
+		confirmed = q.g.hasVersions() && (len(answers) > 1 || q.g.confirmServers(ctx))
 		own = q.service.findStream(q.g.now(), stream)
 	}
 	decision, version := streamorigin.Decide(own.Versions, answers, confirmed)
@@ -269,6 +269,10 @@
 	return decision, version
 }
 
+// hasVersions reports whether this gateway knows the software versions that were in
+// service before it started.
+func (g *Gateway) hasVersions() bool { return g.readServers == nil || g.versionsLoaded.Load() }
+
 // confirmTimeout bounds the question to the store whether the registrations are the
 // newest ones.
 const confirmTimeout = 800 * time.Millisecond
--- a/internal/logevent/system.go
+++ b/internal/logevent/system.go
@@ -186,6 +186,12 @@
 	return detail("reading an engine's report failed", slog.String(keyServer, server), errorText(err))
 }
 
+// SoftwareVersionsNotStored reports that the software versions at which streams may have
+// begun could not be read, decoded or written.
+func SoftwareVersionsNotStored(action string, err error) Event {
+	return info("stored software versions are not available", slog.String("action", action), errorText(err))
+}
+
 // StoreReadChanged reports whether this gateway reads the newest state of the store for
 // itself and others, or depends on the gateways that do.
 func StoreReadChanged(kind string, reads bool, gateways int) Event {
--- a/internal/streamorigin/streamorigin.go
+++ b/internal/streamorigin/streamorigin.go
@@ -78,6 +78,14 @@
 	return slices.Concat(o.ownOlder, o.ownRecent)
 }
 
+// Remember records versions whose servers were registered before this gateway started,
+// perhaps until a moment ago.
+func (o *Origins) Remember(now time.Duration, versions []string) {
+	for _, v := range versions {
+		o.seen[v] = now
+	}
+}
+
 // Versions returns the software versions of the servers that are registered or were
 // so within Memory, in order.
 func (o *Origins) Versions(now time.Duration) []string {
