Read what is stored for services in one place

The blocked parts and the software versions were read by two copies of the same loop. No behaviour changes; the tests of poison prompts and of stream versions pass.

--- a/internal/gateway/poison_store.go
+++ b/internal/gateway/poison_store.go
@@ -14,12 +14,8 @@
 )
 
 const (
-	// keepBlocksInterval is how often blocks are compared with what is stored, and how
-	// long a failed read is not repeated.
+	// keepBlocksInterval is how often blocks are compared with what is stored.
 	keepBlocksInterval = 500 * time.Millisecond
-	// loadInterval is how often a gateway that starts looks whether it has a
-	// configuration, which it needs before it can read the blocks.
-	loadInterval = 10 * time.Millisecond
 	// maxBlockName bounds the names of services in the names of stored blocks.
 	maxBlockName = 128
 )
@@ -57,30 +53,10 @@
 // in charge, until ctx ends.
 func (g *Gateway) KeepBlocks(ctx context.Context, store BlockStore) {
 	k := &blockKeeper{g: g, store: store, stored: make(map[string]storedBlock)}
-	k.loadOnce(ctx)
+	g.loadOnce(ctx, k.load, func(err error) { g.log.Write(logevent.BlockNotStored("read", err)) })
 	runEvery(ctx, keepBlocksInterval, func() { k.reconcile(ctx) })
 }
 
-// loadOnce reads the stored blocks as soon as this gateway is configured.
-func (k *blockKeeper) loadOnce(ctx context.Context) {
-	for wait := loadInterval; ctx.Err() == nil; {
-		select {
-		case <-ctx.Done():
-			return
-		case <-time.After(wait):
-		}
-		if k.g.state.Load().config == nil {
-			continue
-		}
-		err := k.load(ctx)
-		if err == nil {
-			return
-		}
-		k.g.log.Write(logevent.BlockNotStored("read", err))
-		wait = keepBlocksInterval
-	}
-}
-
 // reconcile makes one pass.
 func (k *blockKeeper) reconcile(ctx context.Context) {
 	if generation := k.store.Generation(); generation != k.generation {
--- a/internal/gateway/stream_versions.go
+++ b/internal/gateway/stream_versions.go
@@ -14,7 +14,7 @@
 )
 
 // keepVersionsInterval is how often the software versions of the services are compared
-// with what is stored, and how long a failed call is not repeated.
+// with what is stored.
 const keepVersionsInterval = 500 * time.Millisecond
 
 // KindSoftwareVersions is the kind of the objects that hold the software versions at
@@ -38,35 +38,18 @@
 }
 
 // KeepSoftwareVersions reads the stored software versions once, and stores those of the
-// services of which this gateway is in charge, until ctx ends.
+// services of which this gateway is in charge, until ctx ends. Until they are read,
+// streams that this gateway does not know are refused.
 func (g *Gateway) KeepSoftwareVersions(ctx context.Context, store BlockStore) {
 	k := &versionKeeper{g: g, store: store, stored: make(map[string]storedVersions)}
-	k.loadOnce(ctx)
-	runEvery(ctx, keepVersionsInterval, func() { k.reconcile(ctx) })
-}
-
-// loadOnce reads the stored versions as soon as this gateway is configured. Until then
-// streams that it does not know are refused.
-func (k *versionKeeper) loadOnce(ctx context.Context) {
-	for wait := loadInterval; ctx.Err() == nil; {
-		select {
-		case <-ctx.Done():
-			return
-		case <-time.After(wait):
-		}
-		if k.g.state.Load().config == nil {
-			continue
-		}
-		err := k.load(ctx)
-		if err == nil {
-			k.g.versionsLoaded.Store(true)
-			return
-		}
-		k.g.log.Write(logevent.SoftwareVersionsNotStored("read", err))
-		wait = keepVersionsInterval
+	g.loadOnce(ctx, k.load, func(err error) { g.log.Write(logevent.SoftwareVersionsNotStored("read", err)) })
+	if ctx.Err() == nil {
+		g.versionsLoaded.Store(true)
 	}
+	runEvery(ctx, keepVersionsInterval, func() { k.reconcile(ctx) })
 }
 
+// load merges the stored versions of the services in the configuration.
 func (k *versionKeeper) load(ctx context.Context) error {
 	objects, err := k.store.List(ctx, KindSoftwareVersions)
 	if err != nil {
