Revert "Hold requests back only at an entry that stays behind"

A bound that is lowered only after three late wake-ups, and rises by a fiftieth, does not end the overload that it is for. That a single pause lowers the bound of an idle entry for up to 100 s remains open.

--- a/internal/congestion/congestion.go
+++ b/internal/congestion/congestion.go
@@ -4,7 +4,8 @@
 // all of them: each takes so long that attempts time out and are repeated, and none
 // is answered, for as long as callers come back. The bound is lowered while
 // goroutines that are ready to run wait long for the processor, and raised while
-// they do not. Requests beyond the bound stand in a line in the order of their
+// requests wait for the bound instead (additive increase, multiplicative
+// decrease). Requests beyond the bound stand in a line in the order of their
 // arrival. One that would not be reached before its deadline is refused at once.
 //
 // The load that this answers is a burst of requests that takes longer to serve than
@@ -46,14 +47,10 @@
 	defaultMinLimit = 32
 	defaultMaxLimit = 2048
 	defaultMaxDelay = 100 * time.Millisecond
-	// minBehind is the number of observations in a row with a longer delay than MaxDelay
-	// from which the bound is lowered: a single one is a short interruption.
-	minBehind = 3
-	// decrease is the factor by which the bound is lowered. It is raised by minIncrease
-	// requests, or by the factor increase if that is more.
-	decrease    = 0.8
-	increase    = 1.02
-	minIncrease = 1
+	// decrease is the factor by which the bound is lowered.
+	decrease = 0.8
+	// increase is the number of requests by which it is raised.
+	increase = 1
 	// rateWindow is the time over which the rate of finished requests is counted, and
 	// minRateWindow the shortest for which the rate is relied on.
 	rateWindow    = 5 * time.Second
@@ -87,10 +84,8 @@
 // Limiter bounds the requests in progress of one process. The zero value is not
 // usable; use New.
 type Limiter struct {
-	opts  Options
-	limit float64
-	// behind is the number of the latest observations with a longer delay than MaxDelay.
-	behind     int
+	opts       Options
+	limit      float64
 	inProgress int
 	line       []uint64
 	// lineSince is the time since which there has been a line; it is valid if there is.
@@ -153,14 +148,11 @@
 // reports whether requests have begun or ceased to be held back.
 func (l *Limiter) Observe(delay time.Duration) (changed bool) {
 	before := l.Limited()
-	if delay <= l.opts.MaxDelay {
-		l.behind = 0
-		l.limit = min(float64(l.opts.MaxLimit), max(increase*l.limit, l.limit+minIncrease))
-		return l.Limited() != before
-	}
-	l.behind++
-	if l.behind >= minBehind {
+	switch {
+	case delay > l.opts.MaxDelay:
 		l.limit = max(float64(l.opts.MinLimit), decrease*min(l.limit, float64(l.inProgress)))
+	case l.Limited():
+		l.limit = min(float64(l.opts.MaxLimit), l.limit+increase)
 	}
 	return l.Limited() != before
 }
