review: a server that is gone gets requests longer than drainMs if watches are cut off

A watch that the store cuts off counts as an outage of the store, after which servers that are gone are used for another 2.2 s, though the store has reported their removal. drainMs is 2 s (DRAIN).

--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -8,7 +8,8 @@
 // main runs the case named by the first argument; the second one is the path of its record.
 func main() {
 	cases := map[string]func(f *fleet, trouble bool) int{
-		"twice": runTwice,
+		"removal": runRemoval,
+		"twice":   runTwice,
 	}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: standin CASE RECORD")
