review: a resumable stream goes on elsewhere while a slow server still works on it

A gateway gives up a slow server after three times the objective and sends the request to another one at once.

--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -10,6 +10,7 @@
 	cases := map[string]func(f *fleet, trouble bool) int{
 		"removal": runRemoval,
 		"twice":   runTwice,
+		"stream":  runStream,
 	}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: standin CASE RECORD")
