Send the gateway's own calls over connections of their own (TWICE, REFUSED)

Cause: health checks, reports, orders and releases of KV caches went over the pool of callers' requests and took any response for theirs. A late second response to an earlier request was one of them. The connection then went back to the pool while the call's own response was outstanding; that response, a rejection of the health check, was taken for the next request's.

Change: the pool knows the ID of each request and reads that of each response by itself. A request without an ID gets a new connection, which is closed afterwards, so that no call can be sent in a way that accepts foreign responses. KV releases no longer read the body, as nothing reuses the connection.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -114,7 +114,7 @@
 		FetchFrom:   c.FetchFrom,
 		Priority:    c.Priority,
 	}
-	exchange, err := q.g.pool.Do(ctx, c.PrefillServer.Key(), q.upstreamRequest(c.PrefillServer, meta), q.ownsResponse)
+	exchange, err := q.g.pool.Do(ctx, c.PrefillServer.Key(), q.upstreamRequest(c.PrefillServer, meta))
 	if errors.Is(err, upstream.ErrNotPermitted) {
 		return nil, q.withdrawn()
 	}
@@ -212,14 +212,12 @@
 		g.log.Write(logevent.HandleReleaseFailed(server.ID, errServerPaused))
 		return
 	}
-	exchange, err := g.pool.Do(ctx, server.Key(), request, func(http.Header) bool { return true })
+	exchange, err := g.pool.Do(ctx, server.Key(), request)
 	if err != nil {
 		g.log.Write(logevent.HandleReleaseFailed(server.ID, err))
 		return
 	}
-	defer exchange.Release()
-	// The body is drained so that the connection can be reused.
-	_, _ = io.Copy(io.Discard, exchange.Response.Body)
+	exchange.Release()
 }
 
 // releaseTimeout bounds the release of a KV cache; an unreleased one expires at
@@ -229,6 +227,7 @@
 // upstreamRequest returns the request to send to a backend server.
 func (q *request) upstreamRequest(server fleet.Server, meta AttemptMeta) upstream.Request {
 	return upstream.Request{
+		ID:     q.meta.ID,
 		Method: q.r.Method,
 		Target: q.r.RequestURI,
 		Host:   q.r.Host,
@@ -238,13 +237,6 @@
 	}
 }
 
-// ownsResponse reports whether a response belongs to this request. A response
-// without a request ID is accepted here and judged by its content.
-func (q *request) ownsResponse(h http.Header) bool {
-	id := q.g.opts.Protocol.ParseResponse(0, h).RequestID
-	return id == "" || id == q.meta.ID
-}
-
 // send sends the request once to the server that is to execute it.
 func (q *request) send(ctx context.Context, c placement.Choice, meta AttemptMeta, uncachedTokens int) outcome {
 	q.sends++
@@ -265,7 +257,7 @@
 	sendCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	timer := q.startHeadTimer(c, cancel)
-	exchange, err := q.g.pool.Do(sendCtx, c.Server.Key(), q.upstreamRequest(c.Server, meta), q.ownsResponse)
+	exchange, err := q.g.pool.Do(sendCtx, c.Server.Key(), q.upstreamRequest(c.Server, meta))
 	headTimedOut := timer.expired()
 	if errors.Is(err, upstream.ErrNotPermitted) {
 		q.sends--
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -13,6 +13,7 @@
 import (
 	"cmp"
 	"context"
+	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -105,7 +106,7 @@
 	g := &Gateway{
 		opts:       opts,
 		log:        opts.Log,
-		pool:       upstream.NewPool(),
+		pool:       upstream.NewPool(func(h http.Header) string { return opts.Protocol.ResponseID(h) }),
 		buffers:    upstream.NewBuffers(cmp.Or(opts.BufferBytes, defaultBufferBytes)),
 		metrics:    newMetrics(opts.Registerer),
 		startTime:  time.Now(),
--- a/internal/gateway/protocol.go
+++ b/internal/gateway/protocol.go
@@ -98,6 +98,9 @@
 	RequestHeader(caller http.Header, a AttemptMeta) http.Header
 	// ParseResponse reads the status and headers of a backend server's response.
 	ParseResponse(status int, h http.Header) ResponseMeta
+	// ResponseID returns the ID of the request that a response names; empty if it
+	// names none.
+	ResponseID(h http.Header) string
 	// ResponseHeader returns the headers to send to the caller for a backend
 	// server's response.
 	ResponseHeader(server http.Header) http.Header
--- a/internal/gateway/stages.go
+++ b/internal/gateway/stages.go
@@ -316,14 +316,14 @@
 }
 
 // engineCall sends a request to a server on the gateway's own behalf and returns the
-// response.
+// response. The request has no ID and therefore a connection of its own.
 func (g *Gateway) engineCall(ctx context.Context, server fleet.Server, r upstream.Request) (callResponse, error) {
 	ctx, cancel := context.WithTimeout(ctx, engineCallTimeout)
 	defer cancel()
 	if !g.mayCall(server) {
 		return callResponse{}, errServerPaused
 	}
-	exchange, err := g.pool.Do(ctx, server.Key(), r, func(http.Header) bool { return true })
+	exchange, err := g.pool.Do(ctx, server.Key(), r)
 	if err != nil {
 		return callResponse{}, err
 	}
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -34,6 +34,10 @@
 // Request is an HTTP request. Target is written unchanged as the target of the
 // request line.
 type Request struct {
+	// ID is the ID that the server echoes in its response. It is empty for a request
+	// whose response names none, such as a health check. That request has a connection
+	// of its own, since nothing else tells its response from those to other requests.
+	ID     string
 	Method string
 	Target string
 	Host   string
@@ -58,6 +62,8 @@
 
 	pool   *Pool
 	server fleet.Key
+	// requestID is the ID of the request.
+	requestID string
 	// conn is not changed while the exchange lasts; ended is set by Release and Abort.
 	conn  *Conn
 	ended bool
@@ -70,11 +76,11 @@
 }
 
 // Do sends a request and returns when the header of its response has been
-// received. Responses for which matches returns false belong to another request
-// and are discarded. If ctx ends, the connection is closed, which cancels the
-// request at the server. Errors wrap ErrNotSent or ErrNoResponse.
-func (p *Pool) Do(ctx context.Context, server fleet.Key, r Request, matches func(http.Header) bool) (*Exchange, error) {
-	conn, err := p.Get(ctx, server)
+// received. Responses that name another request are discarded. If ctx ends, the
+// connection is closed, which cancels the request at the server. Errors wrap
+// ErrNotSent or ErrNoResponse.
+func (p *Pool) Do(ctx context.Context, server fleet.Key, r Request) (*Exchange, error) {
+	conn, err := p.connFor(ctx, server, r.ID)
 	if err != nil {
 		return nil, err
 	}
@@ -82,14 +88,14 @@
 		p.put(server, conn)
 		return nil, ErrNotPermitted
 	}
-	e := &Exchange{pool: p, server: server, conn: conn, sent: make(chan struct{})}
+	e := &Exchange{pool: p, server: server, requestID: r.ID, conn: conn, sent: make(chan struct{})}
 	// A deadline in the past interrupts reads and writes in progress.
 	e.stopWatch = context.AfterFunc(ctx, func() { _ = conn.netConn.SetDeadline(time.Unix(1, 0)) })
 	if err := e.send(r); err != nil {
 		e.Abort()
 		return nil, fmt.Errorf("%w: send: %w", ErrNoResponse, err)
 	}
-	if err := e.readHeader(r.Method, matches); err != nil {
+	if err := e.readHeader(r.Method); err != nil {
 		e.Abort()
 		return nil, fmt.Errorf("%w: %w", ErrNoResponse, err)
 	}
@@ -131,7 +137,14 @@
 	return w.Flush()
 }
 
-func (e *Exchange) readHeader(method string, matches func(http.Header) bool) error {
+// owns reports whether a response belongs to the request of the exchange. One that
+// names no request is accepted here and judged by its content.
+func (e *Exchange) owns(h http.Header) bool {
+	id := e.pool.responseID(h)
+	return e.requestID == "" || id == "" || id == e.requestID
+}
+
+func (e *Exchange) readHeader(method string) error {
 	request := &http.Request{Method: method}
 	e.conn.head.left = maxHeadBytes
 	defer func() { e.conn.head.left = unlimited }()
@@ -143,7 +156,7 @@
 		if response.StatusCode < http.StatusOK {
 			continue
 		}
-		if matches(response.Header) {
+		if e.owns(response.Header) {
 			e.Response, e.body = response, response.Body
 			response.Body = (*exchangeBody)(e)
 			return nil
@@ -219,8 +232,8 @@
 	return nil
 }
 
-// Release ends the exchange. The connection is kept if the response was read
-// completely and both sides permit it, and closed otherwise.
+// Release ends the exchange. The connection is kept if the request has an ID, the
+// response was read completely and both sides permit it, and closed otherwise.
 func (e *Exchange) Release() {
 	if e.ended {
 		return
@@ -238,7 +251,7 @@
 
 // reusable reports whether another request may be sent on the connection.
 func (e *Exchange) reusable() bool {
-	if !e.complete || e.Response.Close || e.conn.reader.Buffered() > 0 {
+	if e.requestID == "" || !e.complete || e.Response.Close || e.conn.reader.Buffered() > 0 {
 		return false
 	}
 	select {
--- a/internal/upstream/long_body_test.go
+++ b/internal/upstream/long_body_test.go
@@ -22,7 +22,7 @@
 // request, so that the server can act on the connection before it is written.
 func longPost(length int) Request {
 	return Request{
-		Method: http.MethodPost, Target: "/", Host: "h", Header: http.Header{"Id": {"mine"}},
+		ID: "mine", Method: http.MethodPost, Target: "/", Host: "h", Header: http.Header{"Id": {"mine"}},
 		Body:   []byte(strings.Repeat("x", length)),
 		Permit: func() bool { time.Sleep(time.Millisecond); return true },
 	}
@@ -55,13 +55,13 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			key, _ := startServer(t, func(conn net.Conn, r *bufio.Reader, _ func() bool) { script(conn, r) })
-			p := NewPool()
+			p := NewPool(responseID)
 			for i := range 40 {
 				length := asyncBodyBytes
 				if i%4 == 0 {
 					length = longBodyBytes
 				}
-				e, err := p.Do(t.Context(), key, longPost(length), isMine)
+				e, err := p.Do(t.Context(), key, longPost(length))
 				if err != nil {
 					require.True(t, errors.Is(err, ErrNoResponse) || errors.Is(err, ErrNotSent), err)
 					continue
@@ -97,11 +97,11 @@
 				time.Sleep(serverPause)
 				_, _ = io.Copy(io.Discard, request.Body)
 			})
-			p := NewPool()
+			p := NewPool(responseID)
 			for range 10 {
 				ctx, cancel := context.WithCancel(t.Context())
 				r := longPost(longBodyBytes)
-				e, err := p.Do(ctx, key, r, isMine)
+				e, err := p.Do(ctx, key, r)
 				require.NoError(t, err)
 				end(cancel, e)
 				// The race detector reports a sender that still reads them.
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -10,6 +10,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"net/http"
 	"sync"
 	"time"
 
@@ -53,6 +54,8 @@
 // use.
 type Pool struct {
 	dialer *net.Dialer
+	// responseID returns the ID of the request that a response names.
+	responseID func(http.Header) string
 
 	mu      sync.Mutex
 	servers map[fleet.Key]*idleConns
@@ -69,11 +72,13 @@
 	closed bool
 }
 
-// NewPool returns an empty Pool.
-func NewPool() *Pool {
+// NewPool returns an empty Pool. The function responseID returns the ID of the request
+// that a response names in its header; empty if it names none.
+func NewPool(responseID func(http.Header) string) *Pool {
 	return &Pool{
-		dialer:  dial.NewDialer(dialTimeout, ackTimeout),
-		servers: make(map[fleet.Key]*idleConns),
+		dialer:     dial.NewDialer(dialTimeout, ackTimeout),
+		responseID: responseID,
+		servers:    make(map[fleet.Key]*idleConns),
 	}
 }
 
@@ -91,12 +96,20 @@
 	keepAlive time.Duration
 }
 
-// Get returns a connection to a server: a healthy idle one if there is one,
-// otherwise a new one. Errors wrap ErrNotSent.
-func (p *Pool) Get(ctx context.Context, server fleet.Key) (*Conn, error) {
-	if c := p.takeIdle(server); c != nil {
-		return c, nil
+// connFor returns a connection to a server for a request with an ID: a healthy idle one
+// if there is one, otherwise a new one. A request without an ID gets a new one. Errors
+// wrap ErrNotSent.
+func (p *Pool) connFor(ctx context.Context, server fleet.Key, requestID string) (*Conn, error) {
+	if requestID != "" {
+		if c := p.takeIdle(server); c != nil {
+			return c, nil
+		}
 	}
+	return p.open(ctx, server)
+}
+
+// open opens a connection to a server. Errors wrap ErrNotSent.
+func (p *Pool) open(ctx context.Context, server fleet.Key) (*Conn, error) {
 	conn, err := p.dialer.DialContext(ctx, "tcp", server.Address)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -55,9 +55,9 @@
 // completeResponse is a response to the request whose Id header is "mine".
 const completeResponse = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nId: mine\r\n\r\nok"
 
-var get = Request{Method: http.MethodGet, Target: "/", Host: "h", Header: http.Header{}}
+var get = Request{ID: "mine", Method: http.MethodGet, Target: "/", Host: "h", Header: http.Header{}}
 
-func isMine(h http.Header) bool { return h.Get("Id") == "mine" }
+func responseID(h http.Header) string { return h.Get("Id") }
 
 // readBody reads a response to its end and releases the exchange.
 func readBody(t *testing.T, e *Exchange) (string, error) {
@@ -75,9 +75,9 @@
 			write(conn, completeResponse)
 		}
 	})
-	p := NewPool()
+	p := NewPool(responseID)
 	for range 10 {
-		e, err := p.Do(t.Context(), key, get, isMine)
+		e, err := p.Do(t.Context(), key, get)
 		require.NoError(t, err)
 		text, err := readBody(t, e)
 		require.NoError(t, err)
@@ -93,7 +93,7 @@
 	require.NoError(t, err)
 	key := fleet.Key{ID: "s", Address: listener.Addr().String()}
 	require.NoError(t, listener.Close())
-	_, err = NewPool().Do(t.Context(), key, get, isMine)
+	_, err = NewPool(responseID).Do(t.Context(), key, get)
 	require.ErrorIs(t, err, ErrNotSent)
 }
 
@@ -104,18 +104,18 @@
 			write(conn, completeResponse)
 		}
 	})
-	p := NewPool()
+	p := NewPool(responseID)
 	refused := get
 	refused.Permit = func() bool {
 		require.Equal(t, int64(1), p.ConnectionsOpened())
 		return false
 	}
-	_, err := p.Do(t.Context(), key, refused, isMine)
+	_, err := p.Do(t.Context(), key, refused)
 	require.ErrorIs(t, err, ErrNotPermitted)
 	require.ErrorIs(t, err, ErrNotSent)
 	permitted := get
 	permitted.Permit = func() bool { return true }
-	e, err := p.Do(t.Context(), key, permitted, isMine)
+	e, err := p.Do(t.Context(), key, permitted)
 	require.NoError(t, err)
 	_, err = readBody(t, e)
 	require.NoError(t, err)
@@ -133,12 +133,12 @@
 		}
 		reads()
 	})
-	p := NewPool()
-	e, err := p.Do(t.Context(), key, get, isMine)
+	p := NewPool(responseID)
+	e, err := p.Do(t.Context(), key, get)
 	require.NoError(t, err)
 	_, err = readBody(t, e)
 	require.NoError(t, err)
-	_, err = p.Do(t.Context(), key, get, isMine)
+	_, err = p.Do(t.Context(), key, get)
 	require.ErrorIs(t, err, ErrNoResponse)
 	require.NotErrorIs(t, err, ErrNotSent)
 	require.Equal(t, int64(2), read.Load())
@@ -165,7 +165,7 @@
 				reads()
 			}
 		})
-		e, err := NewPool().Do(t.Context(), key, get, isMine)
+		e, err := NewPool(responseID).Do(t.Context(), key, get)
 		require.Equal(t, c.ok, err == nil, "%s: %v", name, err)
 		if err == nil {
 			text, err := readBody(t, e)
@@ -183,9 +183,9 @@
 			write(conn, completeResponse+"HTTP/1.1 200 OK\r\nId: mine\r\nContent-Length: 5\r\n\r\nwrong")
 		}
 	})
-	p := NewPool()
+	p := NewPool(responseID)
 	for range 5 {
-		e, err := p.Do(t.Context(), key, get, isMine)
+		e, err := p.Do(t.Context(), key, get)
 		require.NoError(t, err)
 		text, err := readBody(t, e)
 		require.NoError(t, err)
@@ -206,7 +206,7 @@
 				write(conn, response)
 			}
 		})
-		e, err := NewPool().Do(t.Context(), key, get, isMine)
+		e, err := NewPool(responseID).Do(t.Context(), key, get)
 		require.NoError(t, err, name)
 		_, err = readBody(t, e)
 		require.ErrorIs(t, err, io.ErrUnexpectedEOF, name)
@@ -226,7 +226,7 @@
 				_ = conn.(*net.TCPConn).SetLinger(0)
 			}
 		})
-		e, err := NewPool().Do(t.Context(), key, get, isMine)
+		e, err := NewPool(responseID).Do(t.Context(), key, get)
 		if err != nil && reset {
 			// The reset arrived before the header was read.
 			continue
@@ -254,7 +254,7 @@
 		}
 		cancel()
 	}()
-	_, err := NewPool().Do(ctx, key, get, isMine)
+	_, err := NewPool(responseID).Do(ctx, key, get)
 	require.ErrorIs(t, err, ErrNoResponse)
 	<-closed
 }
@@ -271,10 +271,10 @@
 		// Keep the connection open without reading the body.
 		time.Sleep(50 * time.Millisecond)
 	})
-	p := NewPool()
-	long := Request{Method: http.MethodPost, Target: "/", Host: "h", Header: http.Header{}, Body: make([]byte, 32<<20)}
+	p := NewPool(responseID)
+	long := Request{ID: "mine", Method: http.MethodPost, Target: "/", Host: "h", Header: http.Header{}, Body: make([]byte, 32<<20)}
 	for range 2 {
-		e, err := p.Do(t.Context(), key, long, isMine)
+		e, err := p.Do(t.Context(), key, long)
 		require.NoError(t, err)
 		text, err := readBody(t, e)
 		require.NoError(t, err)
@@ -291,9 +291,9 @@
 			write(conn, completeResponse)
 		}
 	})
-	p := NewPool()
+	p := NewPool(responseID)
 	for want := int64(1); want <= 2; want++ {
-		e, err := p.Do(t.Context(), key, get, isMine)
+		e, err := p.Do(t.Context(), key, get)
 		require.NoError(t, err)
 		_, err = readBody(t, e)
 		require.NoError(t, err)
