Ask whose a response is before what it says (TWICE, REFUSED)

What callers saw: after a server had written an earlier refusal once more without a request ID, their request ran and they were told 503, or it ran at a second server.

Cause: the statement that a request was not run was read before the request ID, and a response without an ID passed for one's own.

Change: internal/responsecheck decides, from what was sent and what came back, whose a response is and what may be done with it; the pool asks it for each response before anything else is read from it. One without an ID ends the attempt as possibly run (502, or another server where the request may be repeated). A connection on which a response to another request came is not kept. A success that denies its run is not relayed any more.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -12,6 +12,7 @@
 	"github.com/marigoldwing/marigoldwing/internal/fleet"
 	"github.com/marigoldwing/marigoldwing/internal/logevent"
 	"github.com/marigoldwing/marigoldwing/internal/placement"
+	"github.com/marigoldwing/marigoldwing/internal/responsecheck"
 	"github.com/marigoldwing/marigoldwing/internal/upstream"
 )
 
@@ -118,6 +119,9 @@
 	if errors.Is(err, upstream.ErrNotPermitted) {
 		return nil, q.withdrawn()
 	}
+	if errors.Is(err, upstream.ErrUnidentified) {
+		return nil, q.prefillFault(ctx, c, reasonUnidentified)
+	}
 	if err != nil {
 		return nil, q.prefillLost(ctx, c, err)
 	}
@@ -129,14 +133,12 @@
 	if err != nil {
 		return nil, q.prefillLost(ctx, c, err)
 	}
-	if response.NotExecuted {
+	verdict := responsecheck.Judge(responsecheck.Sent{RequestID: q.meta.ID, Prefill: true}, receivedResponse(exchange, response))
+	if verdict == responsecheck.NotExecuted {
 		q.service.recordRefusal(q.g.now(), c.PrefillServer.ID, response.Pause)
 		return nil, q.prefillFailed(ctx, c, fmt.Sprintf("refused with status %d", exchange.Response.StatusCode))
 	}
-	if response.RequestID != q.meta.ID {
-		return nil, q.prefillFault(ctx, c, "answer names no request")
-	}
-	if exchange.Response.StatusCode != http.StatusOK {
+	if verdict != responsecheck.Prefilled {
 		return nil, q.prefillFault(ctx, c, fmt.Sprintf("status %d", exchange.Response.StatusCode))
 	}
 	id, err := q.g.opts.Protocol.ParseHandle(body)
@@ -314,58 +316,105 @@
 	if headTimedOut {
 		return outcome{result: noResponse, reason: "no answer within patience", serverFault: true}
 	}
+	if errors.Is(err, upstream.ErrUnidentified) {
+		return outcome{result: noResponse, reason: reasonUnidentified, serverFault: true}
+	}
 	return outcome{result: noResponse, reason: err.Error(), serverFault: true, connectionLost: true}
 }
 
+// reasonUnidentified is the reason of attempts whose response names no request.
+const reasonUnidentified = "answer names no request"
+
 // handleResponse relays a response to the caller, or returns why it must not be
 // relayed.
 func (q *request) handleResponse(ctx context.Context, exchange *upstream.Exchange, meta ResponseMeta) outcome {
-	status := exchange.Response.StatusCode
-	success := status >= http.StatusOK && status < http.StatusMultipleChoices
-	switch {
-	case meta.NotExecuted && !success:
+	sent := responsecheck.Sent{RequestID: q.meta.ID, Streaming: q.route.Kind == fleet.Streaming}
+	received := receivedResponse(exchange, meta)
+	switch responsecheck.Judge(sent, received) {
+	case responsecheck.NotExecuted:
 		// The body is drained so that the connection can be reused.
 		_, _ = io.Copy(io.Discard, io.LimitReader(exchange.Response.Body, maxResponseBytes))
-		return outcome{result: notExecuted, reason: fmt.Sprintf("server refused with status %d", status), paused: meta.Pause > 0}
-	case meta.RequestID != q.meta.ID:
-		return outcome{result: noResponse, reason: "answer names no request", serverFault: true}
-	case !meta.Sealed && success:
-		return outcome{result: noResponse, reason: "success without a seal", serverFault: true}
-	case success && q.route.Kind == fleet.Streaming && isEventStream(exchange.Response.Header):
+		return outcome{result: notExecuted, reason: fmt.Sprintf("server refused with status %d", received.Status), paused: meta.Pause > 0}
+	case responsecheck.Stream:
 		return q.stream(ctx, exchange)
+	case responsecheck.Whole:
+		return q.relayWhole(ctx, exchange)
+	case responsecheck.Failure:
+		return q.keepFailure(ctx, exchange)
 	default:
-		return q.relayBuffered(ctx, exchange, success)
+		return outcome{result: noResponse, reason: unusableReason(received), serverFault: true}
+	}
+}
+
+// unusableReason explains why a response is not relayed.
+func unusableReason(r responsecheck.Response) string {
+	switch {
+	case r.NotExecuted:
+		return fmt.Sprintf("status %d with the word that it was not run", r.Status)
+	case responsecheck.ImpliesNotExecuted(r.Status):
+		return fmt.Sprintf("status %d without the word that it was not run", r.Status)
+	default:
+		return "success without a seal"
+	}
+}
+
+// receivedResponse returns what the judgement of a response needs.
+func receivedResponse(exchange *upstream.Exchange, meta ResponseMeta) responsecheck.Response {
+	return responsecheck.Response{
+		RequestID:   meta.RequestID,
+		Status:      exchange.Response.StatusCode,
+		Sealed:      meta.Sealed,
+		NotExecuted: meta.NotExecuted,
+		Content:     contentOf(exchange.Response.Header),
 	}
 }
 
-// isEventStream reports whether a response consists of events; one that does not
-// state its type on a streaming route does.
-func isEventStream(h http.Header) bool {
+// contentOf returns what a response says of the type of its body.
+func contentOf(h http.Header) responsecheck.Content {
 	contentType := h.Get("Content-Type")
-	return contentType == "" || strings.HasPrefix(contentType, "text/event-stream")
+	switch {
+	case contentType == "":
+		return responsecheck.Unstated
+	case strings.HasPrefix(contentType, "text/event-stream"):
+		return responsecheck.Events
+	default:
+		return responsecheck.Different
+	}
+}
+
+// relayWhole reads a response completely before any of it is relayed.
+func (q *request) relayWhole(ctx context.Context, exchange *upstream.Exchange) outcome {
+	response, out := q.readWhole(ctx, exchange)
+	if response == nil {
+		return out
+	}
+	q.writeResponse(response)
+	return outcome{result: delivered, response: response}
 }
 
-// relayBuffered reads a response completely before any of it is relayed.
-func (q *request) relayBuffered(ctx context.Context, exchange *upstream.Exchange, success bool) outcome {
+// keepFailure reads a response that reports a failure, which is relayed if no other
+// attempt follows.
+func (q *request) keepFailure(ctx context.Context, exchange *upstream.Exchange) outcome {
+	response, out := q.readWhole(ctx, exchange)
+	if response == nil {
+		return out
+	}
+	return outcome{result: failedResponse, reason: fmt.Sprintf("server failed with status %d", response.status), response: response}
+}
+
+// readWhole reads a response completely. It returns nil and the outcome if it can't.
+func (q *request) readWhole(ctx context.Context, exchange *upstream.Exchange) (*bufferedResponse, outcome) {
 	body, err := exchange.ReadBody(maxResponseBytes, q.memory)
 	if errors.Is(err, upstream.ErrBodyTooLong) || errors.Is(err, upstream.ErrBuffersFull) {
-		return outcome{result: noResponse, reason: err.Error(), serverFault: true}
+		return nil, outcome{result: noResponse, reason: err.Error(), serverFault: true}
 	}
 	if err != nil {
 		if out, ended := q.ended(ctx); ended {
-			return out
+			return nil, out
 		}
-		return outcome{result: noResponse, reason: "answer was cut: " + err.Error(), serverFault: true, connectionLost: true}
-	}
-	response := &bufferedResponse{status: exchange.Response.StatusCode, header: exchange.Response.Header, body: body}
-	if success || exchange.Response.StatusCode < http.StatusInternalServerError && !impliesNotExecuted(exchange.Response.StatusCode) {
-		q.writeResponse(response)
-		return outcome{result: delivered, response: response}
-	}
-	if impliesNotExecuted(exchange.Response.StatusCode) {
-		return outcome{result: noResponse, reason: fmt.Sprintf("status %d without the word that it was not run", exchange.Response.StatusCode), serverFault: true}
+		return nil, outcome{result: noResponse, reason: "answer was cut: " + err.Error(), serverFault: true, connectionLost: true}
 	}
-	return outcome{result: failedResponse, reason: fmt.Sprintf("server failed with status %d", exchange.Response.StatusCode), response: response}
+	return &bufferedResponse{status: exchange.Response.StatusCode, header: exchange.Response.Header, body: body}, outcome{}
 }
 
 // status returns the HTTP status that the caller received.
--- a/internal/gateway/outcome.go
+++ b/internal/gateway/outcome.go
@@ -113,14 +113,3 @@
 
 // mayHaveExecuted reports whether the server may have executed the request.
 func (o outcome) mayHaveExecuted() bool { return o.result != notExecuted }
-
-// impliesNotExecuted reports whether callers take an HTTP status to mean that
-// the request was not executed.
-func impliesNotExecuted(status int) bool {
-	switch status {
-	case http.StatusTooManyRequests, http.StatusServiceUnavailable,
-		http.StatusRequestTimeout, http.StatusMisdirectedRequest:
-		return true
-	}
-	return false
-}
--- a/internal/gateway/refusal.go
+++ b/internal/gateway/refusal.go
@@ -9,6 +9,7 @@
 	"github.com/marigoldwing/marigoldwing/internal/fleet"
 	"github.com/marigoldwing/marigoldwing/internal/logevent"
 	"github.com/marigoldwing/marigoldwing/internal/placement"
+	"github.com/marigoldwing/marigoldwing/internal/responsecheck"
 )
 
 // Retry-After values of refused requests.
@@ -82,7 +83,7 @@
 	// A write error means that the caller has disconnected.
 	_, _ = q.w.Write([]byte(body))
 	outcome := "unknown"
-	if r.status < http.StatusInternalServerError || impliesNotExecuted(r.status) {
+	if r.status < http.StatusInternalServerError || responsecheck.ImpliesNotExecuted(r.status) {
 		outcome = logevent.OutcomeRefused
 	}
 	q.finish(outcome, r.reason, r.status)
--- a/internal/gateway/statements.go
+++ b/internal/gateway/statements.go
@@ -20,11 +20,10 @@
 	answerToHealth answerKind = "health"
 )
 
-// observeStatements records what the answer to an attempt that was sent at sentAt
+// observeStatements records what the request's own answer to an attempt, sent at sentAt,
 // states about its server.
 func (q *request) observeStatements(server fleet.Server, kind answerKind, sentAt time.Duration, response ResponseMeta) {
-	own := response.RequestID == q.meta.ID || response.NotExecuted
-	if response.Misdirected || !own {
+	if response.Misdirected {
 		return
 	}
 	q.g.observeDeparture(server, kind, q.meta.ID, response)
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/marigoldwing/marigoldwing/internal/fleet"
+	"github.com/marigoldwing/marigoldwing/internal/responsecheck"
 )
 
 // ErrNoResponse is returned if at least a part of the request may have been
@@ -19,6 +20,10 @@
 // executed.
 var ErrNoResponse = errors.New("no answer from the backend server")
 
+// ErrUnidentified is returned if a response names no request, so that it may be one to
+// an earlier request. It wraps ErrNoResponse.
+var ErrUnidentified = fmt.Errorf("%w: answer names no request", ErrNoResponse)
+
 const (
 	// asyncBodyBytes is the body size from which the body is sent concurrently
 	// with reading the response, because a server may respond before it has read
@@ -71,14 +76,16 @@
 	sent      chan struct{}
 	sendErr   error
 	stopWatch func() bool
+	// unrelated is the number of responses to other requests that were discarded.
+	unrelated int
 	body      io.ReadCloser
 	complete  bool
 }
 
 // Do sends a request and returns when the header of its response has been
-// received. Responses that name another request are discarded. If ctx ends, the
-// connection is closed, which cancels the request at the server. Errors wrap
-// ErrNotSent or ErrNoResponse.
+// received. Responses that name another request are discarded; one that names none is
+// ErrUnidentified. If ctx ends, the connection is closed, which cancels the request at
+// the server. Errors wrap ErrNotSent or ErrNoResponse.
 func (p *Pool) Do(ctx context.Context, server fleet.Key, r Request) (*Exchange, error) {
 	conn, err := p.connFor(ctx, server, r.ID)
 	if err != nil {
@@ -97,6 +104,9 @@
 	}
 	if err := e.readHeader(r.Method); err != nil {
 		e.Abort()
+		if errors.Is(err, ErrNoResponse) {
+			return nil, err
+		}
 		return nil, fmt.Errorf("%w: %w", ErrNoResponse, err)
 	}
 	return e, nil
@@ -137,38 +147,38 @@
 	return w.Flush()
 }
 
-// owns reports whether a response belongs to the request of the exchange. One that
-// names no request is accepted here and judged by its content.
-func (e *Exchange) owns(h http.Header) bool {
-	id := e.pool.responseID(h)
-	return e.requestID == "" || id == "" || id == e.requestID
-}
-
+// readHeader reads headers until that of the exchange's own response. Responses to other
+// requests are discarded.
 func (e *Exchange) readHeader(method string) error {
 	request := &http.Request{Method: method}
-	e.conn.head.left = maxHeadBytes
-	defer func() { e.conn.head.left = unlimited }()
-	for unrelated := 0; ; {
-		response, err := http.ReadResponse(e.conn.reader, request)
+	for {
+		response, err := e.nextResponse(request)
 		if err != nil {
 			return err
 		}
-		if response.StatusCode < http.StatusOK {
-			continue
-		}
-		if e.owns(response.Header) {
+		switch responsecheck.OwnerOf(e.requestID, e.pool.responseID(response.Header)) {
+		case responsecheck.Own:
 			e.Response, e.body = response, response.Body
 			response.Body = (*exchangeBody)(e)
 			return nil
+		case responsecheck.Unidentified:
+			return ErrUnidentified
 		}
-		if unrelated++; unrelated > maxUnrelatedResponses || response.Close || !selfDelimiting(response) {
-			return errors.New("answer belongs to another request")
-		}
-		e.conn.head.left = unlimited
-		if err := discard(response); err != nil {
+		if err := e.discard(response); err != nil {
 			return err
 		}
-		e.conn.head.left = maxHeadBytes
+	}
+}
+
+// nextResponse reads the header of the next response that is not an interim one.
+func (e *Exchange) nextResponse(request *http.Request) (*http.Response, error) {
+	e.conn.head.left = maxHeadBytes
+	defer func() { e.conn.head.left = unlimited }()
+	for {
+		response, err := http.ReadResponse(e.conn.reader, request)
+		if err != nil || response.StatusCode >= http.StatusOK {
+			return response, err
+		}
 	}
 }
 
@@ -202,8 +212,16 @@
 	return response.ContentLength >= 0 || len(response.TransferEncoding) > 0
 }
 
+// errUnrelated is returned if the responses to other requests are too many, or one of
+// them does not show where the next response begins.
+var errUnrelated = errors.New("answer belongs to another request")
+
 // discard reads the body of a response that belongs to another request.
-func discard(response *http.Response) error {
+func (e *Exchange) discard(response *http.Response) error {
+	e.unrelated++
+	if e.unrelated > maxUnrelatedResponses || response.Close || !selfDelimiting(response) {
+		return errUnrelated
+	}
 	n, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxUnrelatedBytes))
 	if err != nil {
 		return fmt.Errorf("answer of another request: %w", err)
@@ -232,8 +250,9 @@
 	return nil
 }
 
-// Release ends the exchange. The connection is kept if the request has an ID, the
-// response was read completely and both sides permit it, and closed otherwise.
+// Release ends the exchange. The connection is kept if the request has an ID, its response
+// was the only one and was read completely, and both sides permit it; otherwise it is
+// closed.
 func (e *Exchange) Release() {
 	if e.ended {
 		return
@@ -251,7 +270,7 @@
 
 // reusable reports whether another request may be sent on the connection.
 func (e *Exchange) reusable() bool {
-	if e.requestID == "" || !e.complete || e.Response.Close || e.conn.reader.Buffered() > 0 {
+	if e.requestID == "" || e.unrelated > 0 || !e.complete || e.Response.Close || e.conn.reader.Buffered() > 0 {
 		return false
 	}
 	select {
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -310,3 +310,36 @@
 		require.Equal(t, want, parseKeepAlive(http.Header{"Keep-Alive": {text}}), text)
 	}
 }
+
+// TestUnidentifiedResponseIsNotTaken guards against responses of unknown requests that
+// were taken for the response to the latest one.
+func TestUnidentifiedResponseIsNotTaken(t *testing.T) {
+	key, _ := startServer(t, func(conn net.Conn, _ *bufio.Reader, reads func() bool) {
+		for reads() {
+			write(conn, strings.Replace(completeResponse, "Id: mine\r\n", "", 1)+completeResponse)
+		}
+	})
+	_, err := NewPool(responseID).Do(t.Context(), key, get)
+	require.ErrorIs(t, err, ErrNoResponse)
+	require.ErrorIs(t, err, ErrUnidentified)
+}
+
+// TestConnectionWithUnrelatedResponseIsNotReused checks that a connection on which a
+// response to another request came is closed, because more may follow.
+func TestConnectionWithUnrelatedResponseIsNotReused(t *testing.T) {
+	other := strings.Replace(completeResponse, "Id: mine", "Id: other", 1)
+	key, _ := startServer(t, func(conn net.Conn, _ *bufio.Reader, reads func() bool) {
+		for reads() {
+			write(conn, other+completeResponse)
+		}
+	})
+	p := NewPool(responseID)
+	for want := int64(1); want <= 3; want++ {
+		e, err := p.Do(t.Context(), key, get)
+		require.NoError(t, err)
+		text, err := readBody(t, e)
+		require.NoError(t, err)
+		require.Equal(t, "ok", text)
+		require.Equal(t, want, p.ConnectionsOpened())
+	}
+}
