Let no connection carry a request ID twice (REFUSED, TWICE)

What callers saw: a request was refused and came again under its ID on a kept connection; the server wrote its earlier refusal once more and ran the request; its caller was told 503, or it ran twice.

Cause: the request ID tells a response from those to other requests, not from an earlier one to the same request.

Change: a connection remembers the hashes of the IDs it has carried; a request gets an idle connection that has not carried its ID, or a new one. After 512 requests a connection is replaced, which bounds the memory to 4 KiB.

--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -95,6 +95,7 @@
 		p.put(server, conn)
 		return nil, ErrNotPermitted
 	}
+	conn.carry(r.ID)
 	e := &Exchange{pool: p, server: server, requestID: r.ID, conn: conn, sent: make(chan struct{})}
 	// A deadline in the past interrupts reads and writes in progress.
 	e.stopWatch = context.AfterFunc(ctx, func() { _ = conn.netConn.SetDeadline(time.Unix(1, 0)) })
@@ -270,7 +271,10 @@
 
 // reusable reports whether another request may be sent on the connection.
 func (e *Exchange) reusable() bool {
-	if e.requestID == "" || e.unrelated > 0 || !e.complete || e.Response.Close || e.conn.reader.Buffered() > 0 {
+	if e.requestID == "" || e.unrelated > 0 || e.conn.exhausted() {
+		return false
+	}
+	if !e.complete || e.Response.Close || e.conn.reader.Buffered() > 0 {
 		return false
 	}
 	select {
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -11,9 +11,11 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"golang.org/x/sys/unix"
 
 	"github.com/marigoldwing/marigoldwing/internal/dial"
@@ -35,6 +37,9 @@
 	// connection, so that no request is sent on a connection that the server is
 	// closing.
 	idleMargin = time.Second
+	// maxRequestsPerConn is how many requests a connection carries before it is
+	// replaced, which bounds what it remembers of them.
+	maxRequestsPerConn = 512
 	// maxIdlePerServer bounds the idle connections kept per server.
 	maxIdlePerServer = 64
 
@@ -94,16 +99,20 @@
 	idleUntil time.Time
 	// keepAlive is the idle time that the server permits.
 	keepAlive time.Duration
+	// carried holds the hashes of the IDs of all requests so far. A connection carries no
+	// ID twice, since nothing could tell the responses apart.
+	carried []uint64
 }
 
 // connFor returns a connection to a server for a request with an ID: a healthy idle one
-// if there is one, otherwise a new one. A request without an ID gets a new one. Errors
-// wrap ErrNotSent.
+// that has not carried the ID if there is one, otherwise a new one. A request without an
+// ID gets a new one. Errors wrap ErrNotSent.
 func (p *Pool) connFor(ctx context.Context, server fleet.Key, requestID string) (*Conn, error) {
-	if requestID != "" {
-		if c := p.takeIdle(server); c != nil {
-			return c, nil
-		}
+	if requestID == "" {
+		return p.open(ctx, server)
+	}
+	if c := p.takeIdle(server, requestID); c != nil {
+		return c, nil
 	}
 	return p.open(ctx, server)
 }
@@ -146,14 +155,20 @@
 	return conns
 }
 
-func (p *Pool) takeIdle(server fleet.Key) *Conn {
+// takeIdle returns the healthy idle connection to a server that was used last of those
+// that have not carried a request ID; nil if there is none.
+func (p *Pool) takeIdle(server fleet.Key, requestID string) *Conn {
+	id := xxhash.Sum64String(requestID)
 	s := p.idleConnsOf(server)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
-	for len(s.conns) > 0 {
-		c := s.conns[len(s.conns)-1]
-		s.conns = s.conns[:len(s.conns)-1]
+	for i := len(s.conns) - 1; i >= 0; i-- {
+		c := s.conns[i]
+		if slices.Contains(c.carried, id) {
+			continue
+		}
+		s.conns = slices.Delete(s.conns, i, i+1)
 		if now.Before(c.idleUntil) && c.healthy() {
 			return c
 		}
@@ -216,6 +231,12 @@
 	s.conns = nil
 }
 
+// carry records that the connection carries a request.
+func (c *Conn) carry(requestID string) { c.carried = append(c.carried, xxhash.Sum64String(requestID)) }
+
+// exhausted reports whether the connection can't remember further requests.
+func (c *Conn) exhausted() bool { return len(c.carried) >= maxRequestsPerConn }
+
 // Close closes the connection. The error of the underlying connection is
 // ignored, as no caller could act on it.
 func (c *Conn) Close() { _ = c.netConn.Close() }
