--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -328,7 +328,7 @@
 // handleResponse relays a response to the caller, or returns why it must not be
 // relayed.
 func (q *request) handleResponse(ctx context.Context, exchange *upstream.Exchange, meta ResponseMeta) outcome {
-	sent := responsecheck.Sent{RequestID: q.meta.ID, Streaming: q.route.Kind == fleet.Streaming}
+	sent := responsecheck.Sent{RequestID: q.meta.ID, Streaming: q.route.Kind == fleet.Streaming, Begun: q.headerSent}
 	received := receivedResponse(exchange, meta)
 	switch responsecheck.Judge(sent, received) {
 	case responsecheck.NotExecuted:
@@ -342,17 +342,19 @@
 	case responsecheck.Failure:
 		return q.keepFailure(ctx, exchange)
 	default:
-		return outcome{result: noResponse, reason: unusableReason(received), serverFault: true}
+		return outcome{result: q.incompleteResult(), reason: unusableReason(sent, received), serverFault: true}
 	}
 }
 
 // unusableReason explains why a response is not relayed.
-func unusableReason(r responsecheck.Response) string {
+func unusableReason(s responsecheck.Sent, r responsecheck.Response) string {
 	switch {
 	case r.NotExecuted:
 		return fmt.Sprintf("status %d with the word that it was not run", r.Status)
 	case responsecheck.ImpliesNotExecuted(r.Status):
 		return fmt.Sprintf("status %d without the word that it was not run", r.Status)
+	case s.Begun:
+		return fmt.Sprintf("status %d is no continuation of the stream", r.Status)
 	default:
 		return "success without a seal"
 	}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -84,11 +84,15 @@
 	if out, ended := q.ended(ctx); ended {
 		return out
 	}
-	result := noResponse
+	return outcome{result: q.incompleteResult(), reason: "stream broke: " + err.Error(), serverFault: true, connectionLost: isConnectionLost(err)}
+}
+
+// incompleteResult returns the result of an attempt that brought no complete response.
+func (q *request) incompleteResult() result {
 	if q.headerSent {
-		result = streamCut
+		return streamCut
 	}
-	return outcome{result: result, reason: "stream broke: " + err.Error(), serverFault: true, connectionLost: isConnectionLost(err)}
+	return noResponse
 }
 
 // isConnectionLost reports whether a stream ended for a reason that is not the
--- a/internal/responsecheck/responsecheck.go
+++ b/internal/responsecheck/responsecheck.go
@@ -39,6 +39,9 @@
 	Prefill bool
 	// Streaming is set if the response is expected to be a stream of events.
 	Streaming bool
+	// Begun is set if the caller already has the header and a part of the stream, which
+	// this attempt is to continue.
+	Begun bool
 }
 
 // Content is what a response says of the type of its body.
@@ -103,8 +106,10 @@
 		return judgePrefill(r)
 	case success && !r.Sealed:
 		return Unusable
-	case success && s.Streaming && r.Content != Different:
+	case s.Streaming && isStream(s, r):
 		return Stream
+	case s.Begun:
+		return Unusable
 	case r.Status >= http.StatusInternalServerError:
 		return Failure
 	default:
@@ -112,6 +117,12 @@
 	}
 }
 
+// isStream reports whether the body of a response is a stream of events. One that states
+// no type is, unless it would have to continue another.
+func isStream(s Sent, r Response) bool {
+	return r.Status == http.StatusOK && (r.Content == Events || r.Content == Unstated && !s.Begun)
+}
+
 // judgePrefill judges the response of a server that states no refusal.
 func judgePrefill(r Response) Verdict {
 	if r.Status != http.StatusOK {
--- a/internal/responsecheck/responsecheck_test.go
+++ b/internal/responsecheck/responsecheck_test.go
@@ -23,9 +23,10 @@
 	var all []Sent
 	for _, id := range []string{"", "mine"} {
 		for _, prefill := range []bool{false, true} {
-			for _, streaming := range []bool{false, true} {
-				all = append(all, Sent{RequestID: id, Prefill: prefill, Streaming: streaming})
-			}
+			all = append(all,
+				Sent{RequestID: id, Prefill: prefill},
+				Sent{RequestID: id, Prefill: prefill, Streaming: true},
+				Sent{RequestID: id, Prefill: prefill, Streaming: true, Begun: true})
 		}
 	}
 	return all
@@ -103,10 +104,20 @@
 	})
 }
 
+// TestOnlyEventsFollowEvents guards against other responses in the middle of a stream.
+func TestOnlyEventsFollowEvents(t *testing.T) {
+	forEach(t, func(t *testing.T, s Sent, r Response, v Verdict) {
+		if s.Begun && reachesCaller(v) {
+			require.True(t, v == Stream && r.Status == 200 && r.Content == Events, "%+v %+v", s, r)
+		}
+		require.False(t, v == Stream && r.Status != 200, "the caller of a stream gets status 200: %+v %+v", s, r)
+	})
+}
+
 // TestOwnCompleteResponsesAreRelayed guards against sound responses that are withheld.
 func TestOwnCompleteResponsesAreRelayed(t *testing.T) {
 	forEach(t, func(t *testing.T, s Sent, r Response, v Verdict) {
-		if s.Prefill || r.NotExecuted || OwnerOf(s.RequestID, r.RequestID) != Own || ImpliesNotExecuted(r.Status) {
+		if s.Prefill || s.Begun || r.NotExecuted || OwnerOf(s.RequestID, r.RequestID) != Own || ImpliesNotExecuted(r.Status) {
 			return
 		}
 		switch {
