--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"sync"
 	"time"
 
@@ -55,7 +56,7 @@
 	opts       Options
 	started    time.Time
 	attempts   *attemptTable
-	plainHTTP  *plainClient
+	plainHTTP  *http.Client
 	plans      *plans
 	entries    entryTracker
 	roster     *roster.Roster
--- a/internal/agent/limits.go
+++ b/internal/agent/limits.go
@@ -12,10 +12,6 @@
 	maxFailedReads = 3
 	// dialTimeout bounds a connection attempt to a backend server.
 	dialTimeout = time.Second
-	// idleTimeout is how long an idle connection to a backend server is kept.
-	idleTimeout = 30 * time.Second
-	// maxIdlePerServer is the number of idle connections kept per server.
-	maxIdlePerServer = 64
 	// maxResponseBytes is the maximum size of a plain service's response.
 	maxResponseBytes = 16 << 20
 	// frameBytes is the maximum amount of data in one frame.
--- a/internal/agent/runner_plain.go
+++ b/internal/agent/runner_plain.go
@@ -21,36 +21,17 @@
 
 // plainRunner executes attempts at a plain HTTP service.
 type plainRunner struct {
-	client  *plainClient
+	client  *http.Client
 	baseURL string
 }
 
-// plainClient sends calls to plain services.
-type plainClient struct {
-	// keptConns sends idempotent calls. Its transport may send a call again if a
-	// kept connection turns out to be closed.
-	keptConns *http.Client
-	// newConns sends all other calls, each on a connection of its own, on which
-	// the transport never sends a call again.
-	newConns *http.Client
-}
-
-func newPlainClient() *plainClient {
+// newPlainClient returns a client for calls to plain services. Each call has a connection
+// of its own: services need not name the call in their answers, so that a late answer to
+// an earlier call on a kept connection could be taken for that to a later one. The
+// transport never sends a call on such a connection again.
+func newPlainClient() *http.Client {
 	dial := (&net.Dialer{Timeout: dialTimeout}).DialContext
-	kept := &http.Transport{DialContext: dial, MaxIdleConnsPerHost: maxIdlePerServer, IdleConnTimeout: idleTimeout}
-	single := &http.Transport{DialContext: dial, DisableKeepAlives: true}
-	return &plainClient{
-		keptConns: &http.Client{Transport: kept, CheckRedirect: returnRedirect},
-		newConns:  &http.Client{Transport: single, CheckRedirect: returnRedirect},
-	}
-}
-
-// do sends a call.
-func (c *plainClient) do(req *http.Request, idempotent bool) (*http.Response, error) {
-	if idempotent {
-		return c.keptConns.Do(req)
-	}
-	return c.newConns.Do(req)
+	return &http.Client{Transport: &http.Transport{DialContext: dial, DisableKeepAlives: true}, CheckRedirect: returnRedirect}
 }
 
 // returnRedirect passes redirects on to the caller instead of following them.
@@ -62,7 +43,7 @@
 		out.fail(notExecuted(peerv1.RefusalReason_REFUSAL_REASON_BAD_REQUEST, err.Error()))
 		return
 	}
-	resp, err := r.client.do(req, submit.GetIdempotent())
+	resp, err := r.client.Do(req)
 	if err != nil {
 		out.fail(plainFailure(err))
 		return
--- a/internal/agent/runner_plain_test.go
+++ b/internal/agent/runner_plain_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
+	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -73,3 +76,55 @@
 	call(&peerv1.Submit{Method: http.MethodPost, Path: "/returns", RequestId: "r2", IdempotencyKey: "k"})
 	require.Equal(t, int64(1), keyed.Load())
 }
+
+// collectData collects the data of an attempt's frames.
+type collectData struct {
+	discardFrames
+	data *bytes.Buffer
+}
+
+// SendFrame implements sender.
+func (c collectData) SendFrame(_ context.Context, f *peerv1.Frame) error {
+	c.data.Write(f.GetData())
+	return nil
+}
+
+// TestLateSecondAnswerIsNotRelayed guards against callers that get the answer to another
+// call: the service wrote it once more, without a request ID, on a connection that was in
+// use again.
+func TestLateSecondAnswerIsNotRelayed(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go repeatAnswers(conn)
+		}
+	}()
+	runner := &plainRunner{client: newPlainClient(), baseURL: "http://" + listener.Addr().String()}
+	for _, path := range []string{"/first", "/second", "/third"} {
+		data := &bytes.Buffer{}
+		submit := &peerv1.Submit{Method: http.MethodGet, Path: path, RequestId: path, Idempotent: true}
+		runner.run(t.Context(), submit, newEmitter(t.Context(), collectData{data: data}, submit, func() *peerv1.Load { return nil }))
+		require.Equal(t, path, data.String())
+	}
+}
+
+// repeatAnswers answers each request with its path, after the answer to the one before.
+func repeatAnswers(conn net.Conn) {
+	defer conn.Close()
+	r := bufio.NewReader(conn)
+	for late := ""; ; {
+		request, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		answer := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(request.URL.Path), request.URL.Path)
+		_, _ = io.WriteString(conn, late+answer)
+		late = answer
+	}
+}
--- a/internal/engine/http.go
+++ b/internal/engine/http.go
@@ -24,10 +24,6 @@
 const (
 	// dialTimeout limits the time to establish a connection.
 	dialTimeout = 2 * time.Second
-	// idleTimeout is how long an idle connection is kept open.
-	idleTimeout = time.Minute
-	// maxIdleConns is the number of idle connections kept to one engine.
-	maxIdleConns = 64
 	// maxResponseBytes limits the size of a response that is not a stream.
 	maxResponseBytes = 8 << 20
 	// maxErrorBytes limits how much of an error response is quoted.
@@ -43,12 +39,13 @@
 
 // NewHTTP returns an Engine that calls the HTTP API at baseURL, for example
 // "http://10.0.0.2:8000". If baseURL cannot be parsed, every call fails with
-// ErrUnreachable. Calls have no timeout except the deadline of their context.
+// ErrUnreachable. Calls have no timeout except the deadline of their context. Each
+// has a connection of its own, since responses name no call: on a kept connection, a late
+// response to an earlier call could be taken for that to a later one.
 func NewHTTP(baseURL string) Engine {
 	transport := &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
-		MaxIdleConnsPerHost: maxIdleConns,
-		IdleConnTimeout:     idleTimeout,
+		DialContext:       (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		DisableKeepAlives: true,
 	}
 	client, err := khttp.NewClient(context.Background(),
 		khttp.WithEndpoint(baseURL),
