Send no request whose caller has left (GONE)

What may happen: a request is read late, its caller has left by then, and an engine gets it all the same and works until the gateway closes that connection.

Cause: the HTTP server notices a caller's close by a read in the background, which begins once the request has been read and ends the request's context. A handler that does not wait, because a kept connection to the server is at hand, has sent the request by then. Nothing else looked at the caller before a send, nor after the waits for a place, for a server or for the retry budget.

Change: at the moment of each send, of prefills too, the gateway looks whether the caller's connection has been closed (internal/connstate, a peek that the pool already used for its idle connections). If so the attempt ends as "caller left before the send", and a KV cache that was prefilled for it is released.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -77,7 +77,7 @@
 	}
 	decode.UncachedTokens, decode.FetchFrom, decode.Deferred = c.UncachedTokens, c.FetchFrom, c.Deferred
 	out = q.send(ctx, decode, AttemptMeta{KVSource: handle}, 1)
-	if out.result == notExecuted {
+	if out.result == notExecuted || out.unsent {
 		// The decode engine did not use the KV cache, which may have expired.
 		go q.g.releaseKV(c.PrefillServer, *handle)
 	}
--- /dev/null
+++ b/internal/gateway/caller.go
@@ -0,0 +1,33 @@
+package gateway
+
+import (
+	"context"
+	"net"
+	"net/http"
+
+	"github.com/marigoldwing/marigoldwing/internal/connstate"
+)
+
+// callerConnKey is the context key of the connection of a caller.
+type callerConnKey struct{}
+
+// ConnContext is the ConnContext of the HTTP server that calls the gateway. It lets the
+// gateway see that a caller has closed its connection.
+func ConnContext(ctx context.Context, conn net.Conn) context.Context {
+	return context.WithValue(ctx, callerConnKey{}, conn)
+}
+
+// reasonLeftBeforeSend is the reason of attempts that were not sent because the caller had
+// left.
+const reasonLeftBeforeSend = "caller left before the send"
+
+// callerLeft reports whether the caller of a request has left. The HTTP server ends the
+// request's context once it has read the close of the connection. If requests are read
+// late, a caller may leave before, and its request must not be sent any more.
+func callerLeft(r *http.Request) bool {
+	if r.Context().Err() != nil {
+		return true
+	}
+	conn, ok := r.Context().Value(callerConnKey{}).(net.Conn)
+	return ok && connstate.Peek(conn) == connstate.Closed
+}
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -69,6 +69,8 @@
 	// firstEventAt and lastEventAt are the times at which the first and the
 	// latest event were sent to the caller; 0 before that.
 	firstEventAt, lastEventAt time.Duration
+	// left is set if the caller had left when an attempt was about to be sent.
+	left bool
 	// lastServer is the ID of the server that the last attempt was sent to.
 	lastServer string
 	// pendingPlacement is non-nil while the coordinator that placed the request
--- a/internal/gateway/pauses.go
+++ b/internal/gateway/pauses.go
@@ -34,15 +34,21 @@
 }
 
 // permitRequest returns the function that permits a caller's request to a server at the
-// moment of the send: not if the server has stated since the choice that it leaves, or
-// asked for a pause.
+// moment of the send: not if the caller has left, or if the server has stated since the
+// choice that it leaves, or asked for a pause.
 func (q *request) permitRequest(server fleet.Server) func() bool {
-	return func() bool { return q.service.mayReceive(q.g.now(), server.Key()) }
+	return func() bool {
+		q.left = callerLeft(q.r)
+		return !q.left && q.service.mayReceive(q.g.now(), server.Key())
+	}
 }
 
-// withdrawn is the outcome of an attempt that Permit has prevented. The request chooses a
-// server again.
+// withdrawn is the outcome of an attempt that Permit has prevented. Unless its caller has
+// left, the request chooses a server again.
 func (q *request) withdrawn() outcome {
+	if q.left {
+		return outcome{result: callerDisconnected, reason: reasonLeftBeforeSend, unsent: true}
+	}
 	return outcome{result: notExecuted, reason: upstream.ErrNotPermitted.Error(), serverUntried: true, unsent: true}
 }
 
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -157,11 +157,12 @@
 // that using all of it could exceed the budget.
 const budgetSafetyFactor = 0.8
 
-// configureServer sets the limits of the callers' listener.
+// configureServer configures the callers' listener.
 func configureServer(server *kratoshttp.Server) {
 	server.ReadHeaderTimeout = headerTimeout
 	server.IdleTimeout = idleTimeout
 	server.MaxHeaderBytes = maxHeaderBytes
+	server.ConnContext = ConnContext
 }
 
 // auxiliaryServer returns a server for readiness checks or metrics.
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -16,8 +16,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-	"golang.org/x/sys/unix"
 
+	"github.com/marigoldwing/marigoldwing/internal/connstate"
 	"github.com/marigoldwing/marigoldwing/internal/dial"
 	"github.com/marigoldwing/marigoldwing/internal/fleet"
 )
@@ -247,20 +247,5 @@
 	if c.reader.Buffered() > 0 {
 		return false
 	}
-	tcp, ok := c.netConn.(*net.TCPConn)
-	if !ok {
-		return true
-	}
-	raw, err := tcp.SyscallConn()
-	if err != nil {
-		return false
-	}
-	open := false
-	err = raw.Read(func(fd uintptr) bool {
-		var one [1]byte
-		_, _, peekErr := unix.Recvfrom(int(fd), one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		open = errors.Is(peekErr, unix.EAGAIN)
-		return true
-	})
-	return err == nil && open
+	return connstate.Peek(c.netConn) == connstate.Idle
 }
