Let one odd object of the store hide no other (LOST)

What operators saw elsewhere: another writer left an entry among those of the engines that was nested very deeply, and the machines that read the list stopped following it. Here the whole list and the whole watch failed, each time again, which was taken for an outage of the store.

Cause: a response was decoded as a whole. encoding/json rejects text nested beyond 10,000 levels, also inside json.RawMessage, and one field of another type in an object's metadata fails the list.

The same for all kinds that are listed or watched: blocked traits, software versions, registered gateways, instances and plans skip an object that can't be read, with a log line; a plan that can't be read no longer counts as an empty one.

--- a/internal/dissemination/run.go
+++ b/internal/dissemination/run.go
@@ -343,12 +343,17 @@
 }
 
 func (pr *Propagator) handleEvent(ctx context.Context, ev platform.Event) error {
+	concerned := ev.Object.Key == configstore.Key || ev.Object.Key.Kind == platform.KindPlan
 	switch {
+	case !concerned:
+		return nil
 	case ev.Object.Key == configstore.Key && ev.Deleted:
 		pr.considerConfig(nil, config.FromStore, nil)
+	case ev.Object.Err != nil:
+		return ev.Object.Err
 	case ev.Object.Key == configstore.Key:
 		return pr.handleStoredConfig(ctx, ev.Object.Value)
-	case ev.Object.Key.Kind == platform.KindPlan && !ev.Deleted:
+	case !ev.Deleted:
 		p := &peerv1.Plan{}
 		if err := proto.Unmarshal(ev.Object.Value, p); err != nil {
 			return fmt.Errorf("dissemination: decode plan: %w", err)
--- a/internal/gateway/poison_store.go
+++ b/internal/gateway/poison_store.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"time"
@@ -93,7 +94,7 @@
 	k.generation = k.store.Generation()
 	for _, o := range objects {
 		message := &peerv1.BlockedPart{}
-		if err := proto.Unmarshal(o.Value, message); err != nil {
+		if err := cmp.Or(o.Err, proto.Unmarshal(o.Value, message)); err != nil {
 			k.g.log.Write(logevent.BlockNotStored("decode", err))
 			continue
 		}
--- a/internal/gateway/stream_versions.go
+++ b/internal/gateway/stream_versions.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"slices"
@@ -59,7 +60,7 @@
 	services := k.g.state.Load().services
 	for _, o := range objects {
 		message := &peerv1.SoftwareVersions{}
-		if err := proto.Unmarshal(o.Value, message); err != nil {
+		if err := cmp.Or(o.Err, proto.Unmarshal(o.Value, message)); err != nil {
 			k.g.log.Write(logevent.SoftwareVersionsNotStored("decode", err))
 			continue
 		}
--- a/internal/gatewaypeers/heartbeater.go
+++ b/internal/gatewaypeers/heartbeater.go
@@ -1,6 +1,7 @@
 package gatewaypeers
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -327,7 +328,7 @@
 	defer h.mu.Unlock()
 	for _, o := range objects {
 		var hb peerv1.Heartbeat
-		if err := proto.Unmarshal(o.Value, &hb); err != nil {
+		if err := cmp.Or(o.Err, proto.Unmarshal(o.Value, &hb)); err != nil {
 			h.opts.Log.Write(logevent.GatewayRegistrationMalformed(o.Key.Name, o.Version, err))
 			continue
 		}
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -229,7 +229,7 @@
 	for _, obj := range list {
 		var in peerv1.Instance
 		unmarshal := protojson.UnmarshalOptions{DiscardUnknown: true}
-		if unmarshal.Unmarshal(obj.Value, &in) == nil && in.GetLeaving() {
+		if obj.Err == nil && unmarshal.Unmarshal(obj.Value, &in) == nil && in.GetLeaving() {
 			addresses = append(addresses, in.GetAddress())
 		}
 	}
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -84,6 +84,9 @@
 	// every write to any object.
 	Version uint64
 	Value   []byte
+	// Err is why the object of a list or a watch can't be read, and has no value; nil if
+	// it can. Another program may have written it.
+	Err error
 }
 
 // Event is a change of one object.
