Log when a caller's close was seen and what a server was working on then

For GONE nobody could tell whether requests were sent after their callers had left, or servers were let go late. The attempt line of a caller that left now has caller_left_ms (the close was seen), outstanding (run, prefill, or nothing sent) and elapsed_ms (let go).

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -115,6 +115,7 @@
 		FetchFrom:   c.FetchFrom,
 		Priority:    c.Priority,
 	}
+	q.outstanding = stepPrefill
 	exchange, err := q.g.pool.Do(ctx, c.PrefillServer.Key(), q.upstreamRequest(c.PrefillServer, meta))
 	if errors.Is(err, upstream.ErrNotPermitted) {
 		return nil, q.withdrawn()
@@ -259,6 +260,7 @@
 	sendCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	timer := q.startHeadTimer(c, cancel)
+	q.outstanding = stepRun
 	exchange, err := q.g.pool.Do(sendCtx, c.Server.Key(), q.upstreamRequest(c.Server, meta))
 	headTimedOut := timer.expired()
 	if errors.Is(err, upstream.ErrNotPermitted) {
--- a/internal/gateway/caller.go
+++ b/internal/gateway/caller.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"time"
 
 	"github.com/marigoldwing/marigoldwing/internal/connstate"
 )
@@ -21,6 +22,22 @@
 // left.
 const reasonLeftBeforeSend = "caller left before the send"
 
+// watchCaller records when the close of the caller's connection is seen, until the
+// returned function is called.
+func (q *request) watchCaller() (stop func() bool) {
+	return context.AfterFunc(q.r.Context(), func() { q.leftAt.Store(int64(q.g.now())) })
+}
+
+// callerLeftAfter returns the time from the arrival of the request until the close of the
+// caller's connection was seen.
+func (q *request) callerLeftAfter() time.Duration {
+	seen := time.Duration(q.leftAt.Load())
+	if seen == 0 {
+		seen = q.g.now()
+	}
+	return max(1, seen-q.arrivedAt)
+}
+
 // callerLeft reports whether the caller of a request has left. The HTTP server ends the
 // request's context once it has read the close of the connection. If requests are read
 // late, a caller may leave before, and its request must not be sent any more.
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/marigoldwing/marigoldwing/internal/fleet"
@@ -69,8 +70,12 @@
 	// firstEventAt and lastEventAt are the times at which the first and the
 	// latest event were sent to the caller; 0 before that.
 	firstEventAt, lastEventAt time.Duration
-	// left is set if the caller had left when an attempt was about to be sent.
-	left bool
+	// left is set if the caller had left when an attempt was about to be sent, and leftAt
+	// is when the close of its connection was seen, in nanoseconds; 0 if it was not.
+	left   bool
+	leftAt atomic.Int64
+	// outstanding is the step that a server works on; empty if none does.
+	outstanding string
 	// lastServer is the ID of the server that the last attempt was sent to.
 	lastServer string
 	// pendingPlacement is non-nil while the coordinator that placed the request
@@ -105,6 +110,7 @@
 	}
 	defer q.memory.Release()
 	q.lastEventID = q.meta.LastEventID
+	defer q.watchCaller()()
 	if !q.prepare() {
 		return
 	}
--- a/internal/gateway/log.go
+++ b/internal/gateway/log.go
@@ -32,6 +32,9 @@
 		Resumes:       q.meta.Resumes,
 		LastEventID:   q.resumedAfter,
 	}
+	if out.result == callerDisconnected {
+		attempt.CallerLeft, attempt.Outstanding = q.callerLeftAfter(), q.outstanding
+	}
 	if c.Split {
 		attempt.Prefill = &logevent.Prefill{Server: c.PrefillServer.ID, Predicted: q.prefillPredicted, Elapsed: q.prefillElapsed}
 	}
--- a/internal/gateway/pauses.go
+++ b/internal/gateway/pauses.go
@@ -46,6 +46,7 @@
 // withdrawn is the outcome of an attempt that Permit has prevented. Unless its caller has
 // left, the request chooses a server again.
 func (q *request) withdrawn() outcome {
+	q.outstanding = ""
 	if q.left {
 		return outcome{result: callerDisconnected, reason: reasonLeftBeforeSend, unsent: true}
 	}
--- a/internal/logevent/request.go
+++ b/internal/logevent/request.go
@@ -51,6 +51,12 @@
 	LostRequest string
 	Result      string
 	Reason      string
+	// CallerLeft is the time from the arrival of the request until the close of the
+	// caller's connection was seen, and Outstanding the step that a server was working on
+	// then, which ended by Elapsed; empty if none was. CallerLeft is 0 if the caller has
+	// not left.
+	CallerLeft  time.Duration
+	Outstanding string
 	// Sent is the time from the arrival of the request to the latest send to a server
 	// that is to run it, and Elapsed that to the end of the attempt.
 	Sent, Elapsed time.Duration
@@ -75,7 +81,7 @@
 
 // attemptFields is the largest number of fields of an Attempt line. It sizes
 // the field slice so that one allocation suffices.
-const attemptFields = 25
+const attemptFields = 27
 
 // Event returns the log line.
 func (a Attempt) Event() Event {
@@ -112,6 +118,10 @@
 	e.withText("lost_request", a.LostRequest)
 	e.with(slog.String(keyResult, a.Result))
 	e.withText(keyReason, a.Reason)
+	if a.CallerLeft > 0 {
+		e.with(milliseconds("caller_left_ms", a.CallerLeft))
+		e.withText("outstanding", a.Outstanding)
+	}
 	e.with(milliseconds("sent_ms", a.Sent))
 	e.with(milliseconds(keyElapsed, a.Elapsed))
 	return e
