--- a/internal/connstate/connstate.go
+++ b/internal/connstate/connstate.go
@@ -1,5 +1,5 @@
-// Package connstate tells what the other side of a connection has done since it was last
-// read, without reading from the connection.
+// Package connstate reports whether the other side of a connection has sent something or
+// closed it, without reading from the connection.
 package connstate
 
 import (
--- a/internal/responsecheck/responsecheck.go
+++ b/internal/responsecheck/responsecheck.go
@@ -9,7 +9,7 @@
 type Owner int
 
 const (
-	// Unidentified is a response of which nothing tells whose it is.
+	// Unidentified is a response that does not identify its request.
 	Unidentified Owner = iota
 	// Other is a response to another request.
 	Other
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -41,7 +41,7 @@
 type Request struct {
 	// ID is the ID that the server echoes in its response. It is empty for a request
 	// whose response names none, such as a health check. That request has a connection
-	// of its own, since nothing else tells its response from those to other requests.
+	// of its own, since nothing else distinguishes its response from others.
 	ID     string
 	Method string
 	Target string
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -100,7 +100,7 @@
 	// keepAlive is the idle time that the server permits.
 	keepAlive time.Duration
 	// carried holds the hashes of the IDs of all requests so far. A connection carries no
-	// ID twice, since nothing could tell the responses apart.
+	// ID twice, since the responses could not be distinguished.
 	carried []uint64
 }
 
--- a/test/reversals/reversals_test.go
+++ b/test/reversals/reversals_test.go
@@ -10,8 +10,8 @@
 	"github.com/stretchr/testify/require"
 )
 
-// TestReversalsApply checks that each patch still applies, so that whoever changes mended
-// code keeps its reversal in step.
+// TestReversalsApply checks that each patch still applies: a change of mended code has to
+// update its reversal.
 func TestReversalsApply(t *testing.T) {
 	patches, err := filepath.Glob("*.patch")
 	require.NoError(t, err)
