--- a/internal/agent/runner_plain_test.go
+++ b/internal/agent/runner_plain_test.go
@@ -47,18 +47,21 @@
 			_, _ = conn.Write([]byte("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"))
 		}
 	}
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go serve(conn)
-		}
-	}()
+	go acceptEach(listener, serve)
 	return keyed
 }
 
+// acceptEach serves each connection until the listener is closed.
+func acceptEach(listener net.Listener, serve func(net.Conn)) {
+	for {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		go serve(conn)
+	}
+}
+
 // TestCallWithoutBodyIsSentOnce checks that a call that is not idempotent, has
 // an idempotency key and no body reaches the service once, although the
 // connection breaks before the response and an earlier idempotent call has left
@@ -96,15 +99,7 @@
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go repeatAnswers(conn)
-		}
-	}()
+	go acceptEach(listener, repeatAnswers)
 	runner := &plainRunner{client: newPlainClient(), baseURL: "http://" + listener.Addr().String()}
 	for _, path := range []string{"/first", "/second", "/third"} {
 		data := &bytes.Buffer{}
