Log which events came, of which weights, and whether a server outlived its answer

The line "attempt" has events, first_id, last_id and weights now, and "answer ended with its connection" has the server's state. The check costs one call to a server, after such answers only. No decision changes.

--- a/internal/eventstream/eventstream.go
+++ b/internal/eventstream/eventstream.go
@@ -4,6 +4,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"errors"
 )
 
@@ -27,10 +28,11 @@
 	// its ID so far.
 	inEvent bool
 	eventID string
-	// hasEvents is set once an event was complete, and lastHasID if the last one had
-	// an ID, which is then in id.
-	hasEvents, lastHasID bool
-	id                   string
+	// events is the number of complete events, and lastHasID is set if the last one had
+	// an ID. firstID and id are the first and the latest ID; empty if there was none.
+	events      int
+	lastHasID   bool
+	firstID, id string
 }
 
 // Add appends data and returns the bytes up to the end of the last complete event
@@ -98,9 +100,11 @@
 	if !s.inEvent {
 		return
 	}
-	s.hasEvents, s.lastHasID = true, s.eventID != ""
+	s.events++
+	s.lastHasID = s.eventID != ""
 	if s.lastHasID {
 		s.id = s.eventID
+		s.firstID = cmp.Or(s.firstID, s.id)
 	}
 	s.inEvent, s.eventID = false, ""
 }
@@ -127,12 +131,18 @@
 	return s.id
 }
 
+// FirstID returns the ID of the first complete event that had one; empty if none had.
+func (s *Splitter) FirstID() string { return s.firstID }
+
+// Events returns the number of complete events.
+func (s *Splitter) Events() int { return s.events }
+
 // Resumable reports whether the stream can be resumed after the last complete event,
 // because there was none or it had an ID.
-func (s *Splitter) Resumable() bool { return !s.hasEvents || s.lastHasID }
+func (s *Splitter) Resumable() bool { return !s.HasEvents() || s.lastHasID }
 
 // HasEvents reports whether there was a complete event.
-func (s *Splitter) HasEvents() bool { return s.hasEvents }
+func (s *Splitter) HasEvents() bool { return s.events > 0 }
 
 // InsideEvent reports whether the stream would be broken off if it ended here:
 // inside a line, or after a line of an event whose blank line is missing.
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -283,6 +283,7 @@
 	} else if !response.NotExecuted {
 		q.service.recordAcceptance(c.Server.ID)
 	}
+	defer q.logServerAfterEnd(c.Server, exchange)
 	return q.handleResponse(ctx, exchange, response)
 }
 
@@ -338,7 +339,7 @@
 		_, _ = io.Copy(io.Discard, io.LimitReader(exchange.Response.Body, maxResponseBytes))
 		return outcome{result: notExecuted, reason: fmt.Sprintf("server refused with status %d", received.Status), paused: meta.Pause > 0}
 	case responsecheck.Stream:
-		return q.stream(ctx, exchange)
+		return q.stream(ctx, exchange, meta.Weights)
 	case responsecheck.Whole:
 		return q.relayWhole(ctx, exchange)
 	case responsecheck.Failure:
--- a/internal/gateway/log.go
+++ b/internal/gateway/log.go
@@ -44,7 +44,10 @@
 	}
 	if end := out.streamEnd; end != nil {
 		q.g.metrics.streamEnds.WithLabelValues(q.service.name, string(end.framing), end.position).Inc()
-		attempt.StreamEnd = &logevent.StreamEnd{Framing: string(end.framing), Position: end.position, TailBytes: end.tailBytes}
+		attempt.StreamEnd = &logevent.StreamEnd{
+			Framing: string(end.framing), Position: end.position, TailBytes: end.tailBytes,
+			Events: end.events, FirstID: end.firstID, LastID: end.lastID, Weights: end.weights,
+		}
 	}
 	q.g.log.Write(attempt.Event())
 }
--- a/internal/gateway/outcome.go
+++ b/internal/gateway/outcome.go
@@ -79,6 +79,12 @@
 	position string
 	// tailBytes is the number of bytes after the last complete event.
 	tailBytes int
+	// events is the number of complete events, of which firstID and lastID are the first
+	// and the latest ID; empty if none had one.
+	events          int
+	firstID, lastID string
+	// weights is the version of the weights that the response states; empty if none.
+	weights string
 }
 
 // Positions at which a stream ends, as written to logs and metrics.
--- a/internal/gateway/protocol.go
+++ b/internal/gateway/protocol.go
@@ -64,6 +64,9 @@
 	RequestID string
 	// ServerID is the ID of the server that answers a health check.
 	ServerID string
+	// Weights is the version of the model's weights with which the response begins; empty
+	// if it states none.
+	Weights string
 	// Sealed is set if the response carries the backend server's seal.
 	Sealed bool
 	// NotExecuted is set if the server states that it did not execute the
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -26,11 +26,14 @@
 
 // stream relays events as they arrive, each one completely, so that a broken
 // stream can be resumed at another server after its last relayed event.
-func (q *request) stream(ctx context.Context, exchange *upstream.Exchange) outcome {
+func (q *request) stream(ctx context.Context, exchange *upstream.Exchange, weights string) outcome {
 	events := eventstream.Splitter{}
 	out, position := q.relayEvents(ctx, exchange, &events)
 	out.unresumable = !events.Resumable()
-	out.streamEnd = &streamEnd{framing: exchange.Framing(), position: position, tailBytes: len(events.Tail())}
+	out.streamEnd = &streamEnd{
+		framing: exchange.Framing(), position: position, tailBytes: len(events.Tail()),
+		events: events.Events(), firstID: events.FirstID(), lastID: events.LastID(""), weights: weights,
+	}
 	return out
 }
 
--- a/internal/logevent/request.go
+++ b/internal/logevent/request.go
@@ -70,6 +70,13 @@
 	Position string
 	// TailBytes is the number of bytes after the last complete event.
 	TailBytes int
+	// Events is the number of complete events that came, and FirstID and LastID are the
+	// first and the latest of their IDs; empty if none had one.
+	Events          int
+	FirstID, LastID string
+	// Weights is the version of the model's weights that the response states; empty if
+	// none.
+	Weights string
 }
 
 // Prefill describes the prefill of a split attempt.
@@ -81,7 +88,7 @@
 
 // attemptFields is the largest number of fields of an Attempt line. It sizes
 // the field slice so that one allocation suffices.
-const attemptFields = 27
+const attemptFields = 31
 
 // Event returns the log line.
 func (a Attempt) Event() Event {
@@ -110,6 +117,10 @@
 		e.with(slog.String("framing", a.StreamEnd.Framing))
 		e.with(slog.String("stream_end", a.StreamEnd.Position))
 		e.with(slog.Int("tail_bytes", a.StreamEnd.TailBytes))
+		e.with(slog.Int("events", a.StreamEnd.Events))
+		e.withText("first_id", a.StreamEnd.FirstID)
+		e.withText("last_id", a.StreamEnd.LastID)
+		e.withText("weights", a.StreamEnd.Weights)
 	}
 	e.withText("server_version", a.ServerVersion)
 	e.withText("resumes", a.Resumes)
--- a/internal/logevent/streams.go
+++ b/internal/logevent/streams.go
@@ -16,6 +16,14 @@
 	return e
 }
 
+// AnswerEndedWithConnection reports the state of a server after an answer that had neither
+// length nor chunks, so that its connection's end was its end: alive, ended (or started
+// again) or unclear.
+func AnswerEndedWithConnection(requestID, service, server, state string) Event {
+	return info("answer ended with its connection", slog.String(KeyRequestID, requestID), slog.String(keyService, service),
+		slog.String(keyServer, server), slog.String("server_state", state))
+}
+
 // StreamOriginsNotSent reports that another gateway could not be notified of begun
 // streams.
 func StreamOriginsNotSent(address string, streams int, err error) Event {
