Relay only events that follow those before them (ORDER)

Seen by callers: a stream of status 200, framed as complete, in which events come twice or go back: 1 2 then 1 2 3 4 or 2 3, where the next server does not go on after the event that it was asked to go on after; 1 2 1 from one server; events from 1 where the caller itself took the stream up after 2.

Cause: the gateway asked for events after an ID and took whatever came for them. What is asked of a server was taken for what it does.

Fix: all events of a stream pass one pure check, eventstream.Order, whoever brings them and whoever took the stream up: numbers increase, no ID comes twice, and where servers change no number is missing from a stream that has left none out. An answer is broken off before the event that fails. That is a fault of its server: the stream is resumed after the last event where the route allows it, otherwise broken off visibly (502 if nothing was relayed). Events that the caller has are not dropped to go on with the rest: a run that does not go on where it was asked to is another run. A stream whose latest ID is no number is not continued by another server, since that could not be checked.

--- a/internal/eventstream/eventstream.go
+++ b/internal/eventstream/eventstream.go
@@ -15,8 +15,13 @@
 var ErrEventTooLong = errors.New("event is too long")
 
 // Splitter splits a stream into complete events. Lines may end with LF, CR LF or
-// CR. The zero Splitter is at the beginning of a stream.
+// CR. The zero Splitter is at the beginning of a response.
 type Splitter struct {
+	// Order is the order of the stream's events, which the Splitter checks; nil if it
+	// checks none.
+	Order *Order
+	// orderErr is set at the end of an event that is out of order.
+	orderErr error
 	// pending holds the bytes after the last complete event, of which the first
 	// scanned ones have been examined. The current line begins at lineStart.
 	pending            []byte
@@ -36,11 +41,13 @@
 }
 
 // Add appends data and returns the bytes up to the end of the last complete event
-// that have not been returned yet. The result is valid until the next call.
+// that have not been returned yet. The result is valid until the next call. With
+// ErrOutOfOrder it ends before the event that is out of order, and nothing may be added
+// any more.
 func (s *Splitter) Add(data []byte) ([]byte, error) {
 	s.pending = append(s.pending, data...)
 	end := 0
-	for ; s.scanned < len(s.pending); s.scanned++ {
+	for ; s.scanned < len(s.pending) && s.orderErr == nil; s.scanned++ {
 		if s.inLine {
 			s.scanned += lineLength(s.pending[s.scanned:])
 		}
@@ -48,6 +55,9 @@
 			end = s.scanned + 1
 		}
 	}
+	if s.orderErr != nil {
+		return s.take(end), s.orderErr
+	}
 	s.scanned = len(s.pending)
 	if end == 0 {
 		if len(s.pending) > maxEventBytes {
@@ -55,15 +65,20 @@
 		}
 		return nil, nil
 	}
-	complete := s.pending[:end]
-	s.pending = append([]byte(nil), s.pending[end:]...)
-	s.scanned -= end
-	s.lineStart -= end
-	return complete, nil
+	return s.take(end), nil
+}
+
+// take removes the first n bytes from the pending ones and returns them.
+func (s *Splitter) take(n int) []byte {
+	taken := s.pending[:n]
+	s.pending = append([]byte(nil), s.pending[n:]...)
+	s.scanned -= n
+	s.lineStart -= n
+	return taken
 }
 
 // scan processes the byte at scanned and reports whether the bytes up to it end with
-// a blank line, which ends an event.
+// a blank line, which ends an event that is in order.
 func (s *Splitter) scan(b byte) bool {
 	if s.afterCR && b == '\n' {
 		s.afterCR = false
@@ -83,7 +98,7 @@
 		return false
 	}
 	s.endEvent()
-	return true
+	return s.orderErr == nil
 }
 
 var idField = []byte("id:")
@@ -100,6 +115,12 @@
 	if !s.inEvent {
 		return
 	}
+	if s.Order != nil && s.eventID != "" {
+		s.orderErr = s.Order.Next(s.eventID)
+	}
+	if s.orderErr != nil {
+		return
+	}
 	s.events++
 	s.lastHasID = s.eventID != ""
 	if s.lastHasID {
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/marigoldwing/marigoldwing/internal/eventstream"
 	"github.com/marigoldwing/marigoldwing/internal/fleet"
 	"github.com/marigoldwing/marigoldwing/internal/logevent"
 	"github.com/marigoldwing/marigoldwing/internal/placement"
@@ -60,6 +61,8 @@
 	// lastEventID is the ID of the last event sent to the caller, and resumedAfter what
 	// it was when the latest attempt was sent.
 	lastEventID, resumedAfter string
+	// order is the order of the events that the caller has.
+	order eventstream.Order
 	// pin is the software version to which the stream is bound, and serverVersion that of
 	// the server that the latest attempt was sent to.
 	pin           versionPin
@@ -109,7 +112,7 @@
 		memory: g.buffers.NewReservation(),
 	}
 	defer q.memory.Release()
-	q.lastEventID = q.meta.LastEventID
+	q.lastEventID, q.order = q.meta.LastEventID, eventstream.OrderAfter(q.meta.LastEventID)
 	defer q.watchCaller()()
 	if !q.prepare() {
 		return
--- a/internal/gateway/outcome.go
+++ b/internal/gateway/outcome.go
@@ -93,6 +93,9 @@
 	endedBetweenEvents = "between_events"
 	// endedInsideEvent: the body ended and its last event has no end.
 	endedInsideEvent = "inside_event"
+	// endedOutOfOrder: the stream was broken off at an event that does not follow those
+	// before it.
+	endedOutOfOrder = "out_of_order"
 	// endedByError: the connection failed before the end of the body.
 	endedByError = "error"
 )
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -6,6 +6,7 @@
 	"io"
 	"math"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/marigoldwing/marigoldwing/internal/eventstream"
@@ -27,9 +28,10 @@
 // stream relays events as they arrive, each one completely, so that a broken
 // stream can be resumed at another server after its last relayed event.
 func (q *request) stream(ctx context.Context, exchange *upstream.Exchange, weights string) outcome {
-	events := eventstream.Splitter{}
+	q.order.Join()
+	events := eventstream.Splitter{Order: &q.order}
 	out, position := q.relayEvents(ctx, exchange, &events)
-	out.unresumable = !events.Resumable()
+	out.unresumable = !events.Resumable() || events.HasEvents() && !q.order.Comparable()
 	out.streamEnd = &streamEnd{
 		framing: exchange.Framing(), position: position, tailBytes: len(events.Tail()),
 		events: events.Events(), firstID: events.FirstID(), lastID: events.LastID(""), weights: weights,
@@ -56,6 +58,8 @@
 			}
 		}
 		switch {
+		case errors.Is(splitErr, eventstream.ErrOutOfOrder):
+			return q.streamFailed(ctx, splitErr), endedOutOfOrder
 		case err == io.EOF && events.InsideEvent():
 			return q.streamFailed(ctx, errEndInsideEvent), endedInsideEvent
 		case err == io.EOF:
@@ -101,7 +105,8 @@
 // isConnectionLost reports whether a stream ended for a reason that is not the
 // gateway's own.
 func isConnectionLost(err error) bool {
-	return !errors.Is(err, eventstream.ErrEventTooLong) && !errors.Is(err, upstream.ErrBuffersFull)
+	ownReasons := []error{eventstream.ErrEventTooLong, eventstream.ErrOutOfOrder, upstream.ErrBuffersFull}
+	return !slices.ContainsFunc(ownReasons, func(own error) bool { return errors.Is(err, own) })
 }
 
 // writeEvents writes bytes to the caller, after the response header if it has
--- a/internal/logevent/request.go
+++ b/internal/logevent/request.go
@@ -66,7 +66,8 @@
 type StreamEnd struct {
 	// Framing is how the response delimited its body: length, chunked or close.
 	Framing string
-	// Position is where the stream ended: between_events, inside_event or error.
+	// Position is where the stream ended: between_events, inside_event, out_of_order or
+	// error.
 	Position string
 	// TailBytes is the number of bytes after the last complete event.
 	TailBytes int
