--- a/internal/agent/runner_plain.go
+++ b/internal/agent/runner_plain.go
@@ -23,6 +23,7 @@
 type plainRunner struct {
 	client  *http.Client
 	baseURL string
+	ends    endsSeen
 }
 
 // newPlainClient returns a client for calls to plain services. Each call has a connection
@@ -31,14 +32,18 @@
 // transport never sends a call on such a connection again.
 func newPlainClient() *http.Client {
 	dial := (&net.Dialer{Timeout: dialTimeout}).DialContext
-	return &http.Client{Transport: &http.Transport{DialContext: dial, DisableKeepAlives: true}, CheckRedirect: returnRedirect}
+	// Decompression by the transport would hide the length of an answer.
+	transport := &http.Transport{DialContext: dial, DisableKeepAlives: true, DisableCompression: true}
+	return &http.Client{Transport: transport, CheckRedirect: returnRedirect}
 }
 
 // returnRedirect passes redirects on to the caller instead of following them.
 func returnRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 
 func (r *plainRunner) run(ctx context.Context, submit *peerv1.Submit, out *emitter) {
-	req, err := r.request(ctx, submit)
+	w := r.ends.newWitness()
+	defer w.close()
+	req, err := r.request(withWitness(ctx, w), submit)
 	if err != nil {
 		out.fail(notExecuted(peerv1.RefusalReason_REFUSAL_REASON_BAD_REQUEST, err.Error()))
 		return
@@ -49,7 +54,12 @@
 		return
 	}
 	defer resp.Body.Close()
-	r.relay(submit, resp, out)
+	body, err := r.body(ctx, submit, resp, w)
+	if err != nil {
+		out.fail(brokenResponse(err))
+		return
+	}
+	relay(resp, body, out)
 }
 
 func (r *plainRunner) request(ctx context.Context, submit *peerv1.Submit) (*http.Request, error) {
@@ -71,22 +81,29 @@
 	return req, nil
 }
 
-// relay emits the response. A response that names another request is never
-// relayed.
-func (r *plainRunner) relay(submit *peerv1.Submit, resp *http.Response, out *emitter) {
+// body returns the body of a response. It fails unless the response is complete and does
+// not name another request.
+func (r *plainRunner) body(ctx context.Context, submit *peerv1.Submit, resp *http.Response, w *witness) ([]byte, error) {
 	if id := resp.Header.Get(headerRequestID); id != "" && id != submit.GetRequestId() {
-		out.fail(brokenResponse(fmt.Errorf("answer is for request %q", id)))
-		return
+		return nil, fmt.Errorf("answer is for request %q", id)
 	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes+1))
 	if err != nil {
-		out.fail(brokenResponse(err))
-		return
+		return nil, err
 	}
 	if len(body) > maxResponseBytes {
-		out.fail(brokenResponse(fmt.Errorf("answer is over %d bytes", maxResponseBytes)))
-		return
+		return nil, fmt.Errorf("answer is over %d bytes", maxResponseBytes)
+	}
+	end := bodyEndOf(submit.GetMethod(), resp)
+	r.ends.record(end)
+	if end != endOfConnection {
+		return body, nil
 	}
+	return body, w.confirm(ctx)
+}
+
+// relay emits a complete response.
+func relay(resp *http.Response, body []byte, out *emitter) {
 	out.head(resp.StatusCode, resp.Header.Get("Content-Type"))
 	for chunk := range chunks(body, frameBytes) {
 		out.data(chunk, 0)
--- /dev/null
+++ b/internal/agent/witness.go
@@ -0,0 +1,122 @@
+package agent
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"sync/atomic"
+	"time"
+)
+
+// errUnconfirmedEnd is why an answer that the end of its connection delimits is not
+// complete: the service may have ended before the answer did.
+var errUnconfirmedEnd = errors.New("answer has neither length nor chunks, and its service may have ended")
+
+// witness is a connection to a plain service beside that of one call. It is established
+// before the call is sent, so that only the process that received the call, and no later
+// start of the service, can answer on it.
+type witness struct {
+	conn net.Conn
+}
+
+// withWitness returns a context for a call that opens w once the call's own connection is
+// established, before anything is sent. A service that accepts one connection at a time
+// thus accepts that of the call first. A nil witness is not opened.
+func withWitness(ctx context.Context, w *witness) context.Context {
+	if w == nil {
+		return ctx
+	}
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) { w.open(ctx, info.Conn.RemoteAddr()) },
+	})
+}
+
+// open opens the connection. If this fails, the witness confirms nothing.
+func (w *witness) open(ctx context.Context, address net.Addr) {
+	dialer := net.Dialer{Timeout: dialTimeout}
+	conn, err := dialer.DialContext(ctx, address.Network(), address.String())
+	if err == nil {
+		w.close()
+		w.conn = conn
+	}
+}
+
+// confirm asks the service for any answer, which shows that its process has not ended. The
+// request concerns the service as a whole and runs nothing.
+func (w *witness) confirm(ctx context.Context) error {
+	if w == nil || w.conn == nil {
+		return errUnconfirmedEnd
+	}
+	stop := context.AfterFunc(ctx, func() { _ = w.conn.SetDeadline(time.Unix(1, 0)) })
+	defer stop()
+	request := &http.Request{Method: http.MethodOptions, URL: &url.URL{Opaque: "*"}, Host: w.conn.RemoteAddr().String(), Close: true}
+	if err := request.Write(w.conn); err != nil {
+		return fmt.Errorf("%w: %w", errUnconfirmedEnd, err)
+	}
+	response, err := http.ReadResponse(bufio.NewReader(w.conn), request)
+	if err != nil {
+		return fmt.Errorf("%w: %w", errUnconfirmedEnd, err)
+	}
+	return response.Body.Close()
+}
+
+// close closes the connection.
+func (w *witness) close() {
+	if w != nil && w.conn != nil {
+		_ = w.conn.Close()
+	}
+}
+
+// bodyEnd is what shows where the body of an answer ends.
+type bodyEnd int
+
+const (
+	// endMarked: a length, chunks or TLS shows whether the body is complete.
+	endMarked bodyEnd = iota
+	// endOfConnection: the body ends with its connection, also if the service ends.
+	endOfConnection
+	// noBody: the answer can't have a body.
+	noBody
+)
+
+// bodyEndOf returns what shows where the body of an answer ends.
+func bodyEndOf(method string, resp *http.Response) bodyEnd {
+	switch {
+	case method == http.MethodHead || resp.StatusCode == http.StatusNoContent || resp.StatusCode == http.StatusNotModified:
+		return noBody
+	case resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0 || resp.TLS != nil:
+		return endMarked
+	default:
+		return endOfConnection
+	}
+}
+
+// endsSeen is what the answers of a service have shown about their ends so far. It is safe
+// for concurrent use.
+type endsSeen struct {
+	marked, ofConnection atomic.Bool
+}
+
+// record records the end of an answer.
+func (s *endsSeen) record(end bodyEnd) {
+	switch end {
+	case endMarked:
+		s.marked.Store(true)
+	case endOfConnection:
+		s.ofConnection.Store(true)
+	}
+}
+
+// newWitness returns the witness of the next call; nil if it needs none. A service that has
+// marked the ends of all its answers gets no connections beside those of its calls.
+func (s *endsSeen) newWitness() *witness {
+	if s.marked.Load() && !s.ofConnection.Load() {
+		return nil
+	}
+	return &witness{}
+}
--- /dev/null
+++ b/internal/agent/witness_test.go
@@ -0,0 +1,296 @@
+package agent
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	peerv1 "github.com/marigoldwing/marigoldwing/api/peer/v1"
+)
+
+// plainAnswer is what an attempt at a plain service has emitted.
+type plainAnswer struct {
+	discardFrames
+	status   int32
+	body     bytes.Buffer
+	complete bool
+	failed   bool
+	ran      peerv1.Ran
+}
+
+// SendFrame implements peerrpc.FrameSender.
+func (a *plainAnswer) SendFrame(_ context.Context, f *peerv1.Frame) error {
+	switch f.GetKind() {
+	case peerv1.FrameKind_FRAME_KIND_HEAD:
+		a.status = f.GetStatus()
+	case peerv1.FrameKind_FRAME_KIND_END:
+		a.complete = true
+	case peerv1.FrameKind_FRAME_KIND_FAILED:
+		a.failed, a.ran = true, f.GetRan()
+	}
+	a.body.Write(f.GetData())
+	return nil
+}
+
+// callTimeout is the deadline of the calls of these tests.
+const callTimeout = 5 * time.Second
+
+// callPlain makes one call.
+func callPlain(t *testing.T, r *plainRunner, method string) *plainAnswer {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), callTimeout)
+	defer cancel()
+	answer := &plainAnswer{}
+	submit := &peerv1.Submit{Method: method, Path: "/", RequestId: "r1"}
+	r.run(ctx, submit, newEmitter(ctx, answer, submit, func() *peerv1.Load { return nil }))
+	return answer
+}
+
+// runnerOf returns a runner for the service at an address.
+func runnerOf(address string) *plainRunner {
+	return &plainRunner{client: newPlainClient(), baseURL: "http://" + address}
+}
+
+// requireCut checks that an answer is reported as run and broken, and nothing of it relayed.
+func requireCut(t *testing.T, a *plainAnswer) {
+	t.Helper()
+	require.False(t, a.complete, "relayed as whole: %q", a.body.String())
+	require.True(t, a.failed)
+	require.Equal(t, peerv1.Ran_RAN_YES, a.ran)
+	require.Zero(t, a.body.Len())
+}
+
+// rawService is a plain service whose answers are raw bytes. It serves one connection after
+// the other, or each at once.
+type rawService struct {
+	listener net.Listener
+	// answer writes the answer to a call.
+	answer func(s *rawService, conn net.Conn)
+	// answersOptions is the answer to a request that concerns the service as a whole.
+	answersOptions string
+
+	mu       sync.Mutex
+	accepted []net.Conn
+}
+
+// startRawService starts a service.
+func startRawService(t *testing.T, serial bool, answer func(s *rawService, conn net.Conn)) *rawService {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	s := &rawService{listener: listener, answer: answer, answersOptions: "HTTP/1.0 501 Unsupported\r\n\r\n"}
+	go s.run(serial)
+	return s
+}
+
+func (s *rawService) run(serial bool) {
+	for {
+		conn, err := s.listener.Accept()
+		if err != nil {
+			return
+		}
+		s.mu.Lock()
+		s.accepted = append(s.accepted, conn)
+		s.mu.Unlock()
+		if serial {
+			s.serve(conn)
+		} else {
+			go s.serve(conn)
+		}
+	}
+}
+
+func (s *rawService) serve(conn net.Conn) {
+	defer func() { _ = conn.Close() }()
+	r, err := http.ReadRequest(bufio.NewReader(conn))
+	switch {
+	case err != nil:
+	case r.Method == http.MethodOptions:
+		_, _ = io.WriteString(conn, s.answersOptions)
+	default:
+		s.answer(s, conn)
+	}
+}
+
+// end closes all that the service has but the connection of the call, as a process that
+// ends does.
+func (s *rawService) end(call net.Conn) {
+	_ = s.listener.Close()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, conn := range s.accepted {
+		if conn != call {
+			_ = conn.Close()
+		}
+	}
+}
+
+// connections returns the number of connections that the service has accepted.
+func (s *rawService) connections() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.accepted)
+}
+
+// write returns an answer of raw bytes.
+func write(text string) func(*rawService, net.Conn) {
+	return func(_ *rawService, conn net.Conn) { _, _ = io.WriteString(conn, text) }
+}
+
+const (
+	unmarkedAnswer = "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\nwhole"
+	markedAnswer   = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole"
+)
+
+// envKilledService makes the test binary a service that kills itself.
+const envKilledService = "MARIGOLDWING_TEST_KILLED_SERVICE"
+
+// TestMain runs the service of TestAnswerOfKilledServiceIsNotComplete in its own process.
+func TestMain(m *testing.M) {
+	if os.Getenv(envKilledService) == "" {
+		os.Exit(m.Run())
+	}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		os.Exit(1)
+	}
+	fmt.Println(listener.Addr())
+	acceptEach(listener, func(conn net.Conn) {
+		if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
+			return
+		}
+		_, _ = io.WriteString(conn, strings.TrimSuffix(unmarkedAnswer, "ole"))
+		_ = syscall.Kill(os.Getpid(), syscall.SIGKILL)
+	})
+}
+
+// TestAnswerOfKilledServiceIsNotComplete guards against a part of an answer that callers
+// take for the whole: the service was killed, and its connections are closed in order.
+func TestAnswerOfKilledServiceIsNotComplete(t *testing.T) {
+	service := exec.Command(os.Args[0])
+	service.Env = append(os.Environ(), envKilledService+"=1")
+	output, err := service.StdoutPipe()
+	require.NoError(t, err)
+	require.NoError(t, service.Start())
+	defer func() { _ = service.Wait() }()
+	address, err := bufio.NewReader(output).ReadString('\n')
+	require.NoError(t, err)
+	requireCut(t, callPlain(t, runnerOf(strings.TrimSpace(address)), http.MethodPost))
+}
+
+// TestAnswerOfServiceThatStartedAgainIsNotComplete guards against a new start of the
+// service, up before the old connection ends, that is taken for the one that was called.
+func TestAnswerOfServiceThatStartedAgainIsNotComplete(t *testing.T) {
+	for _, serial := range []bool{false, true} {
+		cut := func(s *rawService, conn net.Conn) {
+			_, _ = io.WriteString(conn, strings.TrimSuffix(unmarkedAnswer, "ole"))
+			s.end(conn)
+			listener, err := net.Listen("tcp", s.listener.Addr().String())
+			if err != nil {
+				return
+			}
+			t.Cleanup(func() { _ = listener.Close() })
+			next := &rawService{listener: listener, answer: write(unmarkedAnswer), answersOptions: s.answersOptions}
+			go next.run(false)
+		}
+		s := startRawService(t, serial, cut)
+		requireCut(t, callPlain(t, runnerOf(s.listener.Addr().String()), http.MethodPost))
+	}
+}
+
+// TestAnswersWithoutLengthOfServicesThatLiveAreComplete checks that sound answers are
+// relayed, also of services that serve one connection at a time.
+func TestAnswersWithoutLengthOfServicesThatLiveAreComplete(t *testing.T) {
+	for _, serial := range []bool{false, true} {
+		s := startRawService(t, serial, write(unmarkedAnswer))
+		runner := runnerOf(s.listener.Addr().String())
+		var calls sync.WaitGroup
+		for range 20 {
+			calls.Go(func() {
+				answer := callPlain(t, runner, http.MethodPost)
+				if !answer.complete || answer.body.String() != "whole" {
+					t.Errorf("serial %v: sound answer not relayed: %q", serial, answer.body.String())
+				}
+			})
+		}
+		calls.Wait()
+	}
+}
+
+// TestServiceThatMarksEndsGetsNoOtherConnections checks that services are not burdened
+// once they have shown that they mark the ends of their answers.
+func TestServiceThatMarksEndsGetsNoOtherConnections(t *testing.T) {
+	s := startRawService(t, false, write(markedAnswer))
+	runner := runnerOf(s.listener.Addr().String())
+	for range 10 {
+		require.True(t, callPlain(t, runner, http.MethodPost).complete)
+	}
+	require.LessOrEqual(t, s.connections(), 11)
+}
+
+// TestServiceThatStopsMarkingEnds checks that an answer without a length of a service that
+// has always stated one is not confirmed, and that later ones are.
+func TestServiceThatStopsMarkingEnds(t *testing.T) {
+	var marks atomic.Bool
+	marks.Store(true)
+	s := startRawService(t, false, func(s *rawService, conn net.Conn) {
+		if marks.Load() {
+			write(markedAnswer)(s, conn)
+			return
+		}
+		write(unmarkedAnswer)(s, conn)
+	})
+	runner := runnerOf(s.listener.Addr().String())
+	require.True(t, callPlain(t, runner, http.MethodPost).complete)
+	marks.Store(false)
+	requireCut(t, callPlain(t, runner, http.MethodPost))
+	require.True(t, callPlain(t, runner, http.MethodPost).complete)
+}
+
+// TestAnswersWithoutBodiesAreComplete checks that an answer that can't have a body needs no
+// confirmation.
+func TestAnswersWithoutBodiesAreComplete(t *testing.T) {
+	for text, method := range map[string]string{
+		"HTTP/1.1 200 OK\r\n\r\n":           http.MethodHead,
+		"HTTP/1.1 204 No Content\r\n\r\n":   http.MethodPost,
+		"HTTP/1.1 304 Not Modified\r\n\r\n": http.MethodGet,
+	} {
+		s := startRawService(t, false, write(text))
+		s.answersOptions = ""
+		require.True(t, callPlain(t, runnerOf(s.listener.Addr().String()), method).complete, text)
+	}
+}
+
+// TestPlainAnswerCutAnywhereIsNotComplete checks answers that are cut at any of their bytes
+// by a service that lives on, and whose ends are marked, and all heads.
+func TestPlainAnswerCutAnywhereIsNotComplete(t *testing.T) {
+	chunks := "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n"
+	head := strings.TrimSuffix(unmarkedAnswer, "whole")
+	for _, whole := range []string{markedAnswer, chunks, head} {
+		for cut := range len(whole) {
+			for _, before := range []string{"", "HTTP/1.1 100 Continue\r\n\r\n", "HTTP/1.1 103 Early Hints\r\nContent-Length: 0\r\n\r\n"} {
+				s := startRawService(t, false, write(before+whole[:cut]))
+				answer := callPlain(t, runnerOf(s.listener.Addr().String()), http.MethodPost)
+				require.False(t, answer.complete, "%q", before+whole[:cut])
+				require.True(t, answer.failed, "%q", before+whole[:cut])
+				require.NotEqual(t, peerv1.Ran_RAN_NO, answer.ran, "%q", before+whole[:cut])
+				_ = s.listener.Close()
+			}
+		}
+	}
+}
