Take a switch of protocols for no answer, and keep to the deadline after it

Seen by callers: an attempt at a plain service that answers 101 waited beyond its deadline, without end if the service kept the connection.

Cause: net/http hands a connection over whose protocol the server has switched, and the call's context does not end its reads.

Fix: the clients share a transport that fails for such a response and closes its connection.

--- a/internal/agent/witness_test.go
+++ b/internal/agent/witness_test.go
@@ -294,3 +294,23 @@
 		}
 	}
 }
+
+// TestSwitchOfProtocolIsNoAnswer guards against calls that wait beyond their deadline for
+// the end of a connection that the service has taken for another protocol.
+func TestSwitchOfProtocolIsNoAnswer(t *testing.T) {
+	release := make(chan bool)
+	defer close(release)
+	s := startRawService(t, false, func(_ *rawService, conn net.Conn) {
+		_, _ = io.WriteString(conn, "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: x\r\n\r\n")
+		<-release
+	})
+	answered := make(chan *plainAnswer)
+	go func() { answered <- callPlain(t, runnerOf(s.listener.Addr().String()), http.MethodPost) }()
+	select {
+	case answer := <-answered:
+		require.False(t, answer.complete)
+		require.True(t, answer.failed)
+	case <-time.After(2 * callTimeout):
+		t.Error("the call waits beyond its deadline")
+	}
+}
--- /dev/null
+++ b/internal/engine/cut_test.go
@@ -0,0 +1,131 @@
+package engine
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	enginev1 "github.com/marigoldwing/marigoldwing/api/engine/v1"
+)
+
+// startWriting starts an engine that writes text after each call and closes the connection,
+// once hold is closed unless it is nil.
+func startWriting(t *testing.T, text string, hold <-chan bool) Engine {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	serve := func(conn net.Conn) {
+		defer func() { _ = conn.Close() }()
+		if !readCall(bufio.NewReader(conn)) {
+			return
+		}
+		_, _ = io.WriteString(conn, text)
+		if hold != nil {
+			<-hold
+		}
+	}
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go serve(conn)
+		}
+	}()
+	return NewHTTP("http://" + listener.Addr().String())
+}
+
+// calls are the calls to an engine, each with the body of a sound answer.
+var calls = map[string]struct {
+	header, body string
+	call         func(ctx context.Context, e Engine) error
+}{
+	"state": {body: `{"role":"ROLE_DECODE"}`, call: func(ctx context.Context, e Engine) error {
+		_, err := e.State(ctx)
+		return err
+	}},
+	"order": {body: `{"accepted":true}`, call: func(ctx context.Context, e Engine) error {
+		_, err := e.Order(ctx, &enginev1.Order{})
+		return err
+	}},
+	"load": {body: `{}`, call: func(ctx context.Context, e Engine) error {
+		_, err := e.Load(ctx)
+		return err
+	}},
+	"export": {header: HeaderKVHandle + ": h12\r\n", call: func(ctx context.Context, e Engine) error {
+		_, err := e.ExportKV(ctx, "s")
+		return err
+	}},
+	"cancel": {call: func(ctx context.Context, e Engine) error { return e.Cancel(ctx, "s") }},
+	"import": {call: func(ctx context.Context, e Engine) error { return e.ImportKV(ctx, "http://127.0.0.1:1", "h") }},
+	"generate": {body: `{"id":"s","tokens":1,"text":"a"}` + "\n" + `{"id":"s","done":true}`, call: func(ctx context.Context, e Engine) error {
+		stream, err := e.Generate(ctx, &enginev1.GenerateRequest{Id: "s"})
+		if err != nil {
+			return err
+		}
+		defer stream.Close()
+		for {
+			event, err := stream.Next()
+			if err != nil || event.GetDone() {
+				return err
+			}
+		}
+	}},
+}
+
+// TestAnswerCutAnywhereHasUnknownOutcome guards against answers that an engine has cut, at
+// any of their bytes, and that are taken for whole or for refusals.
+func TestAnswerCutAnywhereHasUnknownOutcome(t *testing.T) {
+	for name, c := range calls {
+		for _, interim := range []string{"", "HTTP/1.1 100 Continue\r\n\r\n"} {
+			whole := interim + "HTTP/1.1 200 OK\r\n" + c.header + "\r\n" + c.body
+			if strings.HasPrefix(c.body, "{") {
+				require.NoError(t, c.call(t.Context(), startWriting(t, whole, nil)), name)
+			}
+			for cut := range len(whole) {
+				err := c.call(t.Context(), startWriting(t, whole[:cut], nil))
+				require.ErrorIs(t, err, ErrInterrupted, "%s: %q", name, whole[:cut])
+			}
+		}
+	}
+}
+
+// TestRefusalCutInItsHeadHasUnknownOutcome guards against refusals that are cut and that
+// are believed.
+func TestRefusalCutInItsHeadHasUnknownOutcome(t *testing.T) {
+	for cut := range len(refusal) {
+		_, err := startWriting(t, refusal[:cut], nil).Order(t.Context(), &enginev1.Order{})
+		require.ErrorIs(t, err, ErrInterrupted, "%q", refusal[:cut])
+		require.NotErrorIs(t, err, ErrRefused)
+	}
+}
+
+// TestSwitchOfProtocolIsNoRefusal guards against an interim answer that is taken for a
+// refusal, and against calls that wait for the end of its connection beyond their deadline.
+func TestSwitchOfProtocolIsNoRefusal(t *testing.T) {
+	const timeout = 200 * time.Millisecond
+	hold := make(chan bool)
+	defer close(hold)
+	e := startWriting(t, "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: x\r\n\r\n", hold)
+	for name, c := range calls {
+		ctx, cancel := context.WithTimeout(t.Context(), timeout)
+		defer cancel()
+		ended := make(chan error, 1)
+		go func() { ended <- c.call(ctx, e) }()
+		select {
+		case err := <-ended:
+			require.ErrorIs(t, err, ErrInterrupted, name)
+			require.NotErrorIs(t, err, ErrRefused, name)
+		case <-time.After(10 * timeout):
+			t.Errorf("%s waits beyond its deadline", name)
+		}
+	}
+}
--- a/internal/engine/http.go
+++ b/internal/engine/http.go
@@ -18,6 +18,7 @@
 	"google.golang.org/protobuf/proto"
 
 	enginev1 "github.com/marigoldwing/marigoldwing/api/engine/v1"
+	"github.com/marigoldwing/marigoldwing/internal/httpclient"
 )
 
 // Settings of the HTTP client.
@@ -49,7 +50,7 @@
 	}
 	client, err := khttp.NewClient(context.Background(),
 		khttp.WithEndpoint(baseURL),
-		khttp.WithTransport(transport),
+		khttp.WithTransport(httpclient.Transport{Transport: transport}),
 		khttp.WithTimeout(0),
 		khttp.WithErrorDecoder(func(context.Context, *http.Response) error { return nil }),
 	)
