Show no part of a state dump as the whole, and end commands at their timeout

Seen by operators: marigoldctl dump printed nothing, or the beginning of a dump, and exited with 0, where the answer had no length and its process had ended. A process that answers 101 kept any command waiting beyond its timeout.

Cause: the dump was not decoded, so that the end of the connection was taken for the end of the dump; for 101 see the clients of engines and of the store.

Fix: a dump must be valid JSON, and the client uses the shared transport.

--- a/internal/operatorapi/client.go
+++ b/internal/operatorapi/client.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
@@ -17,6 +18,7 @@
 	configv1 "github.com/marigoldwing/marigoldwing/api/config/v1"
 	peerv1 "github.com/marigoldwing/marigoldwing/api/peer/v1"
 	statusv1 "github.com/marigoldwing/marigoldwing/api/status/v1"
+	"github.com/marigoldwing/marigoldwing/internal/httpclient"
 	"github.com/marigoldwing/marigoldwing/internal/telemetry"
 )
 
@@ -49,6 +51,7 @@
 	client, err := khttp.NewClient(context.Background(),
 		khttp.WithEndpoint(baseURL),
 		khttp.WithTimeout(DefaultTimeout),
+		khttp.WithTransport(httpclient.Transport{Transport: http.DefaultTransport.(*http.Transport).Clone()}),
 		khttp.WithErrorDecoder(func(context.Context, *http.Response) error { return nil }),
 	)
 	if err != nil {
@@ -90,10 +93,15 @@
 // DumpState returns the state dump of the process in JSON.
 func (c *Client) DumpState(ctx context.Context) ([]byte, error) {
 	status, body, err := c.do(ctx, http.MethodGet, telemetry.PathState, nil)
-	if err == nil && status != http.StatusOK {
-		err = decodeProblem(status, body)
+	switch {
+	case err != nil:
+		return nil, err
+	case status != http.StatusOK:
+		return nil, decodeProblem(status, body)
+	case !json.Valid(body):
+		return nil, fmt.Errorf("operator: malformed response from %s", telemetry.PathState)
 	}
-	return body, err
+	return body, nil
 }
 
 // call sends a request and decodes the response into reply.
--- /dev/null
+++ b/internal/operatorapi/client_test.go
@@ -0,0 +1,109 @@
+package operatorapi
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	statusv1 "github.com/marigoldwing/marigoldwing/api/status/v1"
+)
+
+// startWriting starts a process that writes text after each call and closes the connection,
+// once hold is closed unless it is nil. It returns a client of its operator API.
+func startWriting(t *testing.T, text string, hold <-chan bool) *Client {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	serve := func(conn net.Conn) {
+		defer func() { _ = conn.Close() }()
+		r, err := http.ReadRequest(bufio.NewReader(conn))
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, r.Body)
+		_, _ = io.WriteString(conn, text)
+		if hold != nil {
+			<-hold
+		}
+	}
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go serve(conn)
+		}
+	}()
+	client, err := NewClient("http://" + listener.Addr().String())
+	require.NoError(t, err)
+	return client
+}
+
+// calls are the calls to the API.
+var calls = map[string]func(ctx context.Context, c *Client) error{
+	"apply": func(ctx context.Context, c *Client) error {
+		_, err := c.Apply(ctx, &statusv1.ApplyRequest{})
+		return err
+	},
+	"deployment": func(ctx context.Context, c *Client) error {
+		_, err := c.Deployment(ctx)
+		return err
+	},
+	"status": func(ctx context.Context, c *Client) error {
+		_, err := c.Status(ctx)
+		return err
+	},
+	"explain": func(ctx context.Context, c *Client) error {
+		_, err := c.Explain(ctx, "s")
+		return err
+	},
+	"state": func(ctx context.Context, c *Client) error {
+		_, err := c.DumpState(ctx)
+		return err
+	},
+}
+
+// TestAnswerCutAnywhereIsNoAnswer guards against a part of a state or of a configuration
+// that is shown as the whole, where an answer is cut at any of its bytes.
+func TestAnswerCutAnywhereIsNoAnswer(t *testing.T) {
+	const body = `{"revision":"12"}`
+	for name, call := range calls {
+		for _, framing := range []string{"", fmt.Sprintf("Content-Length: %d\r\n", len(body))} {
+			whole := "HTTP/1.1 200 OK\r\n" + framing + "\r\n" + body
+			require.NoError(t, call(t.Context(), startWriting(t, whole, nil)), name)
+			for cut := range len(whole) {
+				require.Error(t, call(t.Context(), startWriting(t, whole[:cut], nil)), "%s: %q", name, whole[:cut])
+			}
+		}
+	}
+}
+
+// TestSwitchOfProtocolIsNoAnswer guards against commands that wait without end for a
+// connection that a process has taken for another protocol.
+func TestSwitchOfProtocolIsNoAnswer(t *testing.T) {
+	const timeout = 200 * time.Millisecond
+	hold := make(chan bool)
+	defer close(hold)
+	client := startWriting(t, "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: x\r\n\r\n", hold)
+	for name, call := range calls {
+		ctx, cancel := context.WithTimeout(t.Context(), timeout)
+		defer cancel()
+		ended := make(chan error, 1)
+		go func() { ended <- call(ctx, client) }()
+		select {
+		case err := <-ended:
+			require.Error(t, err, name)
+		case <-time.After(10 * timeout):
+			t.Errorf("%s waits beyond its deadline", name)
+		}
+	}
+}
