Take an apply as refused without effect only if the refusal says so

Seen by operators: marigoldctl apply exited with 'unavailable, not accepted' and did not try again, where the answer 503 that says that the outcome is unknown was cut, or another program on the way had answered. The file may have been accepted.

Cause: a body that can't be decoded was taken for a problem without the field not_run.

Evidence: TestOutcomeOfCutRefusalIsUnknown got exit code 4 in place of 5 before.

Fix: after a status of 500 or more, the outcome is unknown unless the body says otherwise.

--- a/cmd/marigoldctl/file.go
+++ b/cmd/marigoldctl/file.go
@@ -133,9 +133,7 @@
 func applyUntilKnown(ctx context.Context, client *operatorapi.Client, req *statusv1.ApplyRequest) (*statusv1.ApplyReply, error) {
 	for try := 0; ; try++ {
 		reply, err := client.Apply(ctx, req)
-		var problem *operatorapi.ProblemError
-		noResponse := err != nil && !errors.As(err, &problem)
-		if noResponse {
+		if mayBeAccepted(err) {
 			err = withExitCode(exitUnknown, "%w", err)
 		}
 		if err == nil || exitCode(err) != exitUnknown || try >= unknownRetries {
@@ -149,6 +147,21 @@
 	}
 }
 
+// mayBeAccepted reports whether a file may have been accepted in spite of the error of its
+// apply. A failure of the process counts as one that had no effect only if it says so, since
+// the rest of the answer may be missing.
+func mayBeAccepted(err error) bool {
+	var problem *operatorapi.ProblemError
+	switch {
+	case err == nil:
+		return false
+	case !errors.As(err, &problem):
+		return true
+	default:
+		return problem.Problem.GetStatus() >= http.StatusInternalServerError && problem.Problem.GetNotRun() != "true"
+	}
+}
+
 // applyOutcome returns the error with the exit code for a reply, or nil if the file
 // was accepted.
 func applyOutcome(reply *statusv1.ApplyReply, base uint64) error {
--- a/cmd/marigoldctl/main_test.go
+++ b/cmd/marigoldctl/main_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -168,6 +169,29 @@
 	require.Equal(t, exitUnavailable, code)
 }
 
+// TestOutcomeOfCutRefusalIsUnknown guards against files that count as not accepted though
+// they may be: the refusal that says so is cut, or is another program's.
+func TestOutcomeOfCutRefusalIsUnknown(t *testing.T) {
+	const refusal = `{"title":"Service Unavailable","status":503,"not_run":"unknown"}`
+	certain := strings.Replace(refusal, "unknown", "true", 1)
+	for body, want := range map[string]int{
+		"": exitUnknown, refusal[:20]: exitUnknown, certain[:len(certain)-1]: exitUnknown, refusal: exitUnknown, "<html>": exitUnknown,
+		certain: exitUnavailable,
+	} {
+		srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			conn, _, err := w.(http.Hijacker).Hijack()
+			if err != nil {
+				return
+			}
+			defer conn.Close()
+			fmt.Fprintf(conn, "HTTP/1.1 503 Service Unavailable\r\n\r\n%s", body)
+		}))
+		code, _, _ := runCtl(t, "apply", "-server", srv.URL, "-base", "4", "-apply-id", "x", validFile)
+		require.Equal(t, want, code, "%q", body)
+		srv.Close()
+	}
+}
+
 func TestExplainDumpAndHiddenTokens(t *testing.T) {
 	_, _, url := serve(t)
 	code, out, _ := runCtl(t, "explain", "-server", url, "guide-lm")
