--- a/internal/agent/witness_test.go
+++ b/internal/agent/witness_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"os"
 	"os/exec"
 	"strings"
@@ -20,6 +21,7 @@
 	"github.com/stretchr/testify/require"
 
 	peerv1 "github.com/marigoldwing/marigoldwing/api/peer/v1"
+	"github.com/marigoldwing/marigoldwing/internal/standin/service"
 )
 
 // plainAnswer is what an attempt at a plain service has emitted.
@@ -232,6 +234,22 @@
 	}
 }
 
+// TestConfirmationRunsNothing checks that what shows that a service lives on has no effect
+// there.
+func TestConfirmationRunsNothing(t *testing.T) {
+	s := &service.Service{}
+	s.SetFaults(service.Faults{OmitLength: true})
+	server := httptest.NewServer(s.Handler())
+	defer server.Close()
+	runner := runnerOf(strings.TrimPrefix(server.URL, "http://"))
+	for range 5 {
+		answer := callPlain(t, runner, http.MethodPost)
+		require.True(t, answer.complete)
+		require.Contains(t, answer.body.String(), `"request_id":"r1"`)
+	}
+	require.Equal(t, service.EffectCounts{"": 5}, s.Snapshot(), "the confirmation runs nothing")
+}
+
 // TestServiceThatMarksEndsGetsNoOtherConnections checks that services are not burdened
 // once they have shown that they mark the ends of their answers.
 func TestServiceThatMarksEndsGetsNoOtherConnections(t *testing.T) {
--- a/internal/standin/service/service.go
+++ b/internal/standin/service/service.go
@@ -5,6 +5,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -43,6 +44,9 @@
 	DropBeforeEffect bool `json:"drop_before_effect,omitempty"`
 	// Truncate closes the connection in the middle of each response body.
 	Truncate bool `json:"truncate,omitempty"`
+	// OmitLength sends responses with neither length nor chunks, which end with their
+	// connection.
+	OmitLength bool `json:"omit_length,omitempty"`
 	// ReplyPrevious responds to each call with the response to the previous
 	// one.
 	ReplyPrevious bool `json:"crossed,omitempty"`
@@ -133,6 +137,10 @@
 	if faults.DropAfterEffect {
 		panic(http.ErrAbortHandler)
 	}
+	if faults.OmitLength {
+		writeWithoutLength(w, response)
+		return
+	}
 	writeResponse(w, response, faults.Truncate)
 }
 
@@ -182,6 +190,22 @@
 	panic(http.ErrAbortHandler)
 }
 
+// writeWithoutLength writes a response and closes the connection. If this fails, the caller
+// notices the missing response.
+func writeWithoutLength(w http.ResponseWriter, response Response) {
+	body, err := json.Marshal(response)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	conn, _, err := w.(http.Hijacker).Hijack()
+	if err != nil {
+		return
+	}
+	defer func() { _ = conn.Close() }()
+	_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n%s: %s\r\n\r\n%s", headerRequestID, response.RequestID, body)
+}
+
 func writeJSON(w http.ResponseWriter, v any) {
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(v)
--- a/internal/standin/service/service_test.go
+++ b/internal/standin/service/service_test.go
@@ -47,10 +47,14 @@
 	s.SetFaults(Faults{Truncate: true})
 	_, err = post(t, server.URL, "d", "")
 	require.Error(t, err)
+	s.SetFaults(Faults{OmitLength: true})
+	body, err = post(t, server.URL, "f", "")
+	require.NoError(t, err)
+	require.Contains(t, body, "r-f")
 	s.SetFaults(Faults{ReplyPrevious: true})
 	body, err = post(t, server.URL, "e", "")
 	require.NoError(t, err)
-	require.Contains(t, body, "r-d")
+	require.Contains(t, body, "r-f")
 
-	require.Equal(t, EffectCounts{"a": 1, "b": 1, "d": 1, "e": 1}, s.Snapshot())
+	require.Equal(t, EffectCounts{"a": 1, "b": 1, "d": 1, "e": 1, "f": 1}, s.Snapshot())
 }
