--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -243,7 +243,7 @@
 // send sends the request once to the server that is to execute it.
 func (q *request) send(ctx context.Context, c placement.Choice, meta AttemptMeta, uncachedTokens int) outcome {
 	q.sends++
-	q.lastServer, q.serverVersion = c.Server.ID, c.Server.Version
+	q.server = c.Server
 	meta.ServerID = c.Server.ID
 	meta.Priority = q.priority()
 	meta.LastEventID = q.lastEventID
@@ -283,7 +283,6 @@
 	} else if !response.NotExecuted {
 		q.service.recordAcceptance(c.Server.ID)
 	}
-	defer q.logServerAfterEnd(c.Server, exchange)
 	return q.handleResponse(ctx, exchange, response)
 }
 
@@ -413,6 +412,9 @@
 	if errors.Is(err, upstream.ErrBodyTooLong) || errors.Is(err, upstream.ErrBuffersFull) {
 		return nil, outcome{result: noResponse, reason: err.Error(), serverFault: true}
 	}
+	if err == nil {
+		err = q.confirmEnd(ctx, exchange)
+	}
 	if err != nil {
 		if out, ended := q.ended(ctx); ended {
 			return nil, out
--- a/internal/gateway/departures.go
+++ b/internal/gateway/departures.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"slices"
 	"sync"
 	"time"
@@ -145,7 +146,7 @@
 func (g *Gateway) askDeparture(s *service, server fleet.Server) {
 	answered := false
 	for range departureAsks {
-		answered = g.serverState(s, server) == poison.CheckAlive
+		answered = g.serverState(context.Background(), s, server).check == poison.CheckAlive
 		if answered {
 			break
 		}
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -63,10 +63,8 @@
 	lastEventID, resumedAfter string
 	// order is the order of the events that the caller has.
 	order eventstream.Order
-	// pin is the software version to which the stream is bound, and serverVersion that of
-	// the server that the latest attempt was sent to.
-	pin           versionPin
-	serverVersion string
+	// pin is the software version to which the stream is bound.
+	pin versionPin
 	// headerSent is set once the response header has been sent to the caller;
 	// from then on no other response is possible.
 	headerSent bool
@@ -79,8 +77,8 @@
 	leftAt atomic.Int64
 	// outstanding is the step that a server works on; empty if none does.
 	outstanding string
-	// lastServer is the ID of the server that the last attempt was sent to.
-	lastServer string
+	// server is the server that the last attempt was sent to; its zero value before that.
+	server fleet.Server
 	// pendingPlacement is non-nil while the coordinator that placed the request
 	// still has to be notified of the end of its prefill. placedBy names the
 	// gateway that placed a long prompt; it is empty for other requests.
--- a/internal/gateway/log.go
+++ b/internal/gateway/log.go
@@ -82,7 +82,7 @@
 		Attempts:  q.sends,
 		Elapsed:   elapsed,
 		Objective: q.route.LatencyObjective,
-		Server:    q.lastServer,
+		Server:    q.server.ID,
 		Remaining: q.remaining(),
 
 		BlockedPart:    q.blockedPart,
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -15,6 +15,7 @@
 	attempts      *prometheus.CounterVec
 	retries       *prometheus.CounterVec
 	streamEnds    *prometheus.CounterVec
+	unframedEnds  *prometheus.CounterVec
 	resumes       *prometheus.CounterVec
 	firstEvent    *prometheus.HistogramVec
 	eventGap      *prometheus.HistogramVec
@@ -47,6 +48,9 @@
 		streamEnds: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "marigold_gateway_stream_ends_total", Help: "Ends of servers' streams by service, framing of the body and position.",
 		}, []string{"service", "framing", "position"}),
+		unframedEnds: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "marigold_gateway_unframed_ends_total", Help: "Responses that ended with their connection, by what the server's state was afterwards.",
+		}, []string{"service", "server_state"}),
 		firstEvent: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name: "marigold_gateway_first_event_seconds", Help: "Time to the first event of a stream.", Buckets: latencyBuckets,
 		}, []string{"route"}),
@@ -78,7 +82,7 @@
 			Name: "marigold_gateway_config_version", Help: "Version of the configuration in force.",
 		}),
 	}
-	registerer.MustRegister(m.requests, m.attempts, m.retries, m.streamEnds, m.resumes, m.firstEvent, m.eventGap, m.duration, m.loadAge, m.placements, m.engineCrashes, m.departures, m.pauses, m.inflight, m.configVersion)
+	registerer.MustRegister(m.requests, m.attempts, m.retries, m.streamEnds, m.unframedEnds, m.resumes, m.firstEvent, m.eventGap, m.duration, m.loadAge, m.placements, m.engineCrashes, m.departures, m.pauses, m.inflight, m.configVersion)
 	return m
 }
 
--- a/internal/gateway/poison.go
+++ b/internal/gateway/poison.go
@@ -113,43 +113,52 @@
 
 // checkServer finds out whether a server that has lost a connection has ended.
 func (g *Gateway) checkServer(s *service, server fleet.Server) {
-	result := g.serverState(s, server)
-	crash, ended := s.endCheck(g.now(), server, result)
+	result := g.serverState(context.Background(), s, server)
+	crash, ended := s.endCheck(g.now(), server, result.check)
 	if ended {
 		g.crashObserved(s, crash, poisonFromSelf)
 	}
 }
 
+// serverState is what the answer to the question for a server's state shows.
+type serverState struct {
+	check poison.Check
+	// startConfirmed is set if the server has stated the start with which it is registered.
+	startConfirmed bool
+	// unasked is set if there is no way to ask the server.
+	unasked bool
+}
+
 // serverState asks an engine for its report, and other servers for their health.
-func (g *Gateway) serverState(s *service, server fleet.Server) poison.Check {
+func (g *Gateway) serverState(ctx context.Context, s *service, server fleet.Server) serverState {
 	request, stateOf := g.stateRequest(s, server)
 	if request.Target == "" {
-		return poison.CheckUnclear
+		return serverState{check: poison.CheckUnclear, unasked: true}
 	}
 	for range engineChecks {
-		response, err := g.engineCall(context.Background(), server, request)
+		response, err := g.engineCall(ctx, server, request)
 		switch {
 		case errors.Is(err, syscall.ECONNREFUSED):
-			return poison.CheckEnded
+			return serverState{check: poison.CheckEnded}
 		case err != nil && !endedWithoutAnswer(err):
-			return poison.CheckUnclear
+			return serverState{check: poison.CheckUnclear}
 		case err == nil:
 			return stateOf(server, response)
 		}
 		time.Sleep(engineCheckInterval)
 	}
-	return poison.CheckEnded
+	return serverState{check: poison.CheckEnded}
 }
 
 // stateRequest returns the request that asks a server for its state, without a target
 // if it can't be asked, and the function that judges the response.
-func (g *Gateway) stateRequest(s *service, server fleet.Server) (upstream.Request, func(fleet.Server, callResponse) poison.Check) {
+func (g *Gateway) stateRequest(s *service, server fleet.Server) (upstream.Request, func(fleet.Server, callResponse) serverState) {
 	request := upstream.Request{Method: http.MethodGet, Host: server.Address, Header: http.Header{}}
 	if s.engineSpec() == nil {
 		request.Target = s.healthTarget()
 		request.Header = g.opts.Protocol.RequestHeader(http.Header{}, AttemptMeta{ServerID: server.ID, Remaining: engineCallTimeout})
-		return request, func(server fleet.Server, response callResponse) poison.Check {
-			return g.healthState(s, server, response)
+		return request, func(server fleet.Server, response callResponse) serverState {
+			return serverState{check: g.healthState(s, server, response)}
 		}
 	}
 	if g.opts.StageProtocol != nil {
@@ -159,20 +168,23 @@
 }
 
 // reportedState compares the report of an engine with its registration.
-func (g *Gateway) reportedState(server fleet.Server, response callResponse) poison.Check {
+func (g *Gateway) reportedState(server fleet.Server, response callResponse) serverState {
 	if response.status != http.StatusOK {
-		return poison.CheckUnclear
+		return serverState{check: poison.CheckUnclear}
 	}
 	report, err := g.opts.StageProtocol.ParseReport(response.body)
 	if err != nil {
 		g.log.Write(logevent.EngineReportFailed(server.ID, err))
-		return poison.CheckUnclear
+		return serverState{check: poison.CheckUnclear}
 	}
 	g.observeReport(server, report, response)
-	if report.StartedUnixMs != 0 && server.StartedUnixMs != 0 && report.StartedUnixMs != server.StartedUnixMs {
-		return poison.CheckEnded
+	if report.StartedUnixMs == 0 || server.StartedUnixMs == 0 {
+		return serverState{check: poison.CheckAlive}
+	}
+	if report.StartedUnixMs != server.StartedUnixMs {
+		return serverState{check: poison.CheckEnded}
 	}
-	return poison.CheckAlive
+	return serverState{check: poison.CheckAlive, startConfirmed: true}
 }
 
 // healthState compares the server that answers a health check with the one that lost
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -75,11 +75,15 @@
 }
 
 // streamEnded finishes a stream that the server ended between two events. If there
-// was no event, the end of a connection may as well be a break.
+// was no event, or the server may have ended, the end of a connection may as well be a
+// break.
 func (q *request) streamEnded(ctx context.Context, exchange *upstream.Exchange, events *eventstream.Splitter) outcome {
 	if !events.HasEvents() && exchange.Framing() == upstream.FramingClose {
 		return q.streamFailed(ctx, errNoEvents)
 	}
+	if err := q.confirmEnd(ctx, exchange); err != nil {
+		return q.streamFailed(ctx, err)
+	}
 	if err := q.writeEvents(exchange.Response.Header, events.Tail()); err != nil {
 		return outcome{result: callerDisconnected, reason: err.Error()}
 	}
--- a/internal/gateway/streams.go
+++ b/internal/gateway/streams.go
@@ -202,7 +202,7 @@
 	if q.route.Kind != fleet.Streaming || !q.route.Resumable {
 		return
 	}
-	version := q.service.versionOf(q.lastServer, q.serverVersion)
+	version := q.service.versionOf(q.server.ID, q.server.Version)
 	q.pin = versionPin{true, version}
 	begun := streamorigin.Origin{Stream: q.streamID(), Version: version}
 	if q.service.beginStream(q.g.now(), begun) {
--- a/internal/logevent/streams.go
+++ b/internal/logevent/streams.go
@@ -16,12 +16,25 @@
 	return e
 }
 
-// AnswerEndedWithConnection reports the state of a server after an answer that had neither
-// length nor chunks, so that its connection's end was its end: alive, ended (or started
-// again) or unclear.
-func AnswerEndedWithConnection(requestID, service, server, state string) Event {
-	return info("answer ended with its connection", slog.String(KeyRequestID, requestID), slog.String(keyService, service),
-		slog.String(keyServer, server), slog.String("server_state", state))
+// EndOfConnection describes the end of an answer that had neither length nor chunks, so
+// that its connection's end was its end.
+type EndOfConnection struct {
+	RequestID, Service, Server string
+	// State is the server's state afterwards: same_start, same_id, ended, unasked or
+	// unclear.
+	State string
+	// Open and Closed are the numbers of other connections to the server that were still
+	// open, and that the server had closed.
+	Open, Closed int
+	// Complete is set if the answer was taken for complete.
+	Complete bool
+}
+
+// AnswerEndedWithConnection reports how such an answer was judged.
+func AnswerEndedWithConnection(end EndOfConnection) Event {
+	return info("answer ended with its connection", slog.String(KeyRequestID, end.RequestID), slog.String(keyService, end.Service),
+		slog.String(keyServer, end.Server), slog.String("server_state", end.State),
+		slog.Int("open_connections", end.Open), slog.Int("closed_connections", end.Closed), slog.Bool("complete", end.Complete))
 }
 
 // StreamOriginsNotSent reports that another gateway could not be notified of begun
--- a/internal/poison/evidence.go
+++ b/internal/poison/evidence.go
@@ -45,11 +45,6 @@
 	CheckEnded
 )
 
-var checkNames = map[Check]string{CheckUnclear: "unclear", CheckAlive: "alive", CheckEnded: "ended"}
-
-// String returns the result as written to logs.
-func (c Check) String() string { return checkNames[c] }
-
 // Crash describes a crash for logs and reports.
 type Crash struct {
 	Engine string
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -177,6 +177,27 @@
 	return nil
 }
 
+// IdleStates returns how many idle connections to a server are open, and how many the
+// server has closed or reset before the end of their idle time.
+func (p *Pool) IdleStates(server fleet.Key) (open, closed int) {
+	s := p.idleConnsOf(server)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	for _, c := range s.conns {
+		if now.After(c.idleUntil) {
+			continue
+		}
+		switch connstate.Peek(c.netConn) {
+		case connstate.Idle:
+			open++
+		case connstate.Closed:
+			closed++
+		}
+	}
+	return open, closed
+}
+
 // put keeps a connection for the next exchange.
 func (p *Pool) put(server fleet.Key, c *Conn) {
 	s := p.idleConnsOf(server)
