--- a/internal/gateway/caller.go
+++ b/internal/gateway/caller.go
@@ -22,6 +22,18 @@
 // left.
 const reasonLeftBeforeSend = "caller left before the send"
 
+// abort ends the request and its connection without a complete response; it does not
+// return. The end of the connection delimits responses of HTTP/1.0, so that such a
+// connection is reset.
+func (q *request) abort() {
+	conn, ok := q.r.Context().Value(callerConnKey{}).(interface{ SetLinger(seconds int) error })
+	if ok && !q.r.ProtoAtLeast(1, 1) {
+		// An error means that the connection has ended already.
+		_ = conn.SetLinger(0)
+	}
+	panic(http.ErrAbortHandler)
+}
+
 // watchCaller records when the close of the caller's connection is seen, until the
 // returned function is called.
 func (q *request) watchCaller() (stop func() bool) {
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -168,7 +168,7 @@
 		q.refuse(refusal{status: http.StatusRequestEntityTooLarge, reason: "body_too_large"})
 	default:
 		q.finish("caller_left", "body was not sent whole: "+err.Error(), 0)
-		panic(http.ErrAbortHandler)
+		q.abort()
 	}
 	return false
 }
@@ -322,7 +322,7 @@
 		return true
 	case callerDisconnected:
 		q.finish("caller_left", out.reason, 0)
-		panic(http.ErrAbortHandler)
+		q.abort()
 	case timedOut:
 		q.fail(out, 0)
 		return true
--- a/internal/gateway/refusal.go
+++ b/internal/gateway/refusal.go
@@ -56,7 +56,7 @@
 	switch {
 	case q.headerSent:
 		q.finish("broken", out.reason, 0)
-		panic(http.ErrAbortHandler)
+		q.abort()
 	case out.response != nil:
 		q.writeResponse(out.response)
 		q.finish("failed", out.reason, out.response.status)
