Tell watches that are cut off from an outage of the store (DRAIN)

Seen: requests reach servers up to 2.3 s after their removal although drainMs is 2 s, while the store is well and cuts off watches that wait, as the users' page allows.

Cause: any failed call counted as an outage of the store, for both kinds of objects. A server that was listed before the supposed outage kept the grace for registrations that lapse during one, although the store was up and had reported the removal. net/http sends a watch again by itself if its connection was used before, so that the second cut was reported, and a wait could last beyond its timeout.

The follower lists within 300 ms; only a call that is refused, reset, rejected or not answered in time is an outage (registry.IsOutage). An answer that cannot be used is none.

--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -131,8 +131,8 @@
 	}
 }
 
-// StoreLost records that the store does not respond. The known servers remain
-// in use.
+// StoreLost records that the store is out of reach, so that registrations may expire
+// unseen. The known servers remain in use.
 func (v *View) StoreLost() { v.connected = false }
 
 // StoreResponded records a response of the store.
--- a/internal/logevent/system.go
+++ b/internal/logevent/system.go
@@ -53,6 +53,12 @@
 		slog.String(keyKind, kind), slog.Any(keyRevision, revision), errorText(err))
 }
 
+// WatchCut reports that a watch ended without a response, so that a kind of objects is
+// listed again.
+func WatchCut(kind string, revision revision.Revision, err error) Event {
+	return detail("watch was cut off, listing again", slog.String(keyKind, kind), slog.Any(keyRevision, revision), errorText(err))
+}
+
 // StoreRecovered reports that a kind of objects can be read from the store
 // again.
 func StoreRecovered(kind string, revision revision.Revision) Event {
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -16,8 +16,11 @@
 	// ErrUnavailable: the call had no effect, because the store is down,
 	// rate-limited it or rejected it.
 	ErrUnavailable = errors.New("store unavailable")
-	// ErrUnknownOutcome: the call got no response and may have had an effect.
+	// ErrUnknownOutcome: the call got no response of the store and may have had an effect.
 	ErrUnknownOutcome = errors.New("no response to store call")
+	// ErrWatchCut: a watch ended without a response. A store that is well may cut off
+	// watches that are waiting; the outcome of the next call shows whether it is.
+	ErrWatchCut = errors.New("watch was cut off")
 	// ErrCompacted: the revision to watch from is no longer available; the
 	// watch must restart from a list.
 	ErrCompacted = errors.New("revision is no longer in the store's history")
@@ -34,6 +37,13 @@
 	ErrNoConfig = errors.New("no configuration has been written")
 )
 
+// IsOutage reports whether the error of a call shows that the store was out of reach: that
+// the call did not reach it, had no answer, or had an answer that says so.
+func IsOutage(err error) bool {
+	unreached := errors.Is(err, ErrUnavailable) || errors.Is(err, ErrUnknownOutcome)
+	return unreached && !errors.Is(err, ErrWatchCut)
+}
+
 // Watch is a call that waits for changes.
 type Watch struct {
 	// Since is the revision after which changes are reported.
--- a/internal/registry/watch.go
+++ b/internal/registry/watch.go
@@ -34,9 +34,9 @@
 }
 
 // follow lists once and then watches. It lists again if the revision to watch
-// from has been compacted, if the store was restored, if a call fails, if another
-// gateway knows of a change that the watch has missed, or if nothing confirms the state
-// any more.
+// from has been compacted, if the store was restored, if a call fails or is cut off, if
+// another gateway knows of a change that the watch has missed, or if nothing confirms the
+// state any more.
 func (f *Follower) follow(ctx context.Context, kind objectKind) {
 	var since revision.Revision
 	backoff := minBackoff
@@ -64,7 +64,12 @@
 		case errors.Is(err, ErrRestored):
 			f.log.Write(logevent.StoreRestored(kind.name, since, f.source.Generation()))
 			since = 0
-			sleep(ctx, rand.N(restoredListSpread))
+			sleep(ctx, rand.N(listSpread))
+			continue
+		case errors.Is(err, ErrWatchCut):
+			f.recordCutWatch(err, kind.name, since)
+			since = 0
+			sleep(ctx, rand.N(listSpread))
 			continue
 		case errors.Is(err, ErrCompacted):
 			f.log.Write(logevent.WatchHistoryCompacted(kind.name, since))
@@ -84,9 +89,9 @@
 // knows of a newer change.
 var errPeerNewer = errors.New("another gateway knows of a newer change")
 
-// restoredListSpread is the time over which the gateways of a fleet list again
-// after the store was restored.
-const restoredListSpread = 300 * time.Millisecond
+// listSpread is the time over which the gateways of a fleet list again after the
+// store was restored, or has cut off their watches.
+const listSpread = 300 * time.Millisecond
 
 // peerNewerDelay is how long the own watch may take to deliver a change that
 // another gateway has reported, before it is replaced by a list.
@@ -157,17 +162,28 @@
 	}
 }
 
+// recordCutWatch records a watch that was cut off. The list that follows shows whether the
+// store is out of reach.
+func (f *Follower) recordCutWatch(err error, kind string, since revision.Revision) {
+	f.storeFailureCount.Add(1)
+	f.source.Reconnect()
+	f.log.Write(logevent.WatchCut(kind, since, err))
+}
+
 // recordFailure records a failed call. The state known so far remains in force.
-// A store without a configuration does not count as lost.
+// A store without a configuration does not count as lost, nor does one whose answer
+// cannot be used.
 func (f *Follower) recordFailure(err error, kind string, since revision.Revision, storeLost *bool) {
 	f.storeFailureCount.Add(1)
 	f.source.Reconnect()
 	if errors.Is(err, ErrNoConfig) {
 		return
 	}
-	f.mu.Lock()
-	f.view.StoreLost()
-	f.mu.Unlock()
+	if IsOutage(err) {
+		f.mu.Lock()
+		f.view.StoreLost()
+		f.mu.Unlock()
+	}
 	if !*storeLost {
 		f.log.Write(logevent.StoreUnavailable(kind, since, err))
 	}
