--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -21,6 +21,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/marigoldwing/marigoldwing/internal/departure"
+	"github.com/marigoldwing/marigoldwing/internal/drain"
 	"github.com/marigoldwing/marigoldwing/internal/fleet"
 	"github.com/marigoldwing/marigoldwing/internal/logevent"
 	"github.com/marigoldwing/marigoldwing/internal/retry"
@@ -42,6 +43,8 @@
 	// BufferBytes bounds the answers that are buffered at the same time, beyond the
 	// first 64 KiB of each; 0 means defaultBufferBytes.
 	BufferBytes int64
+	// StopSchedule holds the times of the gateway's stop.
+	StopSchedule drain.Schedule
 }
 
 // defaultBufferBytes is the BufferBytes of a gateway whose memory is not known.
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -12,6 +12,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	settingsv1 "github.com/marigoldwing/marigoldwing/api/settings/v1"
+	"github.com/marigoldwing/marigoldwing/internal/drain"
 	"github.com/marigoldwing/marigoldwing/internal/gatewaypeers"
 	"github.com/marigoldwing/marigoldwing/internal/lease"
 	"github.com/marigoldwing/marigoldwing/internal/logevent"
@@ -28,19 +29,9 @@
 	idleTimeout = 60 * time.Second
 	// maxHeaderBytes is the maximum size of a request's header.
 	maxHeaderBytes = 64 << 10
-	// readinessGracePeriod is how long requests are still accepted after the
-	// readiness check has begun to fail, so that the load balancer stops sending
-	// requests before the listener closes. After it, the listener and idle
-	// connections are closed and requests in flight may finish.
-	readinessGracePeriod = 2500 * time.Millisecond
-	// drainMargin is added to the drain timeout, so that a drain that takes
-	// exactly readinessGracePeriod is not counted as cut short.
+	// drainMargin is added to the drain timeout, so that a drain that takes exactly as
+	// long as requests are accepted is not counted as cut short.
 	drainMargin = 100 * time.Millisecond
-	// stopMargin is the part of the stop grace period kept back for the shutdown
-	// after requests in flight have had their time.
-	stopMargin = time.Second
-	// leaseReleaseTimeout bounds the release of the leases at shutdown.
-	leaseReleaseTimeout = 500 * time.Millisecond
 	// memoryLimitRatio is the part of the memory setting that is set as the Go
 	// runtime's soft memory limit.
 	memoryLimitRatio = 0.7
@@ -73,6 +64,7 @@
 	}
 	log := logs.Events
 	metrics := telemetry.NewRegistry(logs.DroppedLines)
+	schedule := drain.NewSchedule(seconds(s.GetStopGraceS()))
 	g := New(Options{
 		Name:          s.GetName(),
 		FailureDomain: s.GetFailureDomain(),
@@ -82,6 +74,7 @@
 		Registerer:    metrics,
 		RetryBudget:   retryBudget(s),
 		BufferBytes:   int64(bufferRatio * s.GetMemoryMb() * bytesPerMB),
+		StopSchedule:  schedule,
 	})
 	follower := registry.NewFollower(deps.Source, bounds(s), log, g.Update)
 	registerCollectors(metrics, follower, g)
@@ -129,9 +122,9 @@
 			func(ctx context.Context) { g.RunStageControllers(ctx, stageOptions) },
 		},
 		Drain:         g.Drain,
-		DrainTimeout:  readinessGracePeriod + drainMargin,
-		StopTimeout:   max(minStopTime, seconds(s.GetStopGraceS())-readinessGracePeriod-stopMargin),
-		LoopTimeout:   leaseReleaseTimeout,
+		DrainTimeout:  schedule.AcceptUntil + drainMargin,
+		StopTimeout:   schedule.CloseUntil - schedule.AcceptUntil,
+		LoopTimeout:   schedule.ExitUntil - schedule.CloseUntil,
 		ConfigureHTTP: configureServer,
 	})
 }
@@ -172,10 +165,6 @@
 	return server
 }
 
-// minStopTime is the time that requests in flight get at shutdown, however
-// short the configured grace period is.
-const minStopTime = time.Second
-
 func seconds(n float64) time.Duration { return time.Duration(n * float64(time.Second)) }
 
 // Reasons for a gateway not to be ready.
@@ -207,13 +196,13 @@
 	})
 }
 
-// Drain makes the readiness check fail and returns after the grace period in
-// which the load balancer stops sending requests, or when ctx ends. The
-// listener may be closed after that.
+// Drain begins the stop. It makes the readiness check fail and returns once load
+// balancers have had their time to notice that, or when ctx ends. The listener may be
+// closed after that.
 func (g *Gateway) Drain(ctx context.Context) {
 	g.draining.Store(true)
 	select {
-	case <-time.After(readinessGracePeriod):
+	case <-time.After(g.opts.StopSchedule.AcceptUntil):
 	case <-ctx.Done():
 	}
 }
