Close connections at the end of a stop rather than fail

What operators saw: a process whose planned stop found a connection without a request, opened by a caller ahead of its use, waited for it until the end of its stop and exited with status 1 ("context deadline exceeded"); so did one whose last request ended shortly before that.

Cause: the shutdown of net/http waits for such connections for five seconds, polls up to half a second apart, and its timeout was returned as an error of the process. The connections were closed by the exit alone.

The HTTP servers of all processes now close what is still open at the end of their stop, log that, and the process goes on to end its loops and exits with 0.

go test ./platform/soak -run TestConnectionWithoutRequestsDoesNotFailStop failed before ("exit status 1") and passes.

--- a/internal/logevent/process.go
+++ b/internal/logevent/process.go
@@ -22,6 +22,10 @@
 	return info("drained", milliseconds(keyElapsed, took), slog.Bool(keyWhole, complete))
 }
 
+// ConnectionsClosed reports that a process closes connections that are still open at the
+// end of its stop.
+func ConnectionsClosed() Event { return info("connections closed at the end of the stop") }
+
 // Stopped is the last line of a process.
 func Stopped() Event { return info("stopped") }
 
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/http"
 	"os"
@@ -100,7 +101,31 @@
 		httpServer.Handler = opts.Handler
 		opts.ConfigureHTTP(httpServer)
 	}
-	return append([]transport.Server{httpServer}, opts.Servers...)
+	servers := append([]transport.Server{httpServer}, opts.Servers...)
+	for i, server := range servers {
+		if s, ok := server.(*kratoshttp.Server); ok {
+			servers[i] = closingServer{s, opts.Logs.Events}
+		}
+	}
+	return servers
+}
+
+// closingServer is an HTTP server that closes the connections that are still open at the
+// end of its stop. The shutdown alone waits in vain for connections without a request, and
+// notices the end of the last request up to half a second later.
+type closingServer struct {
+	*kratoshttp.Server
+	log logevent.Log
+}
+
+// Stop implements transport.Server.
+func (s closingServer) Stop(ctx context.Context) error {
+	err := s.Server.Stop(ctx)
+	if !errors.Is(err, context.DeadlineExceeded) {
+		return err
+	}
+	s.log.Write(logevent.ConnectionsClosed())
+	return s.Close()
 }
 
 func startLoops(ctx context.Context, running *sync.WaitGroup, loops []func(ctx context.Context)) {
