--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -189,13 +189,17 @@
 	return outcome{result: notExecuted, reason: "prefill: " + reason, serverUntried: true}
 }
 
-// ended reports whether the request has ended because its caller disconnected
-// or its deadline passed, with the corresponding outcome.
+// ended reports whether the request has ended because its caller disconnected,
+// its deadline passed or the gateway ends its requests for a stop, with the corresponding outcome.
 func (q *request) ended(ctx context.Context) (outcome, bool) {
 	switch {
 	case q.r.Context().Err() != nil:
 		return outcome{result: callerDisconnected, reason: "caller closed its connection"}, true
-	case ctx.Err() != nil || q.remaining() <= 0:
+	case q.remaining() <= 0:
+		return outcome{result: timedOut, reason: "deadline"}, true
+	case q.g.stop.isOver():
+		return q.endedByStop(), true
+	case ctx.Err() != nil:
 		return outcome{result: timedOut, reason: "deadline"}, true
 	}
 	return outcome{}, false
@@ -308,10 +312,7 @@
 // sendFailed classifies an attempt that ended without a response header.
 func (q *request) sendFailed(ctx context.Context, err error, headTimedOut bool) outcome {
 	if out, ended := q.ended(ctx); ended {
-		if errors.Is(err, upstream.ErrNotSent) && out.result == timedOut {
-			return outcome{result: notExecuted, reason: "deadline before a connection stood", serverFault: true, unsent: true}
-		}
-		return out
+		return q.endedBeforeAnswer(err, out)
 	}
 	if errors.Is(err, upstream.ErrNotSent) {
 		return outcome{result: notExecuted, reason: err.Error(), serverFault: true, unsent: true}
@@ -325,6 +326,19 @@
 	return outcome{result: noResponse, reason: err.Error(), serverFault: true, connectionLost: true}
 }
 
+// endedBeforeAnswer returns the outcome of an attempt whose request has ended with the
+// given outcome. What was not sent was not executed.
+func (q *request) endedBeforeAnswer(err error, ended outcome) outcome {
+	switch {
+	case !errors.Is(err, upstream.ErrNotSent) || ended.result == callerDisconnected:
+		return ended
+	case ended.result == timedOut:
+		return outcome{result: notExecuted, reason: "deadline before a connection stood", serverFault: true, unsent: true}
+	default:
+		return outcome{result: notExecuted, reason: reasonStopping, unsent: true}
+	}
+}
+
 // reasonUnidentified is the reason of attempts whose response names no request.
 const reasonUnidentified = "answer names no request"
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -43,13 +43,17 @@
 	// BufferBytes bounds the answers that are buffered at the same time, beyond the
 	// first 64 KiB of each; 0 means defaultBufferBytes.
 	BufferBytes int64
-	// StopSchedule holds the times of the gateway's stop.
-	StopSchedule drain.Schedule
+	// StopGrace is the time between the beginning of the gateway's stop and its kill; 0
+	// means defaultStopGrace.
+	StopGrace time.Duration
 }
 
 // defaultBufferBytes is the BufferBytes of a gateway whose memory is not known.
 const defaultBufferBytes = 64 << 20
 
+// defaultStopGrace is the StopGrace of a gateway that is told none.
+const defaultStopGrace = 8 * time.Second
+
 // RetryBudget is a retry budget that all gateways share.
 type RetryBudget struct {
 	// Ratio is the permitted number of retries per request.
@@ -70,7 +74,7 @@
 	metrics   *metrics
 	startTime time.Time
 	state     atomic.Pointer[state]
-	draining  atomic.Bool
+	stop      *stop
 	// updateMu is held while the servers of services change. registered are those of
 	// the latest Update.
 	updateMu   sync.Mutex
@@ -113,6 +117,7 @@
 		buffers:    upstream.NewBuffers(cmp.Or(opts.BufferBytes, defaultBufferBytes)),
 		metrics:    newMetrics(opts.Registerer),
 		startTime:  time.Now(),
+		stop:       newStop(drain.NewSchedule(cmp.Or(opts.StopGrace, defaultStopGrace))),
 		departures: departures{book: departure.New(), asked: make(map[fleet.Key]bool)},
 		retired:    make(map[string]retiredService),
 	}
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -103,7 +103,7 @@
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	g.metrics.inflight.Inc()
 	defer g.metrics.inflight.Dec()
-	if g.draining.Load() {
+	if g.stop.hasBegun() {
 		w.Header().Set("Connection", "close")
 	}
 	q := &request{
@@ -119,6 +119,7 @@
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), q.remaining()+deadlineGrace)
 	defer cancel()
+	defer context.AfterFunc(g.stop.over, cancel)()
 	q.serve(ctx)
 }
 
@@ -339,6 +340,9 @@
 // retryAfterBackoff reports whether another attempt is to be made. It returns
 // after the backoff that precedes the attempt.
 func (q *request) retryAfterBackoff(ctx context.Context, out outcome, choice placement.Choice) bool {
+	if q.g.stop.isOver() {
+		return false
+	}
 	decision := q.decideRetry(ctx, out, choice)
 	q.logRetry(stepRun, decision)
 	if decision.Action != retry.ActionRetry {
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -20,7 +20,7 @@
 // fillHeartbeat adds this gateway's configuration revision, registration
 // revision and loads at the servers to a heartbeat.
 func (a peerAdapter) fillHeartbeat(h *peerv1.Heartbeat) {
-	h.Leaving = a.g.draining.Load()
+	h.Leaving = a.g.stop.hasBegun()
 	confirmation := a.follower.Confirmation()
 	h.ConfigRevision, h.StoreAgeMs = uint64(confirmation.ConfigVersion), ageToProto(confirmation.ConfigAge)
 	h.ServersGeneration, h.ServersRevision = confirmation.ChangeRevision.Generation(), confirmation.ChangeRevision.Number()
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -12,7 +12,7 @@
 // Place implements peerrpc.Placer.
 func (c *coordination) Place(p *peerv1.Place) *peerv1.PlaceReply {
 	s := c.g.state.Load().services[p.GetService()]
-	if s == nil || c.g.draining.Load() {
+	if s == nil || c.g.stop.hasBegun() {
 		return &peerv1.PlaceReply{}
 	}
 	_, address := c.coordinatorOf(p.GetService())
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -12,7 +12,6 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	settingsv1 "github.com/marigoldwing/marigoldwing/api/settings/v1"
-	"github.com/marigoldwing/marigoldwing/internal/drain"
 	"github.com/marigoldwing/marigoldwing/internal/gatewaypeers"
 	"github.com/marigoldwing/marigoldwing/internal/lease"
 	"github.com/marigoldwing/marigoldwing/internal/logevent"
@@ -64,7 +63,6 @@
 	}
 	log := logs.Events
 	metrics := telemetry.NewRegistry(logs.DroppedLines)
-	schedule := drain.NewSchedule(seconds(s.GetStopGraceS()))
 	g := New(Options{
 		Name:          s.GetName(),
 		FailureDomain: s.GetFailureDomain(),
@@ -74,8 +72,9 @@
 		Registerer:    metrics,
 		RetryBudget:   retryBudget(s),
 		BufferBytes:   int64(bufferRatio * s.GetMemoryMb() * bytesPerMB),
-		StopSchedule:  schedule,
+		StopGrace:     seconds(s.GetStopGraceS()),
 	})
+	schedule := g.stop.schedule
 	follower := registry.NewFollower(deps.Source, bounds(s), log, g.Update)
 	registerCollectors(metrics, follower, g)
 	peerMetrics := peerrpc.NewMetrics(metrics)
@@ -175,7 +174,7 @@
 
 // ready returns why the gateway is not ready, or nil.
 func (g *Gateway) ready(f *registry.Follower) error {
-	if g.draining.Load() {
+	if g.stop.hasBegun() {
 		return errDraining
 	}
 	if !f.Ready() {
@@ -200,9 +199,9 @@
 // balancers have had their time to notice that, or when ctx ends. The listener may be
 // closed after that.
 func (g *Gateway) Drain(ctx context.Context) {
-	g.draining.Store(true)
+	g.stop.start(g.now())
 	select {
-	case <-time.After(g.opts.StopSchedule.AcceptUntil):
+	case <-time.After(g.stop.schedule.AcceptUntil):
 	case <-ctx.Done():
 	}
 }
--- a/internal/gateway/stages.go
+++ b/internal/gateway/stages.go
@@ -187,7 +187,7 @@
 		c.log.Write(logevent.StageLeaseAcquired(c.service, authority.Term))
 		c.term, c.termStart, c.state = authority.Term, now, stageplan.State{}
 	}
-	if c.g.draining.Load() || now-c.termStart < c.settlePeriod {
+	if c.g.stop.hasBegun() || now-c.termStart < c.settlePeriod {
 		return
 	}
 	s := c.g.state.Load().services[c.service]
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -58,7 +58,7 @@
 	dump := StateDump{
 		Name:          g.opts.Name,
 		FailureDomain: g.opts.FailureDomain,
-		Leaving:       g.draining.Load(),
+		Leaving:       g.stop.hasBegun(),
 		Services:      make(map[string][]placement.ServerDump, len(current.services)),
 		RetryTokens:   make(map[string]float64, len(current.services)),
 		ServerLimits:  make(map[string][]serverlimit.Dump, len(current.services)),
