--- a/internal/eventstream/eventstream.go
+++ b/internal/eventstream/eventstream.go
@@ -20,6 +20,8 @@
 	// Order is the order of the stream's events, which the Splitter checks; nil if it
 	// checks none.
 	Order *Order
+	// Field is the name of a field whose latest value Value returns; empty if none is.
+	Field string
 	// orderErr is set at the end of an event that is out of order.
 	orderErr error
 	// pending holds the bytes after the last complete event, of which the first
@@ -30,14 +32,17 @@
 	// may follow as part of the same line end, and afterBlank after a blank line.
 	inLine, afterCR, afterBlank bool
 	// inEvent is set once the current event has a line that is no comment. eventID is
-	// its ID so far.
-	inEvent bool
-	eventID string
+	// its ID so far, and eventValue its value of Field.
+	inEvent    bool
+	eventID    string
+	eventValue string
 	// events is the number of complete events, and lastHasID is set if the last one had
 	// an ID. firstID and id are the first and the latest ID; empty if there was none.
 	events      int
 	lastHasID   bool
 	firstID, id string
+	// value is the latest value of Field; empty if there was none.
+	value string
 }
 
 // Add appends data and returns the bytes up to the end of the last complete event
@@ -108,6 +113,15 @@
 	if value, ok := bytes.CutPrefix(line, idField); ok {
 		s.eventID = string(bytes.TrimSpace(value))
 	}
+	if value, ok := s.fieldValue(line); ok {
+		s.eventValue = string(bytes.TrimSpace(value))
+	}
+}
+
+// fieldValue returns the value of Field if the line has that field.
+func (s *Splitter) fieldValue(line []byte) ([]byte, bool) {
+	name, value, hasValue := bytes.Cut(line, []byte(":"))
+	return value, hasValue && s.Field != "" && string(name) == s.Field
 }
 
 // endEvent processes a blank line.
@@ -127,7 +141,8 @@
 		s.id = s.eventID
 		s.firstID = cmp.Or(s.firstID, s.id)
 	}
-	s.inEvent, s.eventID = false, ""
+	s.value = cmp.Or(s.eventValue, s.value)
+	s.inEvent, s.eventID, s.eventValue = false, "", ""
 }
 
 // lineLength returns the number of bytes before the first line end, or all.
@@ -155,6 +170,9 @@
 // FirstID returns the ID of the first complete event that had one; empty if none had.
 func (s *Splitter) FirstID() string { return s.firstID }
 
+// Value returns the latest value of Field in a complete event; empty if there was none.
+func (s *Splitter) Value() string { return s.value }
+
 // Events returns the number of complete events.
 func (s *Splitter) Events() int { return s.events }
 
--- a/internal/eventstream/eventstream_test.go
+++ b/internal/eventstream/eventstream_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"testing"
 
@@ -73,6 +74,28 @@
 	require.False(t, s.InsideEvent())
 }
 
+// TestValueOfFieldIsThatOfLatestCompleteEvent checks the value of a field that some events
+// have, however the stream is split into reads.
+func TestValueOfFieldIsThatOfLatestCompleteEvent(t *testing.T) {
+	for sent, value := range map[string]string{
+		"id: 1\ndata: v: 3\n\n":                          "",
+		"v: 2\nid: 1\ndata: x\n\n":                       "2",
+		"v:2\r\nid: 1\r\n\r\ndata: x\r\n\r\n":            "2",
+		"v: 2\nid: 1\n\nv: 3\nid: 2\n\n":                 "3",
+		"v: 2\nid: 1\n\nv: 3\nid: 2\n":                   "2",
+		": v: 2\n\nvv: 2\nid: 1\n\nv\nid: 2\n\nV: 1\n\n": "",
+	} {
+		for size := 1; size <= len(sent); size++ {
+			s := Splitter{Field: "v"}
+			for part := range slices.Chunk([]byte(sent), size) {
+				_, err := s.Add(part)
+				require.NoError(t, err)
+			}
+			require.Equal(t, value, s.Value(), "%q by %d", sent, size)
+		}
+	}
+}
+
 func BenchmarkAdd(b *testing.B) {
 	event := []byte("id: 17\ndata: {\"token\":\"some words of an answer\"}\n\n")
 	s := Splitter{}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -70,7 +70,7 @@
 		go q.g.releaseKV(c.PrefillServer, *handle)
 		return outcome{result: notExecuted, reason: q.noteBlock(block), serverUntried: true}, c
 	}
-	decode, err := q.chooseDecode(ctx, c.PrefillServer)
+	decode, err := q.chooseDecode(ctx, c.PrefillServer, handle)
 	if err != nil {
 		go q.g.releaseKV(c.PrefillServer, *handle)
 		return outcome{result: notExecuted, reason: reasonNoServer, serverUntried: true, unsent: true}, c
@@ -81,14 +81,20 @@
 		// The decode engine did not use the KV cache, which may have expired.
 		go q.g.releaseKV(c.PrefillServer, *handle)
 	}
+	if out.weightsRefused && q.weights == "" {
+		// Only the KV cache needs other weights, not the request.
+		q.directOnly, out.serverUntried = true, true
+	}
 	return out, decode
 }
 
 // chooseDecode chooses the decode engine for a prompt that has been prefilled. If there
 // is none, it waits for one for as long as the caller bears.
-func (q *request) chooseDecode(ctx context.Context, prefill fleet.Server) (placement.Choice, error) {
+func (q *request) chooseDecode(ctx context.Context, prefill fleet.Server, handle *KVHandle) (placement.Choice, error) {
 	for {
-		decode, err := q.service.chooseDecode(q.g.now(), q.placementRequest(), prefill)
+		r := q.placementRequest()
+		r.Weights = q.expectedWeights(handle)
+		decode, err := q.service.chooseDecode(q.g.now(), r, prefill)
 		if err == nil || !q.waitForServer(ctx) {
 			return decode, err
 		}
@@ -114,6 +120,7 @@
 		PrefillOnly: true,
 		FetchFrom:   c.FetchFrom,
 		Priority:    c.Priority,
+		Weights:     q.weights,
 	}
 	q.outstanding = stepPrefill
 	exchange, err := q.g.pool.Do(ctx, c.PrefillServer.Key(), q.upstreamRequest(c.PrefillServer, meta))
@@ -136,22 +143,30 @@
 	}
 	verdict := responsecheck.Judge(responsecheck.Sent{RequestID: q.meta.ID, Prefill: true}, receivedResponse(exchange, response))
 	if verdict == responsecheck.NotExecuted {
-		q.service.recordRefusal(q.g.now(), c.PrefillServer.ID, response.Pause)
+		if !refusesWeights(meta, response) {
+			q.service.recordRefusal(q.g.now(), c.PrefillServer.ID, response.Pause)
+		}
 		return nil, q.prefillFailed(ctx, c, fmt.Sprintf("refused with status %d", exchange.Response.StatusCode))
 	}
 	if verdict != responsecheck.Prefilled {
 		return nil, q.prefillFault(ctx, c, fmt.Sprintf("status %d", exchange.Response.StatusCode))
 	}
-	id, err := q.g.opts.Protocol.ParseHandle(body)
+	id, weights, err := q.g.opts.Protocol.ParseHandle(body)
 	if err != nil {
 		return nil, q.prefillFault(ctx, c, err.Error())
 	}
+	q.service.recordWeights(c.PrefillServer.ID, weights)
+	handle := &KVHandle{Address: c.PrefillServer.Address, ID: id, Weights: weights}
+	if q.weights != "" && weights != "" && weights != q.weights {
+		go q.g.releaseKV(c.PrefillServer, *handle)
+		return nil, q.prefillFailed(ctx, c, reasonOtherWeights)
+	}
 	q.prefilled = true
 	q.service.recordPrefilled(q.g.now(), inFlight)
 	q.notifyPlaceEnded(true)
 	q.service.recordSuccess(c.PrefillServer.ID)
 	q.g.metrics.attempts.WithLabelValues(q.service.name, stepPrefill, "done").Inc()
-	return &KVHandle{Address: c.PrefillServer.Address, ID: id}, outcome{}
+	return handle, outcome{}
 }
 
 // prefillLost records a prefill whose answer was not complete.
@@ -247,6 +262,7 @@
 	meta.ServerID = c.Server.ID
 	meta.Priority = q.priority()
 	meta.LastEventID = q.lastEventID
+	meta.Weights = q.expectedWeights(meta.KVSource)
 	q.resumedAfter = q.lastEventID
 	meta.Remaining = q.remaining()
 	sentAt := q.g.now()
@@ -276,7 +292,7 @@
 	response := q.g.opts.Protocol.ParseResponse(exchange.Response.StatusCode, exchange.Response.Header)
 	q.service.recordLoad(q.g.now(), c.Server.ID, response)
 	q.observeStatements(c.Server, answerToRun, sentAt, response)
-	if response.NotExecuted && meta.KVSource == nil {
+	if response.NotExecuted && meta.KVSource == nil && !refusesWeights(meta, response) {
 		// With a KV source, the server may have refused the source rather than
 		// the request.
 		q.service.recordRefusal(q.g.now(), c.Server.ID, response.Pause)
@@ -284,7 +300,9 @@
 		q.service.recordAcceptance(c.Server.ID)
 	}
 	defer q.logServerAfterEnd(c.Server, exchange)
-	return q.handleResponse(ctx, exchange, response)
+	out := q.handleResponse(ctx, exchange, response)
+	out.weightsRefused = refusesWeights(meta, response)
+	return out
 }
 
 // headTimer cancels an attempt whose response header does not arrive in time.
@@ -331,7 +349,7 @@
 // handleResponse relays a response to the caller, or returns why it must not be
 // relayed.
 func (q *request) handleResponse(ctx context.Context, exchange *upstream.Exchange, meta ResponseMeta) outcome {
-	sent := responsecheck.Sent{RequestID: q.meta.ID, Streaming: q.route.Kind == fleet.Streaming, Begun: q.headerSent}
+	sent := responsecheck.Sent{RequestID: q.meta.ID, Streaming: q.route.Kind == fleet.Streaming, Begun: q.headerSent, Weights: q.weights}
 	received := receivedResponse(exchange, meta)
 	switch responsecheck.Judge(sent, received) {
 	case responsecheck.NotExecuted:
@@ -345,7 +363,8 @@
 	case responsecheck.Failure:
 		return q.keepFailure(ctx, exchange)
 	default:
-		return outcome{result: q.incompleteResult(), reason: unusableReason(sent, received), serverFault: true}
+		reason := unusableReason(sent, received)
+		return outcome{result: q.incompleteResult(), reason: reason, serverFault: reason != reasonOtherWeights}
 	}
 }
 
@@ -356,6 +375,8 @@
 		return fmt.Sprintf("status %d with the word that it was not run", r.Status)
 	case responsecheck.ImpliesNotExecuted(r.Status):
 		return fmt.Sprintf("status %d without the word that it was not run", r.Status)
+	case responsecheck.HasOtherWeights(s, r):
+		return reasonOtherWeights
 	case s.Begun:
 		return fmt.Sprintf("status %d is no continuation of the stream", r.Status)
 	default:
@@ -370,6 +391,7 @@
 		Status:      exchange.Response.StatusCode,
 		Sealed:      meta.Sealed,
 		NotExecuted: meta.NotExecuted,
+		Weights:     meta.Weights,
 		Content:     contentOf(exchange.Response.Header),
 	}
 }
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -67,6 +67,9 @@
 	// the server that the latest attempt was sent to.
 	pin           versionPin
 	serverVersion string
+	// weights is the version of the weights with which the latest event that the caller
+	// has was made; empty if there is none, or no version was stated.
+	weights string
 	// headerSent is set once the response header has been sent to the caller;
 	// from then on no other response is possible.
 	headerSent bool
@@ -285,6 +288,7 @@
 		Objective:        q.route.LatencyObjective,
 		VersionPinned:    q.pin.pinned,
 		Version:          q.pin.version,
+		Weights:          q.weights,
 	}
 }
 
--- a/internal/gateway/outcome.go
+++ b/internal/gateway/outcome.go
@@ -56,6 +56,9 @@
 	// prefillLost is set if the connection of the first prefill of a stream that has
 	// begun before was lost. The run that follows is its first send.
 	prefillLost bool
+	// weightsRefused is set if the server may have refused the weights that the attempt
+	// expected.
+	weightsRefused bool
 	// paused is set if the server refused the request and asked for a pause, which keeps
 	// requests from it.
 	paused bool
--- a/internal/gateway/protocol.go
+++ b/internal/gateway/protocol.go
@@ -48,6 +48,9 @@
 	Priority int
 	// LastEventID is the ID of the event after which the stream is to continue.
 	LastEventID string
+	// Weights is the version of the weights that the server must have. One with another
+	// version refuses the request. Empty if any version will do.
+	Weights string
 }
 
 // KVHandle identifies a prefilled KV cache.
@@ -55,6 +58,9 @@
 	// Address of the engine that holds the cache.
 	Address string
 	ID      string
+	// Weights is the version of the weights with which the cache was made; empty if the
+	// engine has not stated it.
+	Weights string
 }
 
 // ResponseMeta is what the status and headers of a backend server's response
@@ -62,7 +68,8 @@
 type ResponseMeta struct {
 	// RequestID is the ID of the request that the response belongs to.
 	RequestID string
-	// ServerID is the ID of the server that answers a health check.
+	// ServerID is the ID of the server that answers a health check, or that refuses a
+	// misdirected request; empty if the response does not name it.
 	ServerID string
 	// Weights is the version of the model's weights with which the response begins; empty
 	// if it states none.
@@ -75,8 +82,8 @@
 	// Load is the server's load report; valid if HasLoad is set.
 	Load    placement.Load
 	HasLoad bool
-	// Misdirected is set if another server has answered, which has taken over the
-	// address.
+	// Misdirected is set if the server refuses because the request is meant for another:
+	// one that has taken over the address, or one with other weights or of the wrong stage.
 	Misdirected bool
 	// Limit is the request rate that the server takes from all gateways together.
 	// It says nothing if LimitMalformed is set.
@@ -107,9 +114,15 @@
 	// ResponseHeader returns the headers to send to the caller for a backend
 	// server's response.
 	ResponseHeader(server http.Header) http.Header
+	// WeightsField returns the name of the field with which an event states that the
+	// version of the weights changes there.
+	WeightsField() string
+	// ParseWeights returns the version of the weights that a header or an event states;
+	// empty if the text is no version.
+	ParseWeights(text string) string
 	// ParseHandle reads the response to a prefill and returns the ID of the KV
-	// cache.
-	ParseHandle(body []byte) (id string, err error)
+	// cache and the version of its weights.
+	ParseHandle(body []byte) (id, weights string, err error)
 	// ReleaseTarget returns the request target that frees a KV cache.
 	ReleaseTarget(handle string) string
 }
--- a/internal/gateway/statements.go
+++ b/internal/gateway/statements.go
@@ -21,9 +21,10 @@
 )
 
 // observeStatements records what the request's own answer to an attempt, sent at sentAt,
-// states about its server.
+// states about its server. A refusal of a misdirected request states it only if it names the
+// server, since another one may have answered.
 func (q *request) observeStatements(server fleet.Server, kind answerKind, sentAt time.Duration, response ResponseMeta) {
-	if response.Misdirected {
+	if response.Misdirected && response.ServerID != server.ID {
 		return
 	}
 	q.g.observeDeparture(server, kind, q.meta.ID, response)
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -29,8 +29,10 @@
 // stream can be resumed at another server after its last relayed event.
 func (q *request) stream(ctx context.Context, exchange *upstream.Exchange, weights string) outcome {
 	q.order.Join()
-	events := eventstream.Splitter{Order: &q.order}
+	q.service.recordWeights(q.lastServer, weights)
+	events := eventstream.Splitter{Order: &q.order, Field: q.g.opts.Protocol.WeightsField()}
 	out, position := q.relayEvents(ctx, exchange, &events)
+	q.recordWeights(weights, &events)
 	out.unresumable = !events.Resumable() || events.HasEvents() && !q.order.Comparable()
 	out.streamEnd = &streamEnd{
 		framing: exchange.Framing(), position: position, tailBytes: len(events.Tail()),
--- a/internal/placement/affinity.go
+++ b/internal/placement/affinity.go
@@ -25,7 +25,7 @@
 	var best *server
 	for _, source := range q.fetchSources {
 		switch {
-		case source == s:
+		case source == s || !source.mayHave(s.weights):
 		case source.FailureDomain == s.FailureDomain:
 			return source
 		case best == nil:
--- a/internal/placement/engines.go
+++ b/internal/placement/engines.go
@@ -57,7 +57,11 @@
 	if !ok {
 		return candidate{}, false
 	}
-	d, ok := t.chooseDecode(q, p.Server)
+	decode := *q
+	if prefill := t.find(p.Server.ID); prefill != nil {
+		decode.decodeEngines = withSameWeights(q.decodeEngines, prefill)
+	}
+	d, ok := t.chooseDecode(&decode, p.Server)
 	if !ok {
 		return candidate{}, false
 	}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -54,6 +54,9 @@
 	// Version is the software version that the servers must have if VersionPinned is set.
 	VersionPinned bool
 	Version       string
+	// Weights is the version of the weights that the servers should have; empty if any
+	// will do.
+	Weights string
 	// OriginDomain is the failure domain of the gateway that received the
 	// request. Empty means this gateway's own.
 	OriginDomain string
--- a/internal/placement/table.go
+++ b/internal/placement/table.go
@@ -48,6 +48,8 @@
 	observedAt time.Duration
 	// weight is the fraction of its usual load that the server should get.
 	weight float64
+	// weights is the version of the weights that the server stated last; empty if none.
+	weights string
 	// backoffUntil is the end of the backoff after a refusal, which grows with
 	// the number of consecutive refusals.
 	backoffUntil        time.Duration
@@ -314,8 +316,8 @@
 // usableFor returns the usable servers of a stage that a request may go to.
 func (t *Table) usableFor(now time.Duration, r Request, stage fleet.Stage) []*server {
 	servers := t.usable(now, stage)
-	if !r.VersionPinned {
-		return servers
+	if r.VersionPinned {
+		servers = slices.DeleteFunc(servers, func(s *server) bool { return s.Version != r.Version })
 	}
-	return slices.DeleteFunc(servers, func(s *server) bool { return s.Version != r.Version })
+	return withWeights(servers, r.Weights)
 }
--- a/internal/responsecheck/responsecheck.go
+++ b/internal/responsecheck/responsecheck.go
@@ -42,6 +42,9 @@
 	// Begun is set if the caller already has the header and a part of the stream, which
 	// this attempt is to continue.
 	Begun bool
+	// Weights is the version of the weights with which the stream has been made so far;
+	// empty if the stream has not begun, or its servers have stated none.
+	Weights string
 }
 
 // Content is what a response says of the type of its body.
@@ -67,6 +70,8 @@
 	Sealed bool
 	// NotExecuted is set if it states that the server did not execute the request.
 	NotExecuted bool
+	// Weights is the version of the weights that the response states; empty if none.
+	Weights string
 	// Content is the type of the body.
 	Content Content
 }
@@ -106,6 +111,8 @@
 		return judgePrefill(r)
 	case success && !r.Sealed:
 		return Unusable
+	case success && HasOtherWeights(s, r):
+		return Unusable
 	case s.Streaming && isStream(s, r):
 		return Stream
 	case s.Begun:
@@ -117,6 +124,12 @@
 	}
 }
 
+// HasOtherWeights reports whether a response states other weights than those with which the
+// stream has been made so far. One without further events may state none.
+func HasOtherWeights(s Sent, r Response) bool {
+	return s.Weights != "" && r.Weights != "" && r.Weights != s.Weights
+}
+
 // isStream reports whether the body of a response is a stream of events. One that states
 // no type is, unless it would have to continue another.
 func isStream(s Sent, r Response) bool {
--- a/internal/responsecheck/responsecheck_test.go
+++ b/internal/responsecheck/responsecheck_test.go
@@ -26,7 +26,8 @@
 			all = append(all,
 				Sent{RequestID: id, Prefill: prefill},
 				Sent{RequestID: id, Prefill: prefill, Streaming: true},
-				Sent{RequestID: id, Prefill: prefill, Streaming: true, Begun: true})
+				Sent{RequestID: id, Prefill: prefill, Streaming: true, Begun: true},
+				Sent{RequestID: id, Prefill: prefill, Streaming: true, Begun: true, Weights: "1"})
 		}
 	}
 	return all
@@ -39,7 +40,9 @@
 			for _, sealed := range []bool{false, true} {
 				for _, notExecuted := range []bool{false, true} {
 					for _, content := range []Content{Unstated, Events, Different} {
-						all = append(all, Response{RequestID: id, Status: status, Sealed: sealed, NotExecuted: notExecuted, Content: content})
+						for _, weights := range []string{"", "1", "2"} {
+							all = append(all, Response{RequestID: id, Status: status, Sealed: sealed, NotExecuted: notExecuted, Weights: weights, Content: content})
+						}
 					}
 				}
 			}
@@ -77,6 +80,20 @@
 	})
 }
 
+// TestOtherWeightsDoNotReachCaller guards against streams that go on with other weights, and
+// against weights that make a difference to the rest.
+func TestOtherWeightsDoNotReachCaller(t *testing.T) {
+	forEach(t, func(t *testing.T, s Sent, r Response, v Verdict) {
+		same := r
+		same.Weights = s.Weights
+		if s.Weights == "1" && r.Weights == "2" {
+			require.False(t, reachesCaller(v), "%+v %+v", s, r)
+			return
+		}
+		require.Equal(t, Judge(s, same), v, "%+v %+v", s, r)
+	})
+}
+
 // TestOnlyStatedRefusalsAreNotExecuted guards against requests that are called not
 // executed, and executed again, on the word of a status alone.
 func TestOnlyStatedRefusalsAreNotExecuted(t *testing.T) {
