--- a/internal/gateway/weights.go
+++ b/internal/gateway/weights.go
@@ -42,7 +42,9 @@
 }
 
 // refusesWeights reports whether a server may have refused an attempt because of the weights
-// that it expects. Nothing follows from that for other requests.
+// that it expects, in which case nothing follows for other requests. A refusal that names
+// another server has another reason.
 func refusesWeights(a AttemptMeta, response ResponseMeta) bool {
-	return a.Weights != "" && response.Misdirected
+	isOther := response.ServerID != "" && response.ServerID != a.ServerID
+	return a.Weights != "" && response.Misdirected && !isOther
 }
