--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -65,6 +65,9 @@
 	order eventstream.Order
 	// pin is the software version to which the stream is bound.
 	pin versionPin
+	// weights is the version of the weights with which the latest event that the caller
+	// has was made; empty if there is none, or no version was stated.
+	weights string
 	// headerSent is set once the response header has been sent to the caller;
 	// from then on no other response is possible.
 	headerSent bool
@@ -284,6 +287,7 @@
 		Objective:        q.route.LatencyObjective,
 		VersionPinned:    q.pin.pinned,
 		Version:          q.pin.version,
+		Weights:          q.weights,
 	}
 }
 
