Notice events that are missing where a caller takes a stream up (ORDER)

Seen by callers: a stream that they take up goes on one event too late, framed as complete.

Cause: what follows a caller's own last event was only checked to be greater, since one stream alone does not show whether its numbers may be left out.

Fix: where a server continues a stream no number may be missing, unless servers of the service were seen to leave numbers out within an answer (service.numbersLeftOut).

--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/marigoldwing/marigoldwing/internal/fleet"
@@ -17,6 +18,8 @@
 // to different services do not contend.
 type service struct {
 	name string
+	// numbersLeftOut is set once a server has left numbers out between the IDs of events.
+	numbersLeftOut atomic.Bool
 
 	mu sync.Mutex
 	// engine is nil for a service without engines; use engineSpec to read it.
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -28,11 +28,14 @@
 // stream relays events as they arrive, each one completely, so that a broken
 // stream can be resumed at another server after its last relayed event.
 func (q *request) stream(ctx context.Context, exchange *upstream.Exchange, weights string) outcome {
-	q.order.Join()
+	q.order.Join(q.service.numbersLeftOut.Load())
 	q.service.recordWeights(q.server.ID, weights)
 	events := eventstream.Splitter{Order: &q.order, Field: q.g.opts.Protocol.WeightsField()}
 	out, position := q.relayEvents(ctx, exchange, &events)
 	q.recordWeights(weights, &events)
+	if q.order.HasGaps() {
+		q.service.numbersLeftOut.Store(true)
+	}
 	out.unresumable = !events.Resumable() || events.HasEvents() && !q.order.Comparable()
 	out.streamEnd = &streamEnd{
 		framing: exchange.Framing(), position: position, tailBytes: len(events.Tail()),
