--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -65,6 +65,9 @@
 	order eventstream.Order
 	// pin is the software version to which the stream is bound.
 	pin versionPin
+	// weights is the version of the weights with which the latest event that the caller
+	// has was made; empty if there is none, or no version was stated.
+	weights string
 	// headerSent is set once the response header has been sent to the caller;
 	// from then on no other response is possible.
 	headerSent bool
@@ -101,7 +104,7 @@
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	g.metrics.inflight.Inc()
 	defer g.metrics.inflight.Dec()
-	if g.draining.Load() {
+	if g.stop.hasBegun() {
 		w.Header().Set("Connection", "close")
 	}
 	q := &request{
@@ -117,6 +120,7 @@
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), q.remaining()+deadlineGrace)
 	defer cancel()
+	defer context.AfterFunc(g.stop.over, cancel)()
 	q.serve(ctx)
 }
 
@@ -283,6 +287,7 @@
 		Objective:        q.route.LatencyObjective,
 		VersionPinned:    q.pin.pinned,
 		Version:          q.pin.version,
+		Weights:          q.weights,
 	}
 }
 
@@ -337,6 +342,9 @@
 // retryAfterBackoff reports whether another attempt is to be made. It returns
 // after the backoff that precedes the attempt.
 func (q *request) retryAfterBackoff(ctx context.Context, out outcome, choice placement.Choice) bool {
+	if q.g.stop.isOver() {
+		return false
+	}
 	decision := q.decideRetry(ctx, out, choice)
 	q.logRetry(stepRun, decision)
 	if decision.Action != retry.ActionRetry {
