Send no request that can't be answered before the end of a stop (LOST)

What callers saw: a request that could be sent only late in a gateway's grace period (its body came late, it waited for a server, a prefill or a retry, or it takes longer than what is left) was sent all the same. At the end of the stop it was broken off, also if it must not be repeated.

Cause: nothing on the path of a request knew how much of the grace period was left.

Before each send, at the moment of the send itself, before waits and while a body is read, drain.Schedule now decides: a request is sent if its deadline comes before the end of the stop, or if answers to such requests usually take no longer than what is left: 19 in 20 of the latest 64 of its service and kind for requests that must not be repeated, half of them for others (the route's objective until eight are known). Otherwise it is refused at once with 503, gateway_stopping and a Retry-After for another gateway, or, if it may have run, answered with what came of that.

Requests that may be repeated, and streams that callers take up again, lose less by a break, so that even odds are enough for them. Answers that never come are not in the durations: a server that has become slow is noticed only by its answers.

TestRequestWhoseBodyComesInStopIsServed passed before and must.

--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"os"
 	"sync/atomic"
 	"time"
 
@@ -161,14 +162,18 @@
 	if limit > 0 {
 		body = http.MaxBytesReader(q.w, q.r.Body, limit)
 	}
+	unlimit := q.limitBodyRead()
 	var err error
 	q.body, err = readAll(body, q.r.ContentLength)
+	unlimit()
 	var tooLarge *http.MaxBytesError
 	switch {
 	case err == nil:
 		return true
 	case errors.As(err, &tooLarge):
 		q.refuse(refusal{status: http.StatusRequestEntityTooLarge, reason: "body_too_large"})
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		q.refuseForStop()
 	default:
 		q.finish("caller_left", "body was not sent whole: "+err.Error(), 0)
 		panic(http.ErrAbortHandler)
@@ -206,7 +211,7 @@
 	// request if no further attempt can be made.
 	var last *outcome
 	for {
-		if q.refuseBlocked(ctx, last) {
+		if q.endForStop(last) || q.refuseBlocked(ctx, last) {
 			return
 		}
 		choice, err := q.choose(ctx)
@@ -321,6 +326,7 @@
 	q.recordEvidence(out, choice.Server)
 	switch out.result {
 	case delivered:
+		q.service.recordDuration(q.route.Kind, q.g.now()-q.arrivedAt)
 		q.finish("answered", "", out.status())
 		return true
 	case callerDisconnected:
@@ -330,6 +336,9 @@
 		q.fail(out, 0)
 		return true
 	}
+	if q.endForStop(&out) {
+		return true
+	}
 	if !q.retryAfterBackoff(ctx, out, choice) {
 		q.fail(out, q.retryAfterRefusal())
 		return true
@@ -340,9 +349,6 @@
 // retryAfterBackoff reports whether another attempt is to be made. It returns
 // after the backoff that precedes the attempt.
 func (q *request) retryAfterBackoff(ctx context.Context, out outcome, choice placement.Choice) bool {
-	if q.g.stop.isOver() {
-		return false
-	}
 	decision := q.decideRetry(ctx, out, choice)
 	q.logRetry(stepRun, decision)
 	if decision.Action != retry.ActionRetry {
--- a/internal/gateway/hold.go
+++ b/internal/gateway/hold.go
@@ -47,7 +47,7 @@
 		}
 		wait = serverPollInterval
 	}
-	if wait > q.bearableWait() {
+	if wait > q.bearableWait() || q.g.stop.hasBegun() && q.g.now()+wait > q.sendUntil() {
 		return false
 	}
 	select {
--- a/internal/gateway/pauses.go
+++ b/internal/gateway/pauses.go
@@ -4,6 +4,7 @@
 	"errors"
 	"time"
 
+	"github.com/marigoldwing/marigoldwing/internal/drain"
 	"github.com/marigoldwing/marigoldwing/internal/fleet"
 	"github.com/marigoldwing/marigoldwing/internal/logevent"
 	"github.com/marigoldwing/marigoldwing/internal/upstream"
@@ -39,7 +40,7 @@
 func (q *request) permitRequest(server fleet.Server) func() bool {
 	return func() bool {
 		q.left = callerLeft(q.r)
-		return !q.left && q.service.mayReceive(q.g.now(), server.Key())
+		return !q.left && q.stopAction() == drain.Send && q.service.mayReceive(q.g.now(), server.Key())
 	}
 }
 
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/marigoldwing/marigoldwing/internal/drain"
 	"github.com/marigoldwing/marigoldwing/internal/fleet"
 	"github.com/marigoldwing/marigoldwing/internal/placement"
 	"github.com/marigoldwing/marigoldwing/internal/poison"
@@ -28,6 +29,8 @@
 	limits     *serverlimit.Book
 	poison     *poison.Detector
 	origins    *streamorigin.Origins
+	// durations are those of the latest answers, by the kind of their requests.
+	durations  map[fleet.RequestKind]*drain.Durations
 	registered []fleet.Server
 	// coordinatorSince is when this gateway became the coordinator that places
 	// all long prompts of the service, or notCoordinator.
@@ -47,6 +50,7 @@
 		poison:  poison.New(),
 		origins: streamorigin.New(g.now()),
 
+		durations:        make(map[fleet.RequestKind]*drain.Durations),
 		coordinatorSince: notCoordinator,
 	}
 }
--- a/internal/logevent/request.go
+++ b/internal/logevent/request.go
@@ -238,6 +238,28 @@
 	return e
 }
 
+// StopDecision describes why the stop of a gateway ends a request that could be sent.
+type StopDecision struct {
+	RequestID, Route string
+	// Action is "refuse" or "end".
+	Action string
+	// SinceStop is the time since the beginning of the stop, Left that until requests at
+	// work are answered.
+	SinceStop, Left time.Duration
+	// Usual is how long answers to such requests usually take, and Remaining the time until
+	// the request's deadline.
+	Usual, Remaining time.Duration
+}
+
+// RequestEndedByStop reports that a request is not sent because its answer would probably
+// come after the end of the gateway's stop.
+func RequestEndedByStop(d StopDecision) Event {
+	return info("request not sent because of the stop",
+		slog.String(KeyRequestID, d.RequestID), slog.String(keyRoute, d.Route), slog.String("action", d.Action),
+		milliseconds("since_stop_ms", d.SinceStop), milliseconds("stop_left_ms", d.Left),
+		milliseconds("usual_ms", d.Usual), milliseconds("left_ms", d.Remaining))
+}
+
 // ServerEjected reports that a server was ejected for repeated failures or because it
 // has ended, or is avoided because too many others are ejected. requestID is the request
 // that failed last; empty if the server has ended.
