Refuse requests at the end of an entry's drain before closing its listener

What callers saw: at an entry whose drain timeout was reached because requests kept arriving, requests sent at that moment ended without a response (EOF, reset), those that must not be repeated too.

Cause: the entry accepted requests until the moment at which the listener and the idle connections were closed. Callers that crossed that close lost their request.

The line "requests keep arriving, they are refused" is logged. Weighed: callers whose load balancer has not noticed the readiness check for all of the drain timeout are refused a second sooner than they would be cut.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -48,6 +48,8 @@
 	metrics  *metrics
 	catalog  atomic.Pointer[catalog.Catalog]
 	draining atomic.Bool
+	// refusing is set at the end of a drain in which requests keep arriving.
+	refusing atomic.Bool
 	// warm is set once each service has a serving backend server, or warmTimeout
 	// has passed since the start.
 	warm       atomic.Bool
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -99,15 +99,41 @@
 // requests.
 const readinessGracePeriod = 500 * time.Millisecond
 
+const (
+	// maxRefusePeriod is the longest time at the end of the drain in which an entry that
+	// still gets requests refuses them, so that their callers leave before the listener
+	// closes, and refuseRatio the largest part of the drain timeout.
+	maxRefusePeriod = time.Second
+	refuseRatio     = 4
+)
+
 // Drain makes the readiness check fail and returns when no requests are in
-// flight, or when ctx ends.
+// flight, or when ctx ends. If requests keep arriving, it refuses them at the end.
 func (e *Entry) Drain(ctx context.Context) {
 	e.draining.Store(true)
+	accepting, cancel := acceptingContext(ctx)
+	defer cancel()
 	select {
 	case <-time.After(readinessGracePeriod):
-	case <-ctx.Done():
+	case <-accepting.Done():
+	}
+	e.inflight.waitQuiet(accepting, quietPeriod)
+	if accepting.Err() == nil {
+		return
+	}
+	e.refusing.Store(true)
+	e.log.Write(logevent.EntryRefuses(e.inflight.count()))
+	<-ctx.Done()
+}
+
+// acceptingContext returns a context that ends when requests are no longer accepted during
+// a drain, which ctx bounds.
+func acceptingContext(ctx context.Context) (context.Context, context.CancelFunc) {
+	end, bounded := ctx.Deadline()
+	if !bounded {
+		return context.WithCancel(ctx)
 	}
-	e.inflight.waitQuiet(ctx, quietPeriod)
+	return context.WithDeadline(ctx, end.Add(-min(maxRefusePeriod, time.Until(end)/refuseRatio)))
 }
 
 // quietPeriod is how long no request must be in flight before the listener
--- a/internal/logevent/process.go
+++ b/internal/logevent/process.go
@@ -22,6 +22,12 @@
 	return info("drained", milliseconds(keyElapsed, took), slog.Bool(keyWhole, complete))
 }
 
+// EntryRefuses reports that a leaving entry, which still gets requests, refuses them from
+// now on. inFlight is the number of requests in flight.
+func EntryRefuses(inFlight int) Event {
+	return info("requests keep arriving, they are refused", slog.Int("in_flight", inFlight))
+}
+
 // ConnectionsClosed reports that a process closes connections that are still open at the
 // end of its stop.
 func ConnectionsClosed() Event { return info("connections closed at the end of the stop") }
