--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -40,7 +40,8 @@
 	// RetryBudget limits the retries to each service, summed over all gateways.
 	RetryBudget RetryBudget
 	// BufferBytes bounds the answers that are buffered at the same time, beyond the
-	// first 64 KiB of each; 0 means defaultBufferBytes.
+	// first 64 KiB of each, and likewise the bodies of requests; 0 means
+	// defaultBufferBytes.
 	BufferBytes int64
 }
 
@@ -60,14 +61,17 @@
 
 // Gateway is the HTTP handler for callers. It is safe for concurrent use.
 type Gateway struct {
-	opts      Options
-	log       logevent.Log
-	pool      *upstream.Pool
-	buffers   *upstream.Buffers
-	metrics   *metrics
-	startTime time.Time
-	state     atomic.Pointer[state]
-	draining  atomic.Bool
+	opts    Options
+	log     logevent.Log
+	pool    *upstream.Pool
+	buffers *upstream.Buffers
+	// bodyBuffers bounds the bodies of requests apart from the answers, so that neither
+	// leaves no room for the other.
+	bodyBuffers *upstream.Buffers
+	metrics     *metrics
+	startTime   time.Time
+	state       atomic.Pointer[state]
+	draining    atomic.Bool
 	// updateMu is held while the servers of services change. registered are those of
 	// the latest Update.
 	updateMu   sync.Mutex
@@ -104,14 +108,15 @@
 // the first Update.
 func New(opts Options) *Gateway {
 	g := &Gateway{
-		opts:       opts,
-		log:        opts.Log,
-		pool:       upstream.NewPool(func(h http.Header) string { return opts.Protocol.ResponseID(h) }),
-		buffers:    upstream.NewBuffers(cmp.Or(opts.BufferBytes, defaultBufferBytes)),
-		metrics:    newMetrics(opts.Registerer),
-		startTime:  time.Now(),
-		departures: departures{book: departure.New(), asked: make(map[fleet.Key]bool)},
-		retired:    make(map[string]retiredService),
+		opts:        opts,
+		log:         opts.Log,
+		pool:        upstream.NewPool(func(h http.Header) string { return opts.Protocol.ResponseID(h) }),
+		buffers:     upstream.NewBuffers(cmp.Or(opts.BufferBytes, defaultBufferBytes)),
+		bodyBuffers: upstream.NewBuffers(cmp.Or(opts.BufferBytes, defaultBufferBytes)),
+		metrics:     newMetrics(opts.Registerer),
+		startTime:   time.Now(),
+		departures:  departures{book: departure.New(), asked: make(map[fleet.Key]bool)},
+		retired:     make(map[string]retiredService),
 	}
 	g.trials = ownTrials(g)
 	g.setRetryBudget(opts.RetryBudget)
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"errors"
-	"io"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -39,8 +37,8 @@
 	// block whose trait the request tries again.
 	blockedPart, blockedRequest string
 	trial                       *poison.Block
-	// memory is what the buffered answer takes.
-	memory *upstream.Reservation
+	// memory is what the buffered answer takes, and bodyMemory what the request's body does.
+	memory, bodyMemory *upstream.Reservation
 
 	arrivedAt time.Duration
 	// deadline is on the gateway's monotonic clock, like arrivedAt.
@@ -109,9 +107,10 @@
 	q := &request{
 		g: g, w: w, r: r, arrivedAt: g.now(),
 		meta:   g.opts.Protocol.ParseRequest(r.Header),
-		memory: g.buffers.NewReservation(),
+		memory: g.buffers.NewReservation(), bodyMemory: g.bodyBuffers.NewReservation(),
 	}
 	defer q.memory.Release()
+	defer q.bodyMemory.Release()
 	q.lastEventID, q.order = q.meta.LastEventID, eventstream.OrderAfter(q.meta.LastEventID)
 	defer q.watchCaller()()
 	if !q.prepare() {
@@ -152,43 +151,6 @@
 	return q.readBody(current.config.MaxBodyBytes)
 }
 
-func (q *request) readBody(limit int64) bool {
-	if q.r.Body == nil || q.r.Body == http.NoBody {
-		return true
-	}
-	body := io.Reader(q.r.Body)
-	if limit > 0 {
-		body = http.MaxBytesReader(q.w, q.r.Body, limit)
-	}
-	var err error
-	q.body, err = readAll(body, q.r.ContentLength)
-	var tooLarge *http.MaxBytesError
-	switch {
-	case err == nil:
-		return true
-	case errors.As(err, &tooLarge):
-		q.refuse(refusal{status: http.StatusRequestEntityTooLarge, reason: "body_too_large"})
-	default:
-		q.finish("caller_left", "body was not sent whole: "+err.Error(), 0)
-		panic(http.ErrAbortHandler)
-	}
-	return false
-}
-
-// maxPrealloc is the largest buffer in bytes that is allocated from a
-// Content-Length header alone, before any of the body has been received.
-const maxPrealloc = 1 << 20
-
-// readAll reads r to its end, with a single allocation if the length is known.
-func readAll(r io.Reader, length int64) ([]byte, error) {
-	if length < 0 || length > maxPrealloc {
-		return io.ReadAll(r)
-	}
-	data := make([]byte, length)
-	n, err := io.ReadFull(r, data)
-	return data[:n], err
-}
-
 // serve makes attempts until the request has its final response.
 func (q *request) serve(ctx context.Context) {
 	if q.service == nil {
--- a/internal/gateway/refusal.go
+++ b/internal/gateway/refusal.go
@@ -20,6 +20,8 @@
 	// noServerRetryAfter applies to a service without a usable server. Crashed
 	// servers restart or are replaced within seconds.
 	noServerRetryAfter = 500 * time.Millisecond
+	// bodyMemoryRetryAfter applies to a request for whose body there is no memory.
+	bodyMemoryRetryAfter = 500 * time.Millisecond
 	// busyRetryAfter applies if no attempt was executed, because servers refused
 	// the request or could not be reached, and no retry is permitted.
 	busyRetryAfter = 150 * time.Millisecond
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -44,8 +44,9 @@
 	// memoryLimitRatio is the part of the memory setting that is set as the Go
 	// runtime's soft memory limit.
 	memoryLimitRatio = 0.7
-	// bufferRatio is the part of it that buffered answers may take. A buffer that
-	// grows is copied, so that about twice as much is in use for a moment.
+	// bufferRatio is the part of it that buffered answers may take, and that bodies of
+	// requests may take. A buffer that grows is copied, so that more is in use for a
+	// moment.
 	bufferRatio = 0.2
 	bytesPerMB  = 1 << 20
 )
--- a/internal/upstream/buffers.go
+++ b/internal/upstream/buffers.go
@@ -5,16 +5,16 @@
 	"sync/atomic"
 )
 
-// ErrBuffersFull is returned if an answer would take more memory than is left for
-// the answers that are buffered at the same time.
+// ErrBuffersFull is returned if an answer or the body of a request would take more
+// memory than is left for those that are buffered at the same time.
 var ErrBuffersFull = errors.New("buffered answers take too much memory")
 
-// uncountedBytes is the part of each answer that is not counted against Buffers, so
-// that ordinary answers do not suffer from servers that send without end.
+// uncountedBytes is the part of each message that is not counted against Buffers, so
+// that ordinary ones do not suffer from servers or callers that send without end.
 const uncountedBytes = 64 << 10
 
-// Buffers bounds the memory of all answers that are buffered at the same time. It
-// is safe for concurrent use.
+// Buffers bounds the memory of all answers, or of all bodies of requests, that are
+// buffered at the same time. It is safe for concurrent use.
 type Buffers struct {
 	limit int64
 	used  atomic.Int64
@@ -23,8 +23,8 @@
 // NewBuffers returns Buffers for a number of bytes.
 func NewBuffers(limit int64) *Buffers { return &Buffers{limit: limit} }
 
-// Reservation is the memory that one request takes for its answer. It is not safe
-// for concurrent use.
+// Reservation is the memory that one request takes for its answer or its body. It is
+// not safe for concurrent use.
 type Reservation struct {
 	buffers *Buffers
 	bytes   int64
@@ -33,7 +33,7 @@
 // NewReservation returns a reservation of no memory.
 func (b *Buffers) NewReservation() *Reservation { return &Reservation{buffers: b} }
 
-// Resize reserves memory for an answer of a number of bytes instead of the present
+// Resize reserves memory for a message of a number of bytes instead of the present
 // size. It reports false and changes nothing if there is not enough.
 func (r *Reservation) Resize(bytes int) bool {
 	counted := max(0, int64(bytes)-uncountedBytes)
