--- a/cmd/marigold-gateway/main.go
+++ b/cmd/marigold-gateway/main.go
@@ -5,6 +5,8 @@
 import (
 	"context"
 	"os"
+	"os/signal"
+	"syscall"
 
 	settingsv1 "github.com/marigoldwing/marigoldwing/api/settings/v1"
 	"github.com/marigoldwing/marigoldwing/internal/gateway"
@@ -15,6 +17,9 @@
 )
 
 func main() {
+	// Without a receiver a SIGHUP ends the process, also while it starts and stops.
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
 	run := func(ctx context.Context, s *settingsv1.Gateway, logs telemetry.Logs) error {
 		store := platform.NewStore("http://" + s.GetPlatformAddress())
 		return gateway.Run(ctx, s, gateway.Dependencies{
@@ -25,6 +30,7 @@
 			Peers:         store,
 			Blocks:        store,
 			LoadSettings:  reload,
+			Hangups:       hangups,
 		}, logs)
 	}
 	process.RunAndExit(settings.LoadGateway, run)
--- a/internal/gateway/reload.go
+++ b/internal/gateway/reload.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -25,21 +23,20 @@
 	// load reads the settings.
 	load    func() (*settingsv1.Gateway, error)
 	current *settingsv1.Gateway
+	// hangups receives a value for each SIGHUP.
+	hangups <-chan os.Signal
 }
 
 // run reloads the settings at each SIGHUP and at each reloadInterval, until ctx
 // ends.
 func (r *reloader) run(ctx context.Context) {
-	hangup := make(chan os.Signal, 1)
-	signal.Notify(hangup, syscall.SIGHUP)
-	defer signal.Stop(hangup)
 	ticker := time.NewTicker(reloadInterval)
 	defer ticker.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-hangup:
+		case <-r.hangups:
 			r.reload("signal")
 		case <-ticker.C:
 			r.reload("file")
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"os"
 	"runtime/debug"
 	"time"
 
@@ -64,6 +65,8 @@
 	Blocks BlockStore
 	// LoadSettings reads the settings again.
 	LoadSettings func() (*settingsv1.Gateway, error)
+	// Hangups receives a value for each SIGHUP, from the start of the process to its end.
+	Hangups <-chan os.Signal
 }
 
 // Run runs marigold-gateway until ctx ends or a signal stops the process. It
@@ -112,7 +115,7 @@
 		Ready:   func() error { return g.ready(follower) },
 	})
 	log.Write(logevent.Starting(s.GetFailureDomain(), s.GetCallersAddress()))
-	reloads := &reloader{g: g, follower: follower, load: deps.LoadSettings, current: s}
+	reloads := &reloader{g: g, follower: follower, load: deps.LoadSettings, current: s, hangups: deps.Hangups}
 	return process.Run(ctx, process.Options{
 		Name:        s.GetName(),
 		Logs:        logs,
