--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"os"
 	"runtime/debug"
 	"time"
 
@@ -34,8 +35,9 @@
 	// memoryLimitRatio is the part of the memory setting that is set as the Go
 	// runtime's soft memory limit.
 	memoryLimitRatio = 0.7
-	// bufferRatio is the part of it that buffered answers may take. A buffer that
-	// grows is copied, so that about twice as much is in use for a moment.
+	// bufferRatio is the part of it that buffered answers may take, and that bodies of
+	// requests may take. A buffer that grows is copied, so that more is in use for a
+	// moment.
 	bufferRatio = 0.2
 	bytesPerMB  = 1 << 20
 )
@@ -53,6 +55,8 @@
 	Blocks BlockStore
 	// LoadSettings reads the settings again.
 	LoadSettings func() (*settingsv1.Gateway, error)
+	// Hangups receives a value for each SIGHUP, from the start of the process to its end.
+	Hangups <-chan os.Signal
 }
 
 // Run runs marigold-gateway until ctx ends or a signal stops the process. It
@@ -103,7 +107,7 @@
 		Ready:   func() error { return g.ready(follower) },
 	})
 	log.Write(logevent.Starting(s.GetFailureDomain(), s.GetCallersAddress()))
-	reloads := &reloader{g: g, follower: follower, load: deps.LoadSettings, current: s}
+	reloads := &reloader{g: g, follower: follower, load: deps.LoadSettings, current: s, hangups: deps.Hangups}
 	return process.Run(ctx, process.Options{
 		Name:        s.GetName(),
 		Logs:        logs,
