--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -155,7 +155,7 @@
 	if err != nil {
 		return nil, q.prefillFault(ctx, c, err.Error())
 	}
-	q.service.recordWeights(c.PrefillServer.ID, weights)
+	q.service.recordWeights(q.g.now(), c.PrefillServer.ID, weights)
 	handle := &KVHandle{Address: c.PrefillServer.Address, ID: id, Weights: weights}
 	if q.weights != "" && weights != "" && weights != q.weights {
 		go q.g.releaseKV(c.PrefillServer, *handle)
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -68,8 +68,9 @@
 	pin           versionPin
 	serverVersion string
 	// weights is the version of the weights with which the latest event that the caller
-	// has was made; empty if there is none, or no version was stated.
-	weights string
+	// has was made, and statedWeights that with which the latest response begins; empty if
+	// there is none, or no version was stated.
+	weights, statedWeights string
 	// headerSent is set once the response header has been sent to the caller;
 	// from then on no other response is possible.
 	headerSent bool
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -29,10 +29,9 @@
 // stream can be resumed at another server after its last relayed event.
 func (q *request) stream(ctx context.Context, exchange *upstream.Exchange, weights string) outcome {
 	q.order.Join()
-	q.service.recordWeights(q.lastServer, weights)
+	q.stateWeights(weights)
 	events := eventstream.Splitter{Order: &q.order, Field: q.g.opts.Protocol.WeightsField()}
 	out, position := q.relayEvents(ctx, exchange, &events)
-	q.recordWeights(weights, &events)
 	out.unresumable = !events.Resumable() || events.HasEvents() && !q.order.Comparable()
 	out.streamEnd = &streamEnd{
 		framing: exchange.Framing(), position: position, tailBytes: len(events.Tail()),
@@ -53,6 +52,7 @@
 				return outcome{result: callerDisconnected, reason: writeErr.Error()}, endedByError
 			}
 			q.lastEventID = events.LastID(q.lastEventID)
+			q.recordWeights(events)
 			now := q.g.now()
 			provenAt = min(provenAt, now+provenAfter)
 			if now >= provenAt {
--- a/internal/gateway/streams.go
+++ b/internal/gateway/streams.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"net/http"
 	"slices"
@@ -204,7 +205,7 @@
 	}
 	version := q.service.versionOf(q.lastServer, q.serverVersion)
 	q.pin = versionPin{true, version}
-	begun := streamorigin.Origin{Stream: q.streamID(), Version: version}
+	begun := streamorigin.Origin{Stream: q.streamID(), Version: version, Weights: cmp.Or(q.statedWeights, q.weights)}
 	if q.service.beginStream(q.g.now(), begun) {
 		q.g.origins.announce(q.service.name, []streamorigin.Origin{begun})
 	}
@@ -216,15 +217,15 @@
 	if q.route.Kind != fleet.Streaming || q.meta.LastEventID == "" {
 		return true
 	}
-	decision, version := q.decideTakeUp(ctx)
+	decision, origin := q.decideTakeUp(ctx)
 	for isRefusal(decision) && q.g.now() < joinTime && ctx.Err() == nil {
 		time.Sleep(joinInterval)
-		decision, version = q.decideTakeUp(ctx)
+		decision, origin = q.decideTakeUp(ctx)
 	}
 	q.g.metrics.resumes.WithLabelValues(q.service.name, decision.String()).Inc()
 	switch decision {
 	case streamorigin.SameVersion:
-		q.pin = versionPin{true, version}
+		q.pin, q.weights = versionPin{true, origin.Version}, origin.Weights
 	case streamorigin.Nowhere:
 		q.refuse(refusal{status: http.StatusServiceUnavailable, reason: reasonUnknownVersion})
 		return false
@@ -254,7 +255,7 @@
 
 // decideTakeUp decides how the stream that the request takes up may go on, from what
 // this gateway and others know.
-func (q *request) decideTakeUp(ctx context.Context) (streamorigin.Decision, string) {
+func (q *request) decideTakeUp(ctx context.Context) (streamorigin.Decision, streamorigin.Answer) {
 	stream := q.streamID()
 	own := q.service.findStream(q.g.now(), stream)
 	answers := []streamorigin.Answer{own}
@@ -264,9 +265,10 @@
 		confirmed = q.g.hasVersions() && (len(answers) > 1 || q.g.confirmServers(ctx))
 		own = q.service.findStream(q.g.now(), stream)
 	}
-	decision, version := streamorigin.Decide(own.Versions, answers, confirmed)
-	q.g.log.Write(logevent.StreamTakenUp(q.meta.ID, q.service.name, q.meta.Resumes, decision.String(), version, own.Versions, len(answers)-1))
-	return decision, version
+	seen := streamorigin.Seen{Versions: own.Versions, MixedWeights: q.service.mixedWeights(q.g.now())}
+	decision, origin := streamorigin.Decide(seen, answers, confirmed)
+	q.g.log.Write(logevent.StreamTakenUp(q.meta.ID, q.service.name, q.meta.Resumes, decision.String(), origin.Version, own.Versions, len(answers)-1))
+	return decision, origin
 }
 
 // hasVersions reports whether this gateway knows the software versions that were in
@@ -292,8 +294,8 @@
 func (s *service) findStream(now time.Duration, stream streamorigin.Stream) streamorigin.Answer {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	version, known := s.origins.Find(stream)
-	return streamorigin.Answer{Version: version, Known: known, Versions: s.origins.Versions(now)}
+	begun, known := s.origins.Find(stream)
+	return streamorigin.Answer{Version: begun.Version, Weights: begun.Weights, Known: known, Versions: s.origins.Versions(now)}
 }
 
 // beginStream records a stream and reports whether other gateways must learn of it.
--- a/internal/streamorigin/streamorigin.go
+++ b/internal/streamorigin/streamorigin.go
@@ -1,5 +1,5 @@
-// Package streamorigin decides at which software version of its servers a stream may
-// go on that a caller takes up again.
+// Package streamorigin decides at which software version of its servers, and with which
+// version of the model's weights, a stream may go on that a caller takes up again.
 //
 // Servers of several software versions may serve one service, and a stream may only go
 // on at the version that began it. The gateway that began it may be gone, so that
@@ -34,10 +34,12 @@
 	return Stream(xxhash.Sum64String(requestID + "\x00" + caller))
 }
 
-// Origin is the software version at which a stream began.
+// Origin is the software version at which a stream began, and the version of the weights
+// with which its latest event was made; empty if not known.
 type Origin struct {
 	Stream  Stream
 	Version string
+	Weights string
 }
 
 // Origins holds what one gateway knows about the streams of one service.
@@ -46,9 +48,11 @@
 	// when servers of each version were last registered.
 	registered []string
 	seen       map[string]time.Duration
-	// recent and older are the versions at which streams began, by the half of the time
-	// in which the gateway learned of them.
-	recent, older map[Stream]string
+	// seenWeights is when servers stated each version of the weights.
+	seenWeights map[string]time.Duration
+	// recent and older are the origins of streams, by the half of the time in which the
+	// gateway learned of them.
+	recent, older map[Stream]Origin
 	// own are those of recent and older that this gateway began.
 	ownRecent, ownOlder []Origin
 	rotatedAt           time.Duration
@@ -56,7 +60,10 @@
 
 // New returns an Origins without streams.
 func New(now time.Duration) *Origins {
-	return &Origins{seen: make(map[string]time.Duration), recent: make(map[Stream]string), rotatedAt: now}
+	return &Origins{
+		seen: make(map[string]time.Duration), seenWeights: make(map[string]time.Duration),
+		recent: make(map[Stream]Origin), rotatedAt: now,
+	}
 }
 
 // SetVersions records which software versions are registered now. It returns the
@@ -113,24 +120,48 @@
 // Learn records the origin of a stream.
 func (o *Origins) Learn(now time.Duration, begun Origin) {
 	if now-o.rotatedAt >= Memory || len(o.recent) >= maxStreams {
-		o.older, o.recent = o.recent, make(map[Stream]string)
+		o.older, o.recent = o.recent, make(map[Stream]Origin)
 		o.ownOlder, o.ownRecent = o.ownRecent, nil
 		o.rotatedAt = now
 	}
-	o.recent[begun.Stream] = begun.Version
+	o.recent[begun.Stream] = begun
+}
+
+// Find returns the origin of a stream, if it is known.
+func (o *Origins) Find(s Stream) (begun Origin, known bool) {
+	if begun, known = o.recent[s]; !known {
+		begun, known = o.older[s]
+	}
+	return begun, known
+}
+
+// SeeWeights records that a server has stated a version of the weights.
+func (o *Origins) SeeWeights(now time.Duration, weights string) {
+	o.seenWeights[weights] = now
+	for w, at := range o.seenWeights {
+		if now-at > Memory {
+			delete(o.seenWeights, w)
+		}
+	}
 }
 
-// Find returns the version at which a stream began, if it is known.
-func (o *Origins) Find(s Stream) (version string, known bool) {
-	if version, known = o.recent[s]; !known {
-		version, known = o.older[s]
+// MixedWeights reports whether streams that are still read may have been made with several
+// versions of the weights.
+func (o *Origins) MixedWeights(now time.Duration) bool {
+	versions := 0
+	for _, at := range o.seenWeights {
+		if now-at <= Memory {
+			versions++
+		}
 	}
-	return version, known
+	return versions > 1
 }
 
 // Answer is what another gateway says about a stream.
 type Answer struct {
 	Version string
+	// Weights is the version of the stream's weights; empty if not known.
+	Weights string
 	Known   bool
 	// Versions are the versions that it has seen.
 	Versions []string
@@ -144,7 +175,8 @@
 	AnyVersion Decision = iota
 	// SameVersion: at servers of the version that began it.
 	SameVersion
-	// Nowhere: it is not known which version began it, and there are several.
+	// Nowhere: it is not known which version began it, or with which weights, and there are
+	// several.
 	Nowhere
 	// Unconfirmed: it is not known which version began it, and nobody has confirmed that
 	// there is only the one that this gateway has seen.
@@ -156,24 +188,38 @@
 // String returns the decision as written to logs and metrics.
 func (d Decision) String() string { return decisionNames[d] }
 
-// Decide returns how a stream may go on, and the version that began it if it is known,
-// from the answers of other gateways and from the versions that this one has seen.
-// confirmed is whether another gateway or the store has answered since the stream was
-// taken up.
-func Decide(versions []string, answers []Answer, confirmed bool) (Decision, string) {
-	all := slices.Clone(versions)
+// Seen is what a gateway has seen of the servers of a service.
+type Seen struct {
+	// Versions are the software versions.
+	Versions []string
+	// MixedWeights is set if they have stated several versions of the weights.
+	MixedWeights bool
+}
+
+// Decide returns how a stream may go on, and its origin as far as it is known, from the
+// answers of other gateways and from what this one has seen. confirmed is whether another
+// gateway or the store has answered since the stream was taken up.
+func Decide(seen Seen, answers []Answer, confirmed bool) (Decision, Answer) {
+	versions := slices.Clone(seen.Versions)
+	known := Answer{}
 	for _, a := range answers {
 		if a.Known {
-			return SameVersion, a.Version
+			known = a
+			break
 		}
-		all = append(all, a.Versions...)
+		versions = append(versions, a.Versions...)
 	}
-	slices.Sort(all)
-	if len(slices.Compact(all)) > 1 {
-		return Nowhere, ""
-	}
-	if !confirmed {
-		return Unconfirmed, ""
+	slices.Sort(versions)
+	severalVersions := len(slices.Compact(versions)) > 1
+	switch {
+	case seen.MixedWeights && known.Weights == "":
+		return Nowhere, Answer{}
+	case known.Known:
+		return SameVersion, known
+	case severalVersions:
+		return Nowhere, Answer{}
+	case !confirmed:
+		return Unconfirmed, Answer{}
 	}
-	return AnyVersion, ""
+	return AnyVersion, Answer{}
 }
