--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -204,13 +204,17 @@
 	return outcome{result: notExecuted, reason: "prefill: " + reason, serverUntried: true}
 }
 
-// ended reports whether the request has ended because its caller disconnected
-// or its deadline passed, with the corresponding outcome.
+// ended reports whether the request has ended because its caller disconnected,
+// its deadline passed or the gateway ends its requests for a stop, with the corresponding outcome.
 func (q *request) ended(ctx context.Context) (outcome, bool) {
 	switch {
 	case q.r.Context().Err() != nil:
 		return outcome{result: callerDisconnected, reason: "caller closed its connection"}, true
-	case ctx.Err() != nil || q.remaining() <= 0:
+	case q.remaining() <= 0:
+		return outcome{result: timedOut, reason: "deadline"}, true
+	case q.g.stop.isOver():
+		return q.endedByStop(), true
+	case ctx.Err() != nil:
 		return outcome{result: timedOut, reason: "deadline"}, true
 	}
 	return outcome{}, false
@@ -258,7 +262,7 @@
 // send sends the request once to the server that is to execute it.
 func (q *request) send(ctx context.Context, c placement.Choice, meta AttemptMeta, uncachedTokens int) outcome {
 	q.sends++
-	q.lastServer, q.serverVersion = c.Server.ID, c.Server.Version
+	q.server = c.Server
 	meta.ServerID = c.Server.ID
 	meta.Priority = q.priority()
 	meta.LastEventID = q.lastEventID
@@ -299,7 +303,6 @@
 	} else if !response.NotExecuted {
 		q.service.recordAcceptance(c.Server.ID)
 	}
-	defer q.logServerAfterEnd(c.Server, exchange)
 	out := q.handleResponse(ctx, exchange, response)
 	out.weightsRefused = refusesWeights(meta, response)
 	return out
@@ -326,10 +329,7 @@
 // sendFailed classifies an attempt that ended without a response header.
 func (q *request) sendFailed(ctx context.Context, err error, headTimedOut bool) outcome {
 	if out, ended := q.ended(ctx); ended {
-		if errors.Is(err, upstream.ErrNotSent) && out.result == timedOut {
-			return outcome{result: notExecuted, reason: "deadline before a connection stood", serverFault: true, unsent: true}
-		}
-		return out
+		return q.endedBeforeAnswer(err, out)
 	}
 	if errors.Is(err, upstream.ErrNotSent) {
 		return outcome{result: notExecuted, reason: err.Error(), serverFault: true, unsent: true}
@@ -343,6 +343,19 @@
 	return outcome{result: noResponse, reason: err.Error(), serverFault: true, connectionLost: true}
 }
 
+// endedBeforeAnswer returns the outcome of an attempt whose request has ended with the
+// given outcome. What was not sent was not executed.
+func (q *request) endedBeforeAnswer(err error, ended outcome) outcome {
+	switch {
+	case !errors.Is(err, upstream.ErrNotSent) || ended.result == callerDisconnected:
+		return ended
+	case ended.result == timedOut:
+		return outcome{result: notExecuted, reason: "deadline before a connection stood", serverFault: true, unsent: true}
+	default:
+		return outcome{result: notExecuted, reason: reasonStopping, unsent: true}
+	}
+}
+
 // reasonUnidentified is the reason of attempts whose response names no request.
 const reasonUnidentified = "answer names no request"
 
@@ -435,6 +448,9 @@
 	if errors.Is(err, upstream.ErrBodyTooLong) || errors.Is(err, upstream.ErrBuffersFull) {
 		return nil, outcome{result: noResponse, reason: err.Error(), serverFault: true}
 	}
+	if err == nil {
+		err = q.confirmEnd(ctx, exchange)
+	}
 	if err != nil {
 		if out, ended := q.ended(ctx); ended {
 			return nil, out
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -63,10 +63,8 @@
 	lastEventID, resumedAfter string
 	// order is the order of the events that the caller has.
 	order eventstream.Order
-	// pin is the software version to which the stream is bound, and serverVersion that of
-	// the server that the latest attempt was sent to.
-	pin           versionPin
-	serverVersion string
+	// pin is the software version to which the stream is bound.
+	pin versionPin
 	// weights is the version of the weights with which the latest event that the caller
 	// has was made, and statedWeights that with which the latest response begins; empty if
 	// there is none, or no version was stated.
@@ -83,8 +81,8 @@
 	leftAt atomic.Int64
 	// outstanding is the step that a server works on; empty if none does.
 	outstanding string
-	// lastServer is the ID of the server that the last attempt was sent to.
-	lastServer string
+	// server is the server that the last attempt was sent to; its zero value before that.
+	server fleet.Server
 	// pendingPlacement is non-nil while the coordinator that placed the request
 	// still has to be notified of the end of its prefill. placedBy names the
 	// gateway that placed a long prompt; it is empty for other requests.
@@ -107,7 +105,7 @@
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	g.metrics.inflight.Inc()
 	defer g.metrics.inflight.Dec()
-	if g.draining.Load() {
+	if g.stop.hasBegun() {
 		w.Header().Set("Connection", "close")
 	}
 	q := &request{
@@ -123,6 +121,7 @@
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), q.remaining()+deadlineGrace)
 	defer cancel()
+	defer context.AfterFunc(g.stop.over, cancel)()
 	q.serve(ctx)
 }
 
@@ -174,7 +173,7 @@
 		q.refuse(refusal{status: http.StatusRequestEntityTooLarge, reason: "body_too_large"})
 	default:
 		q.finish("caller_left", "body was not sent whole: "+err.Error(), 0)
-		panic(http.ErrAbortHandler)
+		q.abort()
 	}
 	return false
 }
@@ -329,7 +328,7 @@
 		return true
 	case callerDisconnected:
 		q.finish("caller_left", out.reason, 0)
-		panic(http.ErrAbortHandler)
+		q.abort()
 	case timedOut:
 		q.fail(out, 0)
 		return true
@@ -344,6 +343,9 @@
 // retryAfterBackoff reports whether another attempt is to be made. It returns
 // after the backoff that precedes the attempt.
 func (q *request) retryAfterBackoff(ctx context.Context, out outcome, choice placement.Choice) bool {
+	if q.g.stop.isOver() {
+		return false
+	}
 	decision := q.decideRetry(ctx, out, choice)
 	q.logRetry(stepRun, decision)
 	if decision.Action != retry.ActionRetry {
--- a/internal/gateway/streams.go
+++ b/internal/gateway/streams.go
@@ -203,7 +203,7 @@
 	if q.route.Kind != fleet.Streaming || !q.route.Resumable {
 		return
 	}
-	version := q.service.versionOf(q.lastServer, q.serverVersion)
+	version := q.service.versionOf(q.server.ID, q.server.Version)
 	q.pin = versionPin{true, version}
 	begun := streamorigin.Origin{Stream: q.streamID(), Version: version, Weights: cmp.Or(q.statedWeights, q.weights)}
 	if q.service.beginStream(q.g.now(), begun) {
--- a/internal/gateway/weights.go
+++ b/internal/gateway/weights.go
@@ -24,7 +24,7 @@
 // stateWeights records the version with which a response begins.
 func (q *request) stateWeights(version string) {
 	q.statedWeights = version
-	q.service.recordWeights(q.g.now(), q.lastServer, version)
+	q.service.recordWeights(q.g.now(), q.server.ID, version)
 }
 
 // recordWeights records the version with which the latest event was made, if it is another one
@@ -36,7 +36,7 @@
 		return
 	}
 	q.weights = version
-	q.service.recordWeights(q.g.now(), q.lastServer, changed)
+	q.service.recordWeights(q.g.now(), q.server.ID, changed)
 	if q.pin.pinned {
 		q.service.learnOrigin(q.g.now(), streamorigin.Origin{Stream: q.streamID(), Version: q.pin.version, Weights: version})
 	}
