--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -29,10 +29,9 @@
 // stream can be resumed at another server after its last relayed event.
 func (q *request) stream(ctx context.Context, exchange *upstream.Exchange, weights string) outcome {
 	q.order.Join(q.service.numbersLeftOut.Load())
-	q.service.recordWeights(q.server.ID, weights)
+	q.stateWeights(weights)
 	events := eventstream.Splitter{Order: &q.order, Field: q.g.opts.Protocol.WeightsField()}
 	out, position := q.relayEvents(ctx, exchange, &events)
-	q.recordWeights(weights, &events)
 	if q.order.HasGaps() {
 		q.service.numbersLeftOut.Store(true)
 	}
@@ -56,6 +55,7 @@
 				return outcome{result: callerDisconnected, reason: writeErr.Error()}, endedByError
 			}
 			q.lastEventID = events.LastID(q.lastEventID)
+			q.recordWeights(events)
 			now := q.g.now()
 			provenAt = min(provenAt, now+provenAfter)
 			if now >= provenAt {
