--- a/internal/gateway/poison.go
+++ b/internal/gateway/poison.go
@@ -162,10 +162,10 @@
 // stateRequest returns the request that asks a server for its state, without a target
 // if it can't be asked, and the function that judges the response.
 func (g *Gateway) stateRequest(s *service, server fleet.Server) (upstream.Request, func(fleet.Server, callResponse) serverState) {
-	request := upstream.Request{Method: http.MethodGet, Host: server.Address, Header: http.Header{}}
+	request := upstream.Request{Method: http.MethodGet, Host: server.Address}
+	request.Header = g.opts.Protocol.RequestHeader(http.Header{}, AttemptMeta{ServerID: server.ID, Remaining: engineCallTimeout})
 	if s.engineSpec() == nil {
 		request.Target = s.healthTarget()
-		request.Header = g.opts.Protocol.RequestHeader(http.Header{}, AttemptMeta{ServerID: server.ID, Remaining: engineCallTimeout})
 		return request, func(server fleet.Server, response callResponse) serverState {
 			return serverState{check: g.healthState(s, server, response)}
 		}
@@ -178,6 +178,9 @@
 
 // reportedState compares the report of an engine with its registration.
 func (g *Gateway) reportedState(server fleet.Server, response callResponse) serverState {
+	if g.opts.Protocol.ParseResponse(response.status, response.header).Misdirected {
+		return serverState{check: poison.CheckEnded}
+	}
 	if response.status != http.StatusOK {
 		return serverState{check: poison.CheckUnclear}
 	}
