Answer requests that are at work at the end of an entry's stop

What callers saw: a request that was still at work when an entry's stop ended (five seconds after the drain) got no answer; its connection was closed.

Cause: the same as in the gateways: nothing ended the requests at work before the servers' shutdown timed out.

The caller gets 502 outcome_unknown, or 503 leaving if the gate states that it has not run; streams get their error event. A call that must not be repeated runs on at its agent, and its key can be replayed.

go test ./internal/entry -run TestRequestAtWorkAtEndOfStopIsAnswered failed before (EOF) and passes.

--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -21,10 +21,13 @@
 func (e *Entry) serve(ctx context.Context, q *callerRequest, out sink) {
 	e.inflight.begin()
 	defer e.inflight.end()
+	caller := ctx
 	ctx, cancel := context.WithDeadline(ctx, q.deadline)
 	defer cancel()
+	ctx, release := e.endWithStop(ctx)
+	defer release()
 	start := time.Now()
-	ref := e.runAttempts(ctx, q, out)
+	ref := e.explainStop(caller, e.runAttempts(ctx, q, out))
 	ended := logevent.EntryRequest{
 		RequestID: q.id, AttemptID: q.lastAttempt,
 		Service: q.service.GetName(), Client: q.client.GetName(), Elapsed: time.Since(start),
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"sync/atomic"
 	"time"
 
@@ -50,6 +51,9 @@
 	draining atomic.Bool
 	// refusing is set at the end of a drain in which requests keep arriving.
 	refusing atomic.Bool
+	// requests ends at the end of the entry's stop, and with it requests in flight.
+	requests    context.Context
+	endRequests context.CancelFunc
 	// warm is set once each service has a serving backend server, or warmTimeout
 	// has passed since the start.
 	warm       atomic.Bool
@@ -81,6 +85,7 @@
 
 		configured: make(chan struct{}, 1),
 	}
+	e.requests, e.endRequests = context.WithCancel(context.Background())
 	e.line.registerMetrics(opts.Registerer)
 	e.catalog.Store(catalog.New(nil))
 	e.planning = newPlanning(e)
--- a/internal/entry/fault_injection_test.go
+++ b/internal/entry/fault_injection_test.go
@@ -185,6 +185,7 @@
 	calls := &callRecord{keys: map[string]int{}, requests: map[string]int{}}
 	mux := http.NewServeMux()
 	mux.HandleFunc("/item/", echo)
+	mux.HandleFunc("/slow/", func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() })
 	mux.Handle("/stamps", calls)
 	backend := httptest.NewServer(mux)
 	t.Cleanup(backend.Close)
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -20,28 +20,6 @@
 	return e.closeWhenDraining(mux)
 }
 
-// leavingRetryAfter is when a caller may come back whom a leaving entry has refused, to
-// another entry.
-const leavingRetryAfter = time.Second
-
-// closeWhenDraining makes callers reconnect, to another entry, once this one
-// drains. A kept connection could otherwise be closed while the next request is
-// being sent on it. At the end of a drain that lasts, requests are refused.
-func (e *Entry) closeWhenDraining(next http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if e.draining.Load() {
-			w.Header().Set("Connection", "close")
-		}
-		if e.refusing.Load() {
-			ref := refuse(peerv1.RefusalReason_REFUSAL_REASON_LEAVING, "this entry is stopping")
-			ref.retryAfter = leavingRetryAfter
-			e.refuseEarly(w, nil, ref)
-			return
-		}
-		next.ServeHTTP(w, r)
-	})
-}
-
 // completions serves model services.
 func (e *Entry) completions(w http.ResponseWriter, r *http.Request, chat bool) {
 	q, ref := newRequest(r, e.Catalog())
--- a/internal/entry/stop_test.go
+++ b/internal/entry/stop_test.go
@@ -15,6 +15,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/marigoldwing/marigoldwing/internal/process"
 )
 
 // drainTimeout is the drain timeout of the entry in these tests.
@@ -68,6 +70,40 @@
 	t.Logf("%d requests answered, %d refused", answered.Load(), refused.Load())
 }
 
+// The request is at work until the process would end.
+func TestRequestAtWorkAtEndOfStopIsAnswered(t *testing.T) {
+	s := newSystem(t, 0)
+	s.waitReady(t)
+	server := httptest.NewServer(s.entry.Handler())
+	t.Cleanup(server.Close)
+	r, err := http.NewRequestWithContext(t.Context(), http.MethodGet, server.URL+"/services/plain/slow/1", nil)
+	require.NoError(t, err)
+	r.Header.Set("X-Client", "c1")
+	body := make(chan string, 1)
+	go func() {
+		response, err := http.DefaultClient.Do(r)
+		if err != nil {
+			body <- err.Error()
+			return
+		}
+		defer response.Body.Close()
+		data, _ := io.ReadAll(response.Body)
+		body <- fmt.Sprint(response.StatusCode, " ", string(data))
+	}()
+	require.Eventually(t, func() bool { return s.entry.inflight.count() == 1 }, drainTimeout, time.Millisecond)
+	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+	defer cancel()
+	s.entry.Drain(ctx)
+	stopCtx, stopped := context.WithTimeout(t.Context(), process.DefaultStopTimeout)
+	defer stopped()
+	_ = server.Config.Shutdown(stopCtx)
+	_ = server.Config.Close()
+	got := <-body
+	require.Contains(t, got, "502 ")
+	require.Contains(t, got, `"reason":"outcome_unknown"`)
+	require.Contains(t, got, "this entry is stopping")
+}
+
 // postItem sends a request that the client does not repeat by itself.
 func postItem(client *http.Client, url, id string) (status int, body string, err error) {
 	r, err := http.NewRequest(http.MethodPost, url+"/services/plain/item/"+id, strings.NewReader("body"))
