--- a/internal/gateway/streams.go
+++ b/internal/gateway/streams.go
@@ -267,7 +267,11 @@
 	}
 	seen := streamorigin.Seen{Versions: own.Versions, MixedWeights: q.service.mixedWeights(q.g.now())}
 	decision, origin := streamorigin.Decide(seen, answers, confirmed)
-	q.g.log.Write(logevent.StreamTakenUp(q.meta.ID, q.service.name, q.meta.Resumes, decision.String(), origin.Version, own.Versions, len(answers)-1))
+	q.g.log.Write(logevent.StreamTakenUp(logevent.TakeUp{
+		RequestID: q.meta.ID, Service: q.service.name, Resumes: q.meta.Resumes, Decision: decision.String(),
+		Version: origin.Version, Weights: origin.Weights,
+		VersionsSeen: seen.Versions, MixedWeights: seen.MixedWeights, Asked: len(answers) - 1,
+	}))
 	return decision, origin
 }
 
--- a/internal/logevent/streams.go
+++ b/internal/logevent/streams.go
@@ -5,14 +5,33 @@
 	"strings"
 )
 
-// StreamTakenUp reports how a stream may go on that a request takes up again: at which
-// version, if only at one, of those that were seen, and how many other gateways were
-// asked.
-func StreamTakenUp(requestID, service, resumes, decision, version string, seen []string, asked int) Event {
-	e := info("stream taken up", slog.String(KeyRequestID, requestID), slog.String(keyService, service),
-		slog.String("decision", decision), slog.String("versions_seen", strings.Join(seen, ",")), slog.Int("asked", asked))
-	e.withText("resumes", resumes)
-	e.withText("server_version", version)
+// TakeUp describes how a stream may go on that a request takes up again.
+type TakeUp struct {
+	RequestID, Service string
+	// Resumes is the ID of the request that began the stream; empty if it names none.
+	Resumes  string
+	Decision string
+	// Version and Weights are the software version and the version of the weights at which
+	// it goes on; empty if at any.
+	Version, Weights string
+	// VersionsSeen are the software versions that were seen, and MixedWeights is set if
+	// several versions of the weights were.
+	VersionsSeen []string
+	MixedWeights bool
+	// Asked is the number of other gateways that were asked and answered.
+	Asked int
+}
+
+// StreamTakenUp reports how a stream may go on that a request takes up again.
+func StreamTakenUp(t TakeUp) Event {
+	e := info("stream taken up", slog.String(KeyRequestID, t.RequestID), slog.String(keyService, t.Service),
+		slog.String("decision", t.Decision), slog.String("versions_seen", strings.Join(t.VersionsSeen, ",")), slog.Int("asked", t.Asked))
+	e.withText("resumes", t.Resumes)
+	e.withText("server_version", t.Version)
+	e.withText("weights", t.Weights)
+	if t.MixedWeights {
+		e.with(slog.Bool("mixed_weights", true))
+	}
 	return e
 }
 
