--- a/internal/entry/watch.go
+++ b/internal/entry/watch.go
@@ -77,12 +77,12 @@
 	now := e.router.now()
 	var candidates []probeCandidate
 	for _, address := range c.Agents() {
-		lastHeard := e.members.Evidence(c.BackendServersOfAgent(address)[0].GetName()).Process.LastDirect
-		if lastHeard == 0 || now-lastHeard >= e.opts.HeartbeatInterval {
-			candidates = append(candidates, probeCandidate{address: address, lastHeard: lastHeard})
+		lastDirect := e.members.Evidence(c.BackendServersOfAgent(address)[0].GetName()).Process.LastDirect
+		if lastDirect == 0 || now-lastDirect >= e.opts.HeartbeatInterval {
+			candidates = append(candidates, probeCandidate{address: address, lastDirect: lastDirect})
 		}
 	}
-	slices.SortFunc(candidates, func(a, b probeCandidate) int { return cmp.Compare(a.lastHeard, b.lastHeard) })
+	slices.SortFunc(candidates, func(a, b probeCandidate) int { return cmp.Compare(a.lastDirect, b.lastDirect) })
 	candidates = candidates[:min(len(candidates), probesFor(len(c.Agents())))]
 	addresses := make([]string, 0, len(candidates))
 	for _, s := range candidates {
@@ -91,11 +91,11 @@
 	return addresses
 }
 
-// probeCandidate is an agent that is due for a probe, with the time at which it
-// was last heard from directly.
+// probeCandidate is an agent that is due for a probe, with the time at which its last
+// direct heartbeat was received.
 type probeCandidate struct {
-	address   string
-	lastHeard time.Duration
+	address    string
+	lastDirect time.Duration
 }
 
 // probe exchanges heartbeats with one agent.
@@ -111,9 +111,8 @@
 	e.updateEntries(heartbeat.GetEntries())
 }
 
-// updateEntries records how many entries an agent has heard from, if the number
-// has grown. A smaller number is ignored, since one agent may not have heard
-// from all entries yet.
+// updateEntries records how many entries an agent knows, if the number has grown. A
+// smaller number is ignored, since one agent may not know all entries yet.
 func (e *Entry) updateEntries(n int32) {
 	if n > e.entries.Load() {
 		e.entries.Store(n)
