--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -3,8 +3,10 @@
 import (
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
+	"github.com/marigoldwing/marigoldwing/internal/drain"
 	"github.com/marigoldwing/marigoldwing/internal/fleet"
 	"github.com/marigoldwing/marigoldwing/internal/placement"
 	"github.com/marigoldwing/marigoldwing/internal/poison"
@@ -17,6 +19,8 @@
 // to different services do not contend.
 type service struct {
 	name string
+	// numbersLeftOut is set once a server has left numbers out between the IDs of events.
+	numbersLeftOut atomic.Bool
 
 	mu sync.Mutex
 	// engine is nil for a service without engines; use engineSpec to read it.
@@ -28,6 +32,8 @@
 	limits     *serverlimit.Book
 	poison     *poison.Detector
 	origins    *streamorigin.Origins
+	// durations are those of the latest answers, by the kind of their requests.
+	durations  map[fleet.RequestKind]*drain.Durations
 	registered []fleet.Server
 	// coordinatorSince is when this gateway became the coordinator that places
 	// all long prompts of the service, or notCoordinator.
@@ -47,6 +53,7 @@
 		poison:  poison.New(),
 		origins: streamorigin.New(g.now()),
 
+		durations:        make(map[fleet.RequestKind]*drain.Durations),
 		coordinatorSince: notCoordinator,
 	}
 }
