Check cut watches in fleets with relays too (DRAIN)

Gateways that are no relays watch with allowStale, over the same code. TestCutWatchIsNoOutage covers them now and fails for them, too, with the mend undone (test/reversals).

--- a/internal/registry/watch_cut_test.go
+++ b/internal/registry/watch_cut_test.go
@@ -144,8 +144,12 @@
 
 func (s *serverStore) Reconnect() {}
 
+// alone and relayed are fleets of one gateway, and of many with others as relays.
+func alone() (gateways int, isRelay bool)   { return 1, true }
+func relayed() (gateways int, isRelay bool) { return 2 * minRelayedFleet, false }
+
 // followServers runs a follower and returns which servers it has in use.
-func followServers(t *testing.T, s *serverStore) func() []string {
+func followServers(t *testing.T, s *serverStore, relay func() (int, bool)) func() []string {
 	const bound = 2 * time.Second
 	var mu sync.Mutex
 	var used []string
@@ -157,6 +161,7 @@
 			used = append(used, server.ID)
 		}
 	})
+	f.SetRelay(relay, f.clock)
 	go f.Run(t.Context())
 	return func() []string {
 		synctest.Wait()
@@ -175,19 +180,23 @@
 	for name, kinds := range map[string][]string{
 		"both": {kindConfig, kindServers}, "configuration": {kindConfig}, "servers": {kindServers},
 	} {
-		t.Run(name, func(t *testing.T) {
-			for _, phase := range []time.Duration{0, 130, 260, 390, 520, 650, 780} {
-				synctest.Test(t, func(t *testing.T) {
-					s := newServerStore("a", "b")
-					s.set(callOutcome{}, callOutcome{500 * time.Millisecond, ErrWatchCut}, kinds...)
-					used := followServers(t, s)
-					time.Sleep(3*time.Second + phase*time.Millisecond)
-					require.Equal(t, []string{"a", "b"}, used())
-					s.remove("a")
-					time.Sleep(removalSeen)
-					require.Equal(t, []string{"b"}, used(), "removed %v after the start", 3*time.Second+phase*time.Millisecond)
-				})
-			}
+		t.Run(name, func(t *testing.T) { checkCutWatches(t, alone, kinds) })
+		t.Run(name+" with relays", func(t *testing.T) { checkCutWatches(t, relayed, kinds) })
+	}
+}
+
+// checkCutWatches removes a server at some moments between the cuts.
+func checkCutWatches(t *testing.T, relay func() (int, bool), kinds []string) {
+	for phase := time.Duration(0); phase < 900*time.Millisecond; phase += 130 * time.Millisecond {
+		synctest.Test(t, func(t *testing.T) {
+			s := newServerStore("a", "b")
+			s.set(callOutcome{}, callOutcome{500 * time.Millisecond, ErrWatchCut}, kinds...)
+			used := followServers(t, s, relay)
+			time.Sleep(3*time.Second + phase)
+			require.Equal(t, []string{"a", "b"}, used())
+			s.remove("a")
+			time.Sleep(removalSeen)
+			require.Equal(t, []string{"b"}, used(), "removed %v after the start", 3*time.Second+phase)
 		})
 	}
 }
@@ -197,7 +206,7 @@
 func TestUnreadableConfigIsNoOutage(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := newServerStore("a", "b")
-		used := followServers(t, s)
+		used := followServers(t, s, alone)
 		time.Sleep(time.Second)
 		unreadable := callOutcome{err: errors.New("malformed")}
 		s.set(unreadable, unreadable, kindConfig)
@@ -227,7 +236,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				s := newServerStore("a", "b")
 				s.set(callOutcome{}, tt.watches, kindConfig, kindServers)
-				used := followServers(t, s)
+				used := followServers(t, s, alone)
 				time.Sleep(50 * time.Millisecond)
 				s.set(tt.lists, tt.watches, kindConfig, kindServers)
 				time.Sleep(6 * time.Second)
@@ -249,7 +258,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		s := newServerStore("a")
 		s.set(callOutcome{}, callOutcome{err: ErrWatchCut}, kindConfig, kindServers)
-		followServers(t, s)
+		followServers(t, s, alone)
 		time.Sleep(20 * time.Second)
 		s.mu.Lock()
 		defer s.mu.Unlock()
