--- a/internal/agent/witness.go
+++ b/internal/agent/witness.go
@@ -11,6 +11,8 @@
 	"net/url"
 	"sync/atomic"
 	"time"
+
+	"github.com/marigoldwing/marigoldwing/internal/connstate"
 )
 
 // errUnconfirmedEnd is why an answer that the end of its connection delimits is not
@@ -49,7 +51,8 @@
 // confirm asks the service for any answer, which shows that its process has not ended. The
 // request concerns the service as a whole and runs nothing.
 func (w *witness) confirm(ctx context.Context) error {
-	if w == nil || w.conn == nil {
+	// What came before the question does not answer it.
+	if w == nil || w.conn == nil || connstate.Peek(w.conn) != connstate.Idle {
 		return errUnconfirmedEnd
 	}
 	stop := context.AfterFunc(ctx, func() { _ = w.conn.SetDeadline(time.Unix(1, 0)) })
--- a/internal/agent/witness_test.go
+++ b/internal/agent/witness_test.go
@@ -332,3 +332,42 @@
 		t.Error("the call waits beyond its deadline")
 	}
 }
+
+// startImpatientService starts a service that ends connections without a request after a
+// short time, with an answer or without. Calls are answered by answer.
+func startImpatientService(t *testing.T, timeoutAnswer string, answer func(listener net.Listener, conn net.Conn)) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	go acceptEach(listener, func(conn net.Conn) {
+		_ = conn.SetReadDeadline(time.Now().Add(100 * time.Millisecond))
+		if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
+			_, _ = io.WriteString(conn, timeoutAnswer)
+			_ = conn.Close()
+			return
+		}
+		time.Sleep(300 * time.Millisecond)
+		answer(listener, conn)
+		_ = conn.Close()
+	})
+	return listener.Addr().String()
+}
+
+// TestAnswerFromBeforeTheQuestionConfirmsNothing guards against a part of an answer that is
+// taken for the whole: the other connection has timed out with status 408, and the service
+// has ended since.
+func TestAnswerFromBeforeTheQuestionConfirmsNothing(t *testing.T) {
+	address := startImpatientService(t, "HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n", func(listener net.Listener, conn net.Conn) {
+		_, _ = io.WriteString(conn, strings.TrimSuffix(unmarkedAnswer, "ole"))
+		_ = listener.Close()
+	})
+	requireCut(t, callPlain(t, runnerOf(address), http.MethodPost))
+}
+
+// TestSlowAnswerOfServiceThatClosesIdleConnectionsIsRelayed guards against sound answers
+// that are dropped because they took longer than a connection may idle.
+func TestSlowAnswerOfServiceThatClosesIdleConnectionsIsRelayed(t *testing.T) {
+	address := startImpatientService(t, "", func(_ net.Listener, conn net.Conn) { _, _ = io.WriteString(conn, unmarkedAnswer) })
+	require.True(t, callPlain(t, runnerOf(address), http.MethodPost).complete)
+}
