--- a/internal/streamorigin/streamorigin.go
+++ b/internal/streamorigin/streamorigin.go
@@ -12,6 +12,7 @@
 package streamorigin
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -124,6 +125,9 @@
 		o.ownOlder, o.ownRecent = o.ownRecent, nil
 		o.rotatedAt = now
 	}
+	if before, known := o.Find(begun.Stream); known && before.Version == begun.Version {
+		begun.Weights = cmp.Or(begun.Weights, before.Weights)
+	}
 	o.recent[begun.Stream] = begun
 }
 
