--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -126,6 +126,8 @@
 // refuseForStop refuses a request that has not run, because of the stop.
 func (q *request) refuseForStop() {
 	q.logStopAction(drain.Refuse)
+	// Otherwise the HTTP server reads the rest of the body before it sends the refusal.
+	q.w.Header().Set("Connection", "close")
 	q.fail(outcome{result: notExecuted, reason: reasonStopping}, stoppingRetryAfter)
 }
 
