Join only what is known to follow, and blame no server for a caller's claim (ORDER)

Seen by callers: after 1 2, a continuation without IDs, or with other IDs than numbers, in a stream framed as complete; after one gap anywhere, a missing event where a caller takes a stream up. Besides, one caller that states an event that its stream does not have got all servers ejected.

Cause: only the latest ID before a join was looked at, not the first one after it; one stream with a gap was taken for the numbering of a service; an event that does not follow the caller's own claim was taken for a fault of the server.

Weighed and left: a sound take-up across a gap at a gateway that has seen fewer streams is refused, since nothing tells it from one that lacks an event.

--- a/internal/eventstream/eventstream.go
+++ b/internal/eventstream/eventstream.go
@@ -129,7 +129,7 @@
 	if !s.inEvent {
 		return
 	}
-	if s.Order != nil && s.eventID != "" {
+	if s.Order != nil {
 		s.orderErr = s.Order.Next(s.eventID)
 	}
 	if s.orderErr != nil {
--- a/internal/eventstream/order.go
+++ b/internal/eventstream/order.go
@@ -13,8 +13,9 @@
 // Order checks that the IDs of a stream's events increase, across all servers that bring a
 // part of it. IDs that are decimal numbers are compared as such. Of other IDs only a
 // repetition of the latest one can be recognized. Events without an ID have no order. One
-// server may leave numbers out; where a server continues the stream none may be missing,
-// unless numbers are known to be left out. The zero Order is at the beginning of a stream.
+// server may leave numbers out. Where a server continues a stream of numbers, its first
+// event must have one, and none may be missing unless the servers are known to leave
+// numbers out. The zero Order is at the beginning of a stream.
 type Order struct {
 	// last is the latest ID; empty if there was none.
 	last string
@@ -45,10 +46,16 @@
 // HasGaps reports whether numbers are known to be left out.
 func (o *Order) HasGaps() bool { return o.gaps }
 
-// Next records the ID of the next event. It returns an error that wraps ErrOutOfOrder, and
-// records nothing, if the event does not follow.
+// Next records the ID of the next event, empty if it has none. It returns an error that
+// wraps ErrOutOfOrder, and records nothing, if the event does not follow.
 func (o *Order) Next(id string) error {
 	number, isNumber := parseID(id)
+	if o.joined && o.hasNumber && !isNumber {
+		return fmt.Errorf("%w: ID %q after %q where servers change", ErrOutOfOrder, id, o.last)
+	}
+	if id == "" {
+		return nil
+	}
 	areNumbers := isNumber && o.hasNumber
 	isGap := areNumbers && number != o.number+1
 	switch {
--- a/internal/eventstream/order_test.go
+++ b/internal/eventstream/order_test.go
@@ -77,6 +77,8 @@
 		"servers leave numbers out": {order: OrderAfter("2"), next: "4", gaps: true, sound: true},
 		"begins at the first event": {next: "7", sound: true},
 		"IDs are no numbers":        {next: "c", before: []string{"a"}, sound: true},
+		"no number after numbers":   {next: "c", before: []string{"1"}},
+		"no ID after numbers":       {next: "", before: []string{"1"}},
 	} {
 		for _, id := range c.before {
 			require.NoError(t, c.order.Next(id), name)
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -3,10 +3,10 @@
 import (
 	"slices"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/marigoldwing/marigoldwing/internal/drain"
+	"github.com/marigoldwing/marigoldwing/internal/eventstream"
 	"github.com/marigoldwing/marigoldwing/internal/fleet"
 	"github.com/marigoldwing/marigoldwing/internal/placement"
 	"github.com/marigoldwing/marigoldwing/internal/poison"
@@ -19,8 +19,6 @@
 // to different services do not contend.
 type service struct {
 	name string
-	// numbersLeftOut is set once a server has left numbers out between the IDs of events.
-	numbersLeftOut atomic.Bool
 
 	mu sync.Mutex
 	// engine is nil for a service without engines; use engineSpec to read it.
@@ -32,6 +30,8 @@
 	limits     *serverlimit.Book
 	poison     *poison.Detector
 	origins    *streamorigin.Origins
+	// numbering is how servers number the events of streams.
+	numbering eventstream.Numbering
 	// durations are those of the latest answers, by the kind of their requests.
 	durations  map[fleet.RequestKind]*drain.Durations
 	registered []fleet.Server
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -28,12 +28,12 @@
 // stream relays events as they arrive, each one completely, so that a broken
 // stream can be resumed at another server after its last relayed event.
 func (q *request) stream(ctx context.Context, exchange *upstream.Exchange, weights string) outcome {
-	q.order.Join(q.service.numbersLeftOut.Load())
+	q.order.Join(q.service.allowsGaps())
 	q.stateWeights(weights)
 	events := eventstream.Splitter{Order: &q.order, Field: q.g.opts.Protocol.WeightsField()}
 	out, position := q.relayEvents(ctx, exchange, &events)
-	if q.order.HasGaps() {
-		q.service.numbersLeftOut.Store(true)
+	if events.FirstID() != events.LastID("") {
+		q.service.recordNumbering(q.order.HasGaps())
 	}
 	out.unresumable = !events.Resumable() || events.HasEvents() && !q.order.Comparable()
 	out.streamEnd = &streamEnd{
@@ -100,7 +100,14 @@
 	if out, ended := q.ended(ctx); ended {
 		return out
 	}
-	return outcome{result: q.incompleteResult(), reason: "stream broke: " + err.Error(), serverFault: true, connectionLost: isConnectionLost(err)}
+	return outcome{result: q.incompleteResult(), reason: "stream broke: " + err.Error(), serverFault: q.isServerFault(err), connectionLost: isConnectionLost(err)}
+}
+
+// isServerFault reports whether a broken stream is a fault of its server. One that was not
+// asked successfully may be sound, and a caller may state an event that its stream lacks.
+func (q *request) isServerFault(err error) bool {
+	isCallersClaim := errors.Is(err, eventstream.ErrOutOfOrder) && !q.headerSent
+	return !isCallersClaim && !errors.Is(err, errEndUnconfirmed)
 }
 
 // incompleteResult returns the result of an attempt that brought no complete response.
@@ -114,7 +121,7 @@
 // isConnectionLost reports whether a stream ended for a reason that is not the
 // gateway's own.
 func isConnectionLost(err error) bool {
-	ownReasons := []error{eventstream.ErrEventTooLong, eventstream.ErrOutOfOrder, upstream.ErrBuffersFull}
+	ownReasons := []error{eventstream.ErrEventTooLong, eventstream.ErrOutOfOrder, upstream.ErrBuffersFull, errEndUnconfirmed}
 	return !slices.ContainsFunc(ownReasons, func(own error) bool { return errors.Is(err, own) })
 }
 
--- a/internal/gateway/streams.go
+++ b/internal/gateway/streams.go
@@ -309,6 +309,20 @@
 	return s.origins.Begin(now, begun)
 }
 
+// allowsGaps reports whether the service's servers usually leave numbers out between events.
+func (s *service) allowsGaps() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.numbering.AllowsGaps()
+}
+
+// recordNumbering records whether a stream left numbers out.
+func (s *service) recordNumbering(hasGaps bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.numbering.Record(hasGaps)
+}
+
 // versionOf returns the software version of a registered server, or otherwise the given
 // one. A server that has started again under its ID may have another one than when the
 // request was sent.
