--- a/internal/bodyend/bodyend.go
+++ b/internal/bodyend/bodyend.go
@@ -9,10 +9,11 @@
 type Server int
 
 const (
-	// Unclear: the server did not answer, or its answer does not show which process it is.
+	// Unclear: the server did not answer.
 	Unclear Server = iota
-	// Unasked: there is no way to ask the server, at whose address something listens.
-	Unasked
+	// Listening: something listens at the server's address, which was not asked or whose
+	// answer does not show which process it is.
+	Listening
 	// SameID: a process with the ID of the server answered, which may have started since.
 	SameID
 	// SameStart: the process that sent the response answered.
@@ -21,7 +22,7 @@
 	Ended
 )
 
-var serverNames = map[Server]string{Unclear: "unclear", Unasked: "unasked", SameID: "same_id", SameStart: "same_start", Ended: "ended"}
+var serverNames = map[Server]string{Unclear: "unclear", Listening: "listening", SameID: "same_id", SameStart: "same_start", Ended: "ended"}
 
 // String returns the state as written to logs.
 func (s Server) String() string { return serverNames[s] }
@@ -30,8 +31,8 @@
 type Evidence struct {
 	Server Server
 	// Open and Closed are the numbers of other connections to the server, established
-	// before the end of the response, that are still open or that the server has closed
-	// since. Those of a process end with it.
+	// before the request was sent, that are still open or that the server has closed since.
+	// Those of a process end with it.
 	Open, Closed int
 }
 
@@ -41,11 +42,9 @@
 	switch e.Server {
 	case SameStart:
 		return true
-	case SameID, Unasked:
+	case SameID, Listening:
 		return e.Open > 0 || e.Closed == 0
-	case Unclear:
-		return e.Open > 0
 	default:
-		return false
+		return e.Open > 0
 	}
 }
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -455,7 +455,7 @@
 		if out, ended := q.ended(ctx); ended {
 			return nil, out
 		}
-		return nil, outcome{result: noResponse, reason: "answer was cut: " + err.Error(), serverFault: true, connectionLost: true}
+		return nil, outcome{result: noResponse, reason: "answer was cut: " + err.Error(), serverFault: q.isServerFault(err), connectionLost: isConnectionLost(err)}
 	}
 	return &bufferedResponse{status: exchange.Response.StatusCode, header: exchange.Response.Header, body: body}, outcome{}
 }
--- a/internal/gateway/poison.go
+++ b/internal/gateway/poison.go
@@ -125,8 +125,11 @@
 	check poison.Check
 	// startConfirmed is set if the server has stated the start with which it is registered.
 	startConfirmed bool
-	// unasked is set if there is no way to ask the server.
-	unasked bool
+	// listening is set if something listens at the server's address that was not asked, or
+	// whose answer does not show what it is.
+	listening bool
+	// closes is set if connections are accepted and closed without an answer.
+	closes bool
 }
 
 // serverState asks an engine for its report, and other servers for their health.
@@ -138,6 +141,8 @@
 	for range engineChecks {
 		response, err := g.engineCall(ctx, server, request)
 		switch {
+		case errors.Is(err, errServerPaused):
+			return g.unaskedState(ctx, server)
 		case errors.Is(err, syscall.ECONNREFUSED):
 			return serverState{check: poison.CheckEnded}
 		case err != nil && !endedWithoutAnswer(err):
@@ -147,16 +152,17 @@
 		}
 		time.Sleep(engineCheckInterval)
 	}
-	return serverState{check: poison.CheckEnded}
+	return serverState{check: poison.CheckEnded, closes: true}
 }
 
 // unaskedState finds out whether anything listens at the address of a server that can't be
 // asked.
 func (g *Gateway) unaskedState(ctx context.Context, server fleet.Server) serverState {
-	if errors.Is(g.pool.Probe(ctx, server.Key()), syscall.ECONNREFUSED) {
+	err := g.pool.Probe(ctx, server.Key())
+	if errors.Is(err, syscall.ECONNREFUSED) {
 		return serverState{check: poison.CheckEnded}
 	}
-	return serverState{check: poison.CheckUnclear, unasked: true}
+	return serverState{check: poison.CheckUnclear, listening: err == nil}
 }
 
 // stateRequest returns the request that asks a server for its state, without a target
@@ -167,7 +173,8 @@
 	if s.engineSpec() == nil {
 		request.Target = s.healthTarget()
 		return request, func(server fleet.Server, response callResponse) serverState {
-			return serverState{check: g.healthState(s, server, response)}
+			check := g.healthState(s, server, response)
+			return serverState{check: check, listening: check == poison.CheckUnclear}
 		}
 	}
 	if g.opts.StageProtocol != nil {
@@ -182,7 +189,7 @@
 		return serverState{check: poison.CheckEnded}
 	}
 	if response.status != http.StatusOK {
-		return serverState{check: poison.CheckUnclear}
+		return serverState{check: poison.CheckUnclear, listening: true}
 	}
 	report, err := g.opts.StageProtocol.ParseReport(response.body)
 	if err != nil {
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -70,8 +70,9 @@
 	// requestID is the ID of the request.
 	requestID string
 	// conn is not changed while the exchange lasts; ended is set by Release and Abort.
-	conn  *Conn
-	ended bool
+	conn   *Conn
+	beside beside
+	ended  bool
 	// sent is closed when the request has been written; sendErr is set before.
 	sent      chan struct{}
 	sendErr   error
@@ -96,7 +97,7 @@
 		return nil, ErrNotPermitted
 	}
 	conn.carry(r.ID)
-	e := &Exchange{pool: p, server: server, requestID: r.ID, conn: conn, sent: make(chan struct{})}
+	e := &Exchange{pool: p, server: server, requestID: r.ID, conn: conn, beside: p.besideOf(server), sent: make(chan struct{})}
 	// A deadline in the past interrupts reads and writes in progress.
 	e.stopWatch = context.AfterFunc(ctx, func() { _ = conn.netConn.SetDeadline(time.Unix(1, 0)) })
 	if err := e.send(r); err != nil {
@@ -183,6 +184,11 @@
 	}
 }
 
+// OtherConnections returns how many of the other connections to the server, which were idle
+// when the exchange began, are open, and how many the server has closed since before the end
+// of their idle time.
+func (e *Exchange) OtherConnections() (open, closed int) { return e.beside.states() }
+
 // Framing is how a response delimits its body.
 type Framing string
 
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -13,6 +13,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -99,6 +100,8 @@
 	idleUntil time.Time
 	// keepAlive is the idle time that the server permits.
 	keepAlive time.Duration
+	// closedByServer is set once the connection was found closed or reset while idle.
+	closedByServer atomic.Bool
 	// carried holds the hashes of the IDs of all requests so far. A connection carries no
 	// ID twice, since the responses could not be distinguished.
 	carried []uint64
@@ -187,22 +190,44 @@
 	return nil
 }
 
-// IdleStates returns how many idle connections to a server are open, and how many the
-// server has closed or reset before the end of their idle time.
-func (p *Pool) IdleStates(server fleet.Key) (open, closed int) {
+// maxBeside is how many other connections to its server an exchange remembers.
+const maxBeside = 4
+
+// beside are the other connections to a server that were idle when an exchange began.
+type beside [maxBeside]struct {
+	conn *Conn
+	// idleUntil is the time from which the server may close the connection.
+	idleUntil time.Time
+}
+
+// besideOf returns the idle connections to a server that were used last.
+func (p *Pool) besideOf(server fleet.Key) beside {
 	s := p.idleConnsOf(server)
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	var others beside
+	for i := range min(maxBeside, len(s.conns)) {
+		c := s.conns[len(s.conns)-1-i]
+		others[i].conn, others[i].idleUntil = c, c.idleUntil
+	}
+	return others
+}
+
+// states returns how many of the connections are open, and how many the server has closed
+// or reset before the end of their idle time.
+func (b beside) states() (open, closed int) {
 	now := time.Now()
-	for _, c := range s.conns {
-		if now.After(c.idleUntil) {
+	for _, other := range b {
+		if other.conn == nil {
 			continue
 		}
-		switch connstate.Peek(c.netConn) {
-		case connstate.Idle:
-			open++
-		case connstate.Closed:
+		state := connstate.Peek(other.conn.netConn)
+		isClosed := state == connstate.Closed || other.conn.closedByServer.Load()
+		switch {
+		case isClosed && now.Before(other.idleUntil):
 			closed++
+		case state == connstate.Idle || state == connstate.Readable:
+			open++
 		}
 	}
 	return open, closed
@@ -278,5 +303,9 @@
 	if c.reader.Buffered() > 0 {
 		return false
 	}
-	return connstate.Peek(c.netConn) == connstate.Idle
+	state := connstate.Peek(c.netConn)
+	if state == connstate.Closed {
+		c.closedByServer.Store(true)
+	}
+	return state == connstate.Idle
 }
