--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -20,18 +20,6 @@
 	return e.closeWhenDraining(mux)
 }
 
-// closeWhenDraining makes callers reconnect, to another entry, once this one
-// drains. A kept connection could otherwise be closed while the next request is
-// being sent on it.
-func (e *Entry) closeWhenDraining(next http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if e.draining.Load() {
-			w.Header().Set("Connection", "close")
-		}
-		next.ServeHTTP(w, r)
-	})
-}
-
 // completions serves model services.
 func (e *Entry) completions(w http.ResponseWriter, r *http.Request, chat bool) {
 	q, ref := newRequest(r, e.Catalog())
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -93,24 +93,3 @@
 	}
 	return nil
 }
-
-// readinessGracePeriod is the time between the readiness check beginning to
-// fail and the listener closing, in which the load balancer stops sending
-// requests.
-const readinessGracePeriod = 500 * time.Millisecond
-
-// Drain makes the readiness check fail and returns when no requests are in
-// flight, or when ctx ends.
-func (e *Entry) Drain(ctx context.Context) {
-	e.draining.Store(true)
-	select {
-	case <-time.After(readinessGracePeriod):
-	case <-ctx.Done():
-	}
-	e.inflight.waitQuiet(ctx, quietPeriod)
-}
-
-// quietPeriod is how long no request must be in flight before the listener
-// closes. A caller whose stream began before the drain has not seen a
-// "Connection: close" header; the response to its next request carries it.
-const quietPeriod = 200 * time.Millisecond
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"errors"
-	"io"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -39,8 +37,8 @@
 	// block whose trait the request tries again.
 	blockedPart, blockedRequest string
 	trial                       *poison.Block
-	// memory is what the buffered answer takes.
-	memory *upstream.Reservation
+	// memory is what the buffered answer takes, and bodyMemory what the request's body does.
+	memory, bodyMemory *upstream.Reservation
 
 	arrivedAt time.Duration
 	// deadline is on the gateway's monotonic clock, like arrivedAt.
@@ -66,8 +64,9 @@
 	// pin is the software version to which the stream is bound.
 	pin versionPin
 	// weights is the version of the weights with which the latest event that the caller
-	// has was made; empty if there is none, or no version was stated.
-	weights string
+	// has was made, and statedWeights that with which the latest response begins; empty if
+	// there is none, or no version was stated.
+	weights, statedWeights string
 	// headerSent is set once the response header has been sent to the caller;
 	// from then on no other response is possible.
 	headerSent bool
@@ -110,9 +109,10 @@
 	q := &request{
 		g: g, w: w, r: r, arrivedAt: g.now(),
 		meta:   g.opts.Protocol.ParseRequest(r.Header),
-		memory: g.buffers.NewReservation(),
+		memory: g.buffers.NewReservation(), bodyMemory: g.bodyBuffers.NewReservation(),
 	}
 	defer q.memory.Release()
+	defer q.bodyMemory.Release()
 	q.lastEventID, q.order = q.meta.LastEventID, eventstream.OrderAfter(q.meta.LastEventID)
 	defer q.watchCaller()()
 	if !q.prepare() {
@@ -154,43 +154,6 @@
 	return q.readBody(current.config.MaxBodyBytes)
 }
 
-func (q *request) readBody(limit int64) bool {
-	if q.r.Body == nil || q.r.Body == http.NoBody {
-		return true
-	}
-	body := io.Reader(q.r.Body)
-	if limit > 0 {
-		body = http.MaxBytesReader(q.w, q.r.Body, limit)
-	}
-	var err error
-	q.body, err = readAll(body, q.r.ContentLength)
-	var tooLarge *http.MaxBytesError
-	switch {
-	case err == nil:
-		return true
-	case errors.As(err, &tooLarge):
-		q.refuse(refusal{status: http.StatusRequestEntityTooLarge, reason: "body_too_large"})
-	default:
-		q.finish("caller_left", "body was not sent whole: "+err.Error(), 0)
-		q.abort()
-	}
-	return false
-}
-
-// maxPrealloc is the largest buffer in bytes that is allocated from a
-// Content-Length header alone, before any of the body has been received.
-const maxPrealloc = 1 << 20
-
-// readAll reads r to its end, with a single allocation if the length is known.
-func readAll(r io.Reader, length int64) ([]byte, error) {
-	if length < 0 || length > maxPrealloc {
-		return io.ReadAll(r)
-	}
-	data := make([]byte, length)
-	n, err := io.ReadFull(r, data)
-	return data[:n], err
-}
-
 // serve makes attempts until the request has its final response.
 func (q *request) serve(ctx context.Context) {
 	if q.service == nil {
@@ -207,7 +170,7 @@
 	// request if no further attempt can be made.
 	var last *outcome
 	for {
-		if q.refuseBlocked(ctx, last) {
+		if q.endForStop(last) || q.refuseBlocked(ctx, last) {
 			return
 		}
 		choice, err := q.choose(ctx)
@@ -323,6 +286,7 @@
 	q.recordEvidence(out, choice.Server)
 	switch out.result {
 	case delivered:
+		q.service.recordDuration(q.route.Kind, q.g.now()-q.arrivedAt)
 		q.finish("answered", "", out.status())
 		return true
 	case callerDisconnected:
@@ -332,6 +296,9 @@
 		q.fail(out, 0)
 		return true
 	}
+	if q.endForStop(&out) {
+		return true
+	}
 	if !q.retryAfterBackoff(ctx, out, choice) {
 		q.fail(out, q.retryAfterRefusal())
 		return true
@@ -342,9 +309,6 @@
 // retryAfterBackoff reports whether another attempt is to be made. It returns
 // after the backoff that precedes the attempt.
 func (q *request) retryAfterBackoff(ctx context.Context, out outcome, choice placement.Choice) bool {
-	if q.g.stop.isOver() {
-		return false
-	}
 	decision := q.decideRetry(ctx, out, choice)
 	q.logRetry(stepRun, decision)
 	if decision.Action != retry.ActionRetry {
