--- a/internal/agent/witness.go
+++ b/internal/agent/probe.go
@@ -19,49 +19,49 @@
 // complete: the service may have ended before the answer did.
 var errUnconfirmedEnd = errors.New("answer has neither length nor chunks, and its service may have ended")
 
-// witness is a connection to a plain service beside that of one call. It is established
+// probe is a connection to a plain service beside that of one call. It is established
 // before the call is sent, so that only the process that received the call, and no later
 // start of the service, can answer on it.
-type witness struct {
+type probe struct {
 	conn net.Conn
 }
 
-// withWitness returns a context for a call that opens w once the call's own connection is
+// withProbe returns a context for a call that opens p once the call's own connection is
 // established, before anything is sent. A service that accepts one connection at a time
-// thus accepts that of the call first. A nil witness is not opened.
-func withWitness(ctx context.Context, w *witness) context.Context {
-	if w == nil {
+// thus accepts that of the call first. A nil probe is not opened.
+func withProbe(ctx context.Context, p *probe) context.Context {
+	if p == nil {
 		return ctx
 	}
 	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(info httptrace.GotConnInfo) { w.open(ctx, info.Conn.RemoteAddr()) },
+		GotConn: func(info httptrace.GotConnInfo) { p.open(ctx, info.Conn.RemoteAddr()) },
 	})
 }
 
-// open opens the connection. If this fails, the witness confirms nothing.
-func (w *witness) open(ctx context.Context, address net.Addr) {
+// open opens the connection. If this fails, the probe confirms nothing.
+func (p *probe) open(ctx context.Context, address net.Addr) {
 	dialer := net.Dialer{Timeout: dialTimeout}
 	conn, err := dialer.DialContext(ctx, address.Network(), address.String())
 	if err == nil {
-		w.close()
-		w.conn = conn
+		p.close()
+		p.conn = conn
 	}
 }
 
 // confirm asks the service for any answer, which shows that its process has not ended. The
 // request concerns the service as a whole and runs nothing.
-func (w *witness) confirm(ctx context.Context) error {
+func (p *probe) confirm(ctx context.Context) error {
 	// What came before the question does not answer it.
-	if w == nil || w.conn == nil || connstate.Peek(w.conn) != connstate.Idle {
+	if p == nil || p.conn == nil || connstate.Peek(p.conn) != connstate.Idle {
 		return errUnconfirmedEnd
 	}
-	stop := context.AfterFunc(ctx, func() { _ = w.conn.SetDeadline(time.Unix(1, 0)) })
+	stop := context.AfterFunc(ctx, func() { _ = p.conn.SetDeadline(time.Unix(1, 0)) })
 	defer stop()
-	request := &http.Request{Method: http.MethodOptions, URL: &url.URL{Opaque: "*"}, Host: w.conn.RemoteAddr().String(), Close: true}
-	if err := request.Write(w.conn); err != nil {
+	request := &http.Request{Method: http.MethodOptions, URL: &url.URL{Opaque: "*"}, Host: p.conn.RemoteAddr().String(), Close: true}
+	if err := request.Write(p.conn); err != nil {
 		return fmt.Errorf("%w: %w", errUnconfirmedEnd, err)
 	}
-	response, err := http.ReadResponse(bufio.NewReader(w.conn), request)
+	response, err := http.ReadResponse(bufio.NewReader(p.conn), request)
 	if err != nil {
 		return fmt.Errorf("%w: %w", errUnconfirmedEnd, err)
 	}
@@ -69,9 +69,9 @@
 }
 
 // close closes the connection.
-func (w *witness) close() {
-	if w != nil && w.conn != nil {
-		_ = w.conn.Close()
+func (p *probe) close() {
+	if p != nil && p.conn != nil {
+		_ = p.conn.Close()
 	}
 }
 
@@ -115,11 +115,11 @@
 	}
 }
 
-// newWitness returns the witness of the next call; nil if it needs none. A service that has
+// newProbe returns the probe of the next call; nil if it needs none. A service that has
 // marked the ends of all its answers gets no connections beside those of its calls.
-func (s *endsSeen) newWitness() *witness {
+func (s *endsSeen) newProbe() *probe {
 	if s.marked.Load() && !s.ofConnection.Load() {
 		return nil
 	}
-	return &witness{}
+	return &probe{}
 }
--- a/internal/agent/runner_plain.go
+++ b/internal/agent/runner_plain.go
@@ -42,9 +42,9 @@
 func returnRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 
 func (r *plainRunner) run(ctx context.Context, submit *peerv1.Submit, out *emitter) {
-	w := r.ends.newWitness()
-	defer w.close()
-	req, err := r.request(withWitness(ctx, w), submit)
+	p := r.ends.newProbe()
+	defer p.close()
+	req, err := r.request(withProbe(ctx, p), submit)
 	if err != nil {
 		out.fail(notExecuted(peerv1.RefusalReason_REFUSAL_REASON_BAD_REQUEST, err.Error()))
 		return
@@ -55,7 +55,7 @@
 		return
 	}
 	defer resp.Body.Close()
-	body, err := r.body(ctx, submit, resp, w)
+	body, err := r.body(ctx, submit, resp, p)
 	if err != nil {
 		out.fail(brokenResponse(err))
 		return
@@ -84,7 +84,7 @@
 
 // body returns the body of a response. It fails unless the response is complete and does
 // not name another request.
-func (r *plainRunner) body(ctx context.Context, submit *peerv1.Submit, resp *http.Response, w *witness) ([]byte, error) {
+func (r *plainRunner) body(ctx context.Context, submit *peerv1.Submit, resp *http.Response, p *probe) ([]byte, error) {
 	if id := resp.Header.Get(headerRequestID); id != "" && id != submit.GetRequestId() {
 		return nil, fmt.Errorf("answer is for request %q", id)
 	}
@@ -100,7 +100,7 @@
 	if end != endOfConnection {
 		return body, nil
 	}
-	return body, w.confirm(ctx)
+	return body, p.confirm(ctx)
 }
 
 // relay emits a complete response.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -52,7 +52,7 @@
 // defaultBufferBytes is the BufferBytes of a gateway whose memory is not known.
 const defaultBufferBytes = 64 << 20
 
-// defaultStopGrace is the StopGrace of a gateway that is told none.
+// defaultStopGrace is the StopGrace of a gateway whose options state none.
 const defaultStopGrace = 8 * time.Second
 
 // RetryBudget is a retry budget that all gateways share.
