--- a/internal/bodyend/bodyend.go
+++ b/internal/bodyend/bodyend.go
@@ -1,7 +1,7 @@
 // Package bodyend decides whether a response is complete whose body has neither a length
 // nor chunks, so that nothing but the end of its connection ends it. A process that is
 // killed has its connections closed in order too, so that its answer ends in the same way
-// wherever it was cut. What tells the two apart is whether the process outlived its answer.
+// wherever it was cut. The two differ in whether the process outlived its answer.
 // The decision is pure.
 package bodyend
 
--- a/internal/entry/stop_test.go
+++ b/internal/entry/stop_test.go
@@ -23,7 +23,7 @@
 const drainTimeout = 3 * time.Second
 
 // Requests keep arriving on kept connections, so that the drain timeout is reached. A caller
-// goes elsewhere once it is told that the request was not run.
+// goes elsewhere once it has learned that the request was not run.
 func TestKeptConnectionsLoseNoRequestAtEndOfDrain(t *testing.T) {
 	s := newSystem(t, 0)
 	s.waitReady(t)
--- a/internal/logevent/streams.go
+++ b/internal/logevent/streams.go
@@ -12,7 +12,7 @@
 	Resumes  string
 	Decision string
 	// Version and Weights are the software version and the version of the weights at which
-	// it goes on; empty if at any.
+	// it is continued; empty if at any.
 	Version, Weights string
 	// VersionsSeen are the software versions that were seen, and MixedWeights is set if
 	// several versions of the weights were.
