Serve requests under client accounts, and read loads of four figures

Cause: the caller's key was passed on to servers, no account's name was set, and a key of no configuration was served. A load of four figures was discarded without a log line. Change: internal/accounts finds the account of a key by its digest, for gateways and the entry's catalog alike. A gateway refuses what has no known key with 401, authenticates a waiting request anew before each send, and sends the account's name in place of the key. Its priority goes before the route's.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -5,6 +5,7 @@
 
 import (
 	configv1 "github.com/marigoldwing/marigoldwing/api/config/v1"
+	"github.com/marigoldwing/marigoldwing/internal/accounts"
 )
 
 // Catalog is an index of one configuration. It is safe for concurrent use. The
@@ -24,7 +25,7 @@
 	models    map[string]*configv1.Model
 	clients   map[string]*configv1.Client
 	// byToken indexes clients by their bearer token.
-	byToken map[string]*configv1.Client
+	byToken accounts.KeyIndex[*configv1.Client]
 	// regions holds the region of each failure domain.
 	regions map[string]string
 }
@@ -41,7 +42,7 @@
 		byAgent:   make(map[string][]*configv1.BackendServer),
 		models:    make(map[string]*configv1.Model),
 		clients:   make(map[string]*configv1.Client),
-		byToken:   make(map[string]*configv1.Client),
+		byToken:   make(accounts.KeyIndex[*configv1.Client]),
 		regions:   make(map[string]string),
 	}
 	c.indexServices()
@@ -77,7 +78,7 @@
 	for _, client := range c.Deployment().GetClients() {
 		c.clients[client.GetName()] = client
 		if client.GetToken() != "" {
-			c.byToken[client.GetToken()] = client
+			c.byToken[accounts.DigestOf(client.GetToken())] = client
 		}
 	}
 }
@@ -163,8 +164,7 @@
 
 // ClientByToken returns the client account with the given bearer token.
 func (c *Catalog) ClientByToken(token string) (*configv1.Client, bool) {
-	client, ok := c.byToken[token]
-	return client, ok
+	return c.byToken.Find(token)
 }
 
 // MaxBodyBytes returns the highest body size limit of all model services, or 0 if
--- a/internal/fleet/config.go
+++ b/internal/fleet/config.go
@@ -9,6 +9,8 @@
 	"hash/fnv"
 	"strings"
 	"time"
+
+	"github.com/marigoldwing/marigoldwing/internal/accounts"
 )
 
 // RequestKind defines how often a request may be executed.
@@ -66,7 +68,9 @@
 	MaxAttempts int
 	// Priority of the requests; 0 is the most urgent.
 	Priority int
-	Targets  []Target
+	// Public requests need no key of a client account.
+	Public  bool
+	Targets []Target
 }
 
 // Retryable reports whether a request may be sent again after it may have been
@@ -128,6 +132,8 @@
 	Version int64
 	// MaxBodyBytes bounds the size of a request body.
 	MaxBodyBytes int64
+	// Accounts are the client accounts; nil if requests need no key.
+	Accounts *accounts.Directory
 
 	services map[string]Service
 	hosts    map[string][]Route
@@ -167,6 +173,15 @@
 	return names
 }
 
+// Routes returns the routes. Those of a host are in the order of the configuration.
+func (c *Config) Routes() []Route {
+	var routes []Route
+	for _, ofHost := range c.hosts {
+		routes = append(routes, ofHost...)
+	}
+	return routes
+}
+
 // Match returns the route of the host with the longest prefix of the path.
 func (c *Config) Match(host, path string) (Route, bool) {
 	best := -1
--- /dev/null
+++ b/internal/gateway/accounts.go
@@ -0,0 +1,94 @@
+package gateway
+
+import (
+	"errors"
+	"net/http"
+
+	"github.com/marigoldwing/marigoldwing/internal/fleet"
+)
+
+// Reasons why a request is not authorized. Their texts are metric labels.
+var (
+	errKeyMissing = errors.New("key_missing")
+	errKeyUnknown = errors.New("key_unknown")
+)
+
+// reasonKeyWithdrawn is the reason of requests that had an account when they arrived, and
+// whose key is unknown to the configuration that is in force when they are to be sent.
+const reasonKeyWithdrawn = "key_withdrawn"
+
+// authenticate finds the client account of the request in a configuration.
+func (q *request) authenticate(config *fleet.Config) error {
+	q.authConfig, q.account = config, nil
+	if config.Accounts == nil || q.route.Public {
+		return nil
+	}
+	if q.meta.Key == "" {
+		return errKeyMissing
+	}
+	account, ok := config.Accounts.Authenticate(q.meta.Key)
+	if !ok {
+		return errKeyUnknown
+	}
+	q.account = account
+	// The account remains the same caller when its keys change.
+	q.meta.Caller = "account " + account.Name
+	return nil
+}
+
+// refuseUnauthorized ends a request that has not run because it lacks the key of a client
+// account.
+func (q *request) refuseUnauthorized(err error) {
+	q.w.Header().Set("WWW-Authenticate", "Bearer")
+	q.refuse(refusal{status: http.StatusUnauthorized, reason: err.Error()})
+}
+
+// isAuthorized reports whether the request has the same client account in the
+// configuration in force as when it was authenticated.
+func (q *request) isAuthorized() bool {
+	config := q.g.state.Load().config
+	switch {
+	case config == q.authConfig || q.route.Public:
+		return true
+	case config.Accounts == nil || q.account == nil:
+		return config.Accounts == nil && q.account == nil
+	}
+	account, ok := config.Accounts.Authenticate(q.meta.Key)
+	return ok && account.Name == q.account.Name
+}
+
+// endUnauthorized authenticates the request anew if its account is another one in the
+// configuration in force, because keys may have been withdrawn while it waited. It reports whether it has ended the
+// request, whose last attempt had the given outcome.
+func (q *request) endUnauthorized(last *outcome) bool {
+	if q.isAuthorized() {
+		return false
+	}
+	err := q.authenticate(q.g.state.Load().config)
+	switch {
+	case err == nil:
+		return false
+	case q.possibleExecutions > 0 || q.headerSent:
+		q.fail(lastOutcomeOr(last, reasonKeyWithdrawn), 0)
+	default:
+		q.refuseUnauthorized(errors.New(reasonKeyWithdrawn))
+	}
+	return true
+}
+
+// accountName returns the name of the client account; empty if the request has none.
+func (q *request) accountName() string {
+	if q.account == nil {
+		return ""
+	}
+	return q.account.Name
+}
+
+// basePriority returns the priority of the account if it has one, and otherwise that of
+// the route.
+func (q *request) basePriority() int {
+	if q.account != nil && q.account.HasPriority {
+		return q.account.Priority
+	}
+	return q.route.Priority
+}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -248,6 +248,7 @@
 
 // upstreamRequest returns the request to send to a backend server.
 func (q *request) upstreamRequest(server fleet.Server, meta AttemptMeta) upstream.Request {
+	meta.Account, meta.OmitKey = q.accountName(), q.authConfig.Accounts != nil
 	return upstream.Request{
 		ID:     q.meta.ID,
 		Method: q.r.Method,
--- a/internal/gateway/coordinate.go
+++ b/internal/gateway/coordinate.go
@@ -109,7 +109,7 @@
 		c.g.log.Write(logevent.CoordinatorRecovered(name))
 	}
 	q.service.setPeerPrefillLoads(c.g.now(), name, loadsFromProto(reply.GetPrefillLoads()))
-	choice, ok := q.service.choiceFromReply(c.g.now(), reply, q.route.Priority)
+	choice, ok := q.service.choiceFromReply(c.g.now(), reply, q.priority())
 	if !ok {
 		q.notifyPlaceEnded(false)
 		return choice, false
@@ -170,7 +170,7 @@
 
 // choiceFromReply converts a coordinator's reply. It reports whether this
 // gateway knows the chosen servers and considers them usable.
-func (s *service) choiceFromReply(now time.Duration, r *peerv1.PlaceReply, routePriority int) (placement.Choice, bool) {
+func (s *service) choiceFromReply(now time.Duration, r *peerv1.PlaceReply, ownPriority int) (placement.Choice, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	c := placement.Choice{
@@ -180,7 +180,7 @@
 		TimeToPrefilled:  time.Duration(r.GetPrefilledUs()) * time.Microsecond,
 		LoadAge:          time.Duration(r.GetLoadAgeUs()) * time.Microsecond,
 		Deferred:         r.GetDeferred(),
-		Priority:         replyPriority(r, routePriority),
+		Priority:         replyPriority(r, ownPriority),
 		Split:            r.GetPrefillServer() != "",
 	}
 	s.setWeights(now, s.limits.Allows)
@@ -195,10 +195,10 @@
 }
 
 // replyPriority returns the priority of a prompt at its engine. A coordinator of
-// an earlier version does not report it; the route's priority is used then.
-func replyPriority(r *peerv1.PlaceReply, routePriority int) int {
+// an earlier version does not report it; the request's own priority is used then.
+func replyPriority(r *peerv1.PlaceReply, ownPriority int) int {
 	if r.Priority == nil {
-		return routePriority
+		return ownPriority
 	}
 	return int(r.GetPriority())
 }
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/marigoldwing/marigoldwing/internal/accounts"
 	"github.com/marigoldwing/marigoldwing/internal/eventstream"
 	"github.com/marigoldwing/marigoldwing/internal/fleet"
 	"github.com/marigoldwing/marigoldwing/internal/logevent"
@@ -25,6 +26,10 @@
 	service *service
 	config  *fleet.Config
 	body    []byte
+	// account is the client account of the request's key according to authConfig; nil if
+	// the request needs none.
+	account    *accounts.Account
+	authConfig *fleet.Config
 	// traits are what the request has in common with others that may crash servers.
 	traits []poison.Trait
 	// sentAt is when the last attempt was sent, and proven is set once an engine has
@@ -142,6 +147,10 @@
 		return false
 	}
 	q.route = route
+	if err := q.authenticate(current.config); err != nil {
+		q.refuseUnauthorized(err)
+		return false
+	}
 	q.service = current.services[route.Target(q.meta.ID)]
 	timeout := q.meta.Timeout
 	if timeout == 0 {
@@ -170,7 +179,7 @@
 	// request if no further attempt can be made.
 	var last *outcome
 	for {
-		if q.endForStop(last) || q.refuseBlocked(ctx, last) {
+		if q.endForStop(last) || q.endUnauthorized(last) || q.refuseBlocked(ctx, last) {
 			return
 		}
 		choice, err := q.choose(ctx)
--- a/internal/gateway/log.go
+++ b/internal/gateway/log.go
@@ -14,7 +14,8 @@
 		RequestID:     q.meta.ID,
 		Route:         q.route.Name,
 		Service:       q.service.name,
-		ConfigVersion: q.config.Version,
+		Client:        q.accountName(),
+		ConfigVersion: q.authConfig.Version,
 		Number:        q.sends,
 		Server:        c.Server.ID,
 		Predicted:     c.TimeToFirstEvent,
@@ -76,6 +77,7 @@
 	ended := logevent.RequestEnded{
 		RequestID: q.meta.ID,
 		Route:     q.route.Name,
+		Client:    q.accountName(),
 		Outcome:   outcome,
 		Reason:    reason,
 		Status:    status,
--- a/internal/gateway/pauses.go
+++ b/internal/gateway/pauses.go
@@ -36,11 +36,12 @@
 
 // permitRequest returns the function that permits a caller's request to a server at the
 // moment of the send: not if the caller has left, or if the server has stated since the
-// choice that it leaves, or asked for a pause.
+// choice that it leaves, or asked for a pause, or if another configuration is in force
+// since, under which the request's key must be looked up again.
 func (q *request) permitRequest(server fleet.Server) func() bool {
 	return func() bool {
 		q.left = callerLeft(q.r)
-		return !q.left && q.stopAction() == drain.Send && q.service.mayReceive(q.g.now(), server.Key())
+		return !q.left && q.isAuthorized() && q.stopAction() == drain.Send && q.service.mayReceive(q.g.now(), server.Key())
 	}
 }
 
--- a/internal/gateway/protocol.go
+++ b/internal/gateway/protocol.go
@@ -15,6 +15,9 @@
 	// Caller is the identity that the caller states, of which only the equality
 	// matters; empty if it states none.
 	Caller string
+	// Key is the key of a client account that the caller presents; empty if it presents
+	// none. It must not leave the process.
+	Key string
 	// Timeout is how long the caller waits for the response; 0 if unspecified.
 	Timeout time.Duration
 	// Parts of the prompt, in order; empty for plain services.
@@ -46,6 +49,10 @@
 	FetchFrom string
 	// Priority is the request's priority; 0 is the most urgent.
 	Priority int
+	// Account is the name of the client account for which the request is served; empty if
+	// there is none. OmitKey leaves out the key that the caller has presented.
+	Account string
+	OmitKey bool
 	// LastEventID is the ID of the event after which the stream is to continue.
 	LastEventID string
 	// Weights is the version of the weights that the server must have. One with another
@@ -80,8 +87,10 @@
 	// request.
 	NotExecuted bool
 	// Load is the server's load report; valid if HasLoad is set.
-	Load    placement.Load
-	HasLoad bool
+	// LoadMalformed is set if a part of the report can't be read.
+	Load          placement.Load
+	HasLoad       bool
+	LoadMalformed bool
 	// Misdirected is set if the server refuses because the request is meant for another:
 	// one that has taken over the address, or one with other weights or of the wrong stage.
 	Misdirected bool
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -35,6 +35,8 @@
 	// durations are those of the latest answers, by the kind of their requests.
 	durations  map[fleet.RequestKind]*drain.Durations
 	registered []fleet.Server
+	// malformedLoads are the servers whose stated load could not be read, for the log.
+	malformedLoads map[string]bool
 	// coordinatorSince is when this gateway became the coordinator that places
 	// all long prompts of the service, or notCoordinator.
 	coordinatorSince time.Duration
@@ -53,6 +55,7 @@
 		poison:  poison.New(),
 		origins: streamorigin.New(g.now()),
 
+		malformedLoads:   make(map[string]bool),
 		durations:        make(map[fleet.RequestKind]*drain.Durations),
 		coordinatorSince: notCoordinator,
 	}
@@ -69,6 +72,7 @@
 	crashes := s.enginesGone(now, servers)
 	s.setHealth(now, servers)
 	s.registered = servers
+	clear(s.malformedLoads)
 	s.limits.Retain(now, startsOf(servers))
 	return crashes, s.origins.SetVersions(now, softwareVersions(servers))
 }
@@ -212,6 +216,17 @@
 	s.table.RecordLoad(now, id, meta.Load)
 }
 
+// firstMalformedLoad reports whether this is the first malformed load of a server.
+func (s *service) firstMalformedLoad(id string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.malformedLoads[id] {
+		return false
+	}
+	s.malformedLoads[id] = true
+	return true
+}
+
 func (s *service) recordRefusal(now time.Duration, id string, pause time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/gateway/statements.go
+++ b/internal/gateway/statements.go
@@ -28,6 +28,9 @@
 		return
 	}
 	q.g.observeDeparture(server, kind, q.meta.ID, response)
+	if response.LoadMalformed && q.service.firstMalformedLoad(server.ID) {
+		q.g.log.Write(logevent.ServerLoadMalformed(server.ID, q.service.name))
+	}
 	q.observeLimit(server, sentAt, response)
 	q.g.observePause(q.service, server, kind, q.meta.ID, response)
 	if !response.NotExecuted && q.service.accepted(server, sentAt) {
--- a/internal/gateway/streams.go
+++ b/internal/gateway/streams.go
@@ -250,7 +250,7 @@
 	if q.hasBegun() {
 		return 0
 	}
-	return q.route.Priority
+	return q.basePriority()
 }
 
 // decideTakeUp decides how the stream that the request takes up may go on, from what
--- a/internal/logevent/request.go
+++ b/internal/logevent/request.go
@@ -11,6 +11,8 @@
 // decision, and the result.
 type Attempt struct {
 	RequestID, Route, Service string
+	// Client is the name of the client account; empty if there is none.
+	Client string
 	// ConfigVersion is the version of the configuration that the request is
 	// served with.
 	ConfigVersion int64
@@ -89,7 +91,7 @@
 
 // attemptFields is the largest number of fields of an Attempt line. It sizes
 // the field slice so that one allocation suffices.
-const attemptFields = 31
+const attemptFields = 32
 
 // Event returns the log line.
 func (a Attempt) Event() Event {
@@ -97,6 +99,7 @@
 	e.with(slog.String(KeyRequestID, a.RequestID))
 	e.with(slog.String(keyRoute, a.Route))
 	e.with(slog.String(keyService, a.Service))
+	e.withText(keyClient, a.Client)
 	e.with(slog.Int64(keyConfigVersion, a.ConfigVersion))
 	e.with(slog.Int(keyAttempt, a.Number))
 	e.with(slog.String(keyServer, a.Server))
@@ -181,6 +184,8 @@
 // RequestEnded describes the end of a request and what its caller received.
 type RequestEnded struct {
 	RequestID, Route string
+	// Client is the name of the client account; empty if there is none.
+	Client string
 	// Outcome is answered, refused, failed, unknown, broken or caller_left.
 	Outcome, Reason string
 	// Status is the HTTP status sent to the caller; 0 if it received no complete
@@ -211,13 +216,14 @@
 const OutcomeRefused = "refused"
 
 // requestEndedFields is the largest number of fields of a RequestEnded line.
-const requestEndedFields = 12
+const requestEndedFields = 13
 
 // Event returns the log line.
 func (r RequestEnded) Event() Event {
 	e := Event{level: slog.LevelInfo, message: "request ended", fields: make([]slog.Attr, 0, requestEndedFields)}
 	e.with(slog.String(KeyRequestID, r.RequestID))
 	e.with(slog.String(keyRoute, r.Route))
+	e.withText(keyClient, r.Client)
 	e.with(slog.String(keyOutcome, r.Outcome))
 	e.with(slog.Int(keyStatus, r.Status))
 	e.with(slog.Int(keyAttempts, r.Attempts))
--- a/internal/logevent/system.go
+++ b/internal/logevent/system.go
@@ -13,6 +13,18 @@
 	return info("configuration applied", slog.Int64(keyVersion, version), slog.Any(keyRevision, revision))
 }
 
+// AccountIgnored reports that a part of a client account's entry in a configuration is not
+// used.
+func AccountIgnored(account, reason string, version int64) Event {
+	return failure("entry of a client account is not used as written", slog.String(keyClient, account), slog.String(keyReason, reason),
+		slog.Int64(keyVersion, version))
+}
+
+// ServerLoadMalformed reports that a server states its load in a way that can't be read.
+func ServerLoadMalformed(server, service string) Event {
+	return info("load stated by a server is malformed", slog.String(keyServer, server), slog.String(keyService, service))
+}
+
 // ConfigRevisionApplied reports that an entry or agent now uses a
 // configuration.
 func ConfigRevisionApplied(revision uint64) Event {
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -93,6 +93,9 @@
 // Load is the load that a server reports with a response.
 type Load struct {
 	Running, Waiting, Slots int
+	// WorkPercent is how long work takes on the server's instance at present, in percent
+	// of what is usual; 0 if the server does not state it.
+	WorkPercent float64
 }
 
 // Options configure the scoring of a Table. Penalties are in seconds of
--- a/internal/registry/follower.go
+++ b/internal/registry/follower.go
@@ -200,9 +200,20 @@
 	}
 	f.config = next
 	f.log.Write(logevent.ConfigApplied(next.Version, asOf))
+	f.logAccountProblems(next)
 	f.publish()
 }
 
+// logAccountProblems logs what is not used of the client accounts of a configuration.
+func (f *Follower) logAccountProblems(config *fleet.Config) {
+	if config.Accounts == nil {
+		return
+	}
+	for _, p := range config.Accounts.Problems() {
+		f.log.Write(logevent.AccountIgnored(p.Account, p.Reason, config.Version))
+	}
+}
+
 func (f *Follower) listServers(ctx context.Context) (revision.Revision, error) {
 	changes, asOf, err := f.source.Servers(ctx)
 	if err != nil {
--- a/internal/settings/schema.go
+++ b/internal/settings/schema.go
@@ -67,6 +67,13 @@
 		{Name: "config_apply_ms", Unit: "ms", Default: "15000", Allowed: inischema.FloatRange{Min: 200, Max: 600_000}, Help: "Time within which a new configuration must be applied."},
 		{Name: "drain_notice_ms", Unit: "ms", Default: "3000", Allowed: inischema.FloatRange{Min: 200, Max: 600_000}, Help: "Time after which a draining backend server must get no new requests."},
 		{Name: "memory_mb", Unit: "MB", Default: "0", Allowed: inischema.FloatRange{Max: 1 << 20}, Help: "Memory limit of the process; 0 means no limit."},
+		{Name: "revocation_limit_ms", Unit: "ms", Default: "0", Allowed: inischema.FloatRange{Max: 600_000}, Help: "Time without confirmation of the configuration after which requests that need a key are refused; 0 means never."},
+		{Name: "duty_address", Allowed: inischema.Address{}, Help: "Address of the platform's API for duties that one gateway performs for all; without it none is performed."},
+		{Name: "duties", Allowed: inischema.Name, Help: "Duties to perform, separated by commas: usage_report, autoscale. Others are ignored with a log line."},
+		{Name: "duty_fenced", Default: "false", Allowed: inischema.Bool, Help: "Whether the platform rejects duty calls with a lower fencing token than it has seen."},
+		{Name: "duty_rate", Unit: "1/s", Default: "50", Allowed: inischema.FloatRange{Min: 0.1, Max: 1_000_000}, Help: "Duty calls per second that the platform accepts from all gateways together."},
+		{Name: "usage_window_s", Unit: "s", Default: "60", Allowed: inischema.FloatRange{Min: 1, Max: 86_400}, Help: "Length of the windows for which usage is reported."},
+		{Name: "usage_due_s", Unit: "s", Default: "60", Allowed: inischema.FloatRange{Min: 1, Max: 86_400}, Help: "Time after the end of a window at which its report is due."},
 		{Name: "log_verbosity", Default: "0", Allowed: inischema.IntRange{Min: 0, Max: 4}, Help: "Log verbosity; 0 logs at level info."},
 	},
 }
