Report usage as the duty of one gateway, and get configurations from peers

Cause: nobody reported the usage of client accounts, and a gateway that the store turned away served withdrawn keys for as long as that lasted. Change: internal/duty gives one gateway the right to act, with a fencing token and the time that holders keep apart; orders to engines use it too. Each gateway counts runs (internal/usage); the holder collects them four times per window, stores the ledger on condition of its version, and reports closed windows with counts that never change. A gateway that is behind another one fetches its configuration, with digests in place of keys. The term of a lease goes on if its record is deleted.

--- a/cmd/marigold-gateway/main.go
+++ b/cmd/marigold-gateway/main.go
@@ -22,16 +22,21 @@
 	signal.Notify(hangups, syscall.SIGHUP)
 	run := func(ctx context.Context, s *settingsv1.Gateway, logs telemetry.Logs) error {
 		store := platform.NewStore("http://" + s.GetPlatformAddress())
-		return gateway.Run(ctx, s, gateway.Dependencies{
+		deps := gateway.Dependencies{
 			Source:        store,
 			Protocol:      platform.Protocol{},
 			StageProtocol: platform.Protocol{},
 			Leases:        store,
 			Peers:         store,
 			Blocks:        store,
+			Usage:         store,
 			LoadSettings:  reload,
 			Hangups:       hangups,
-		}, logs)
+		}
+		if s.GetDutyAddress() != "" {
+			deps.Duties = platform.NewDuties("http://" + s.GetDutyAddress())
+		}
+		return gateway.Run(ctx, s, deps, logs)
 	}
 	process.RunAndExit(settings.LoadGateway, run)
 }
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -289,12 +289,18 @@
 		return q.withdrawn()
 	}
 	if err != nil {
+		if !errors.Is(err, upstream.ErrNotSent) {
+			q.countAttempt(sentAt, true)
+		}
 		return q.sendFailed(ctx, err, headTimedOut)
 	}
 	defer exchange.Release()
 	q.service.recordPrefilled(q.g.now(), inFlight)
 	q.notifyPlaceEnded(true)
 	response := q.g.opts.Protocol.ParseResponse(exchange.Response.StatusCode, exchange.Response.Header)
+	if !response.NotExecuted {
+		q.countAttempt(sentAt, false)
+	}
 	q.service.recordLoad(q.g.now(), c.Server.ID, response)
 	q.observeStatements(c.Server, answerToRun, sentAt, response)
 	if response.NotExecuted && meta.KVSource == nil && !refusesWeights(meta, response) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -109,6 +109,11 @@
 	// origins lets gateways remember where each other's streams began; nil if the gateway
 	// runs without peers.
 	origins *streamOrigins
+	// usage counts the runs of client accounts; nil if they are not reported.
+	usage *usageCount
+	// duties make the calls to the platform that one gateway makes for all; nil if there
+	// are none.
+	duties *duties
 }
 
 // New returns a Gateway without configuration. It refuses all requests until
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -30,6 +30,8 @@
 	// the request needs none.
 	account    *accounts.Account
 	authConfig *fleet.Config
+	// counted is set once the run of the request has been counted.
+	counted bool
 	// traits are what the request has in common with others that may crash servers.
 	traits []poison.Trait
 	// sentAt is when the last attempt was sent, and proven is set once an engine has
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -8,7 +8,7 @@
 
 // metrics are the request metrics of a gateway. Attempts are counted by step
 // (prefill or run) and outcome, ends of streams, decisions about retries by why they denied one,
-// placements of long prompts by the gateway that made them; loadAge is the age of
+// placements of long prompts by the gateway that made them, calls for duties; loadAge is the age of
 // the load report that a placement used.
 type metrics struct {
 	requests      *prometheus.CounterVec
@@ -25,6 +25,7 @@
 	departures    *prometheus.CounterVec
 	pauses        *prometheus.CounterVec
 	engineCrashes *prometheus.CounterVec
+	dutyCalls     *prometheus.CounterVec
 	inflight      prometheus.Gauge
 	configVersion prometheus.Gauge
 }
@@ -75,6 +76,9 @@
 		pauses: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "marigold_gateway_server_pauses_total", Help: "Refusals in which a backend server asked for a pause, by service.",
 		}, []string{"service"}),
+		dutyCalls: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "marigold_gateway_duty_calls_total", Help: "Calls to the platform that one gateway makes for all, by duty and outcome.",
+		}, []string{"duty", "outcome"}),
 		inflight: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "marigold_gateway_inflight_requests", Help: "Requests that have been read and not answered.",
 		}),
@@ -82,7 +86,7 @@
 			Name: "marigold_gateway_config_version", Help: "Version of the configuration in force.",
 		}),
 	}
-	registerer.MustRegister(m.requests, m.attempts, m.retries, m.streamEnds, m.unframedEnds, m.resumes, m.firstEvent, m.eventGap, m.duration, m.loadAge, m.placements, m.engineCrashes, m.departures, m.pauses, m.inflight, m.configVersion)
+	registerer.MustRegister(m.requests, m.attempts, m.retries, m.streamEnds, m.unframedEnds, m.resumes, m.firstEvent, m.eventGap, m.duration, m.loadAge, m.placements, m.engineCrashes, m.dutyCalls, m.departures, m.pauses, m.inflight, m.configVersion)
 	return m
 }
 
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -15,6 +15,10 @@
 type peerAdapter struct {
 	g        *Gateway
 	follower *registry.Follower
+	// ctx ends with the process. It bounds the fetches of configurations that heartbeats
+	// give rise to.
+	ctx     context.Context
+	configs *configFetcher
 }
 
 // fillHeartbeat adds this gateway's configuration revision, registration
@@ -105,6 +109,7 @@
 		a.g.mergeLimits(s, h)
 		a.g.mergeDepartures(s, h)
 	}
+	a.configs.observe(a.ctx, h)
 	a.g.mergePoison(h.GetSender(), h.GetPoisonReports())
 }
 
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"os"
 	"runtime/debug"
+	"slices"
 	"time"
 
 	"github.com/go-kratos/kratos/v2/transport"
@@ -53,6 +54,10 @@
 	Peers gatewaypeers.Store
 	// Blocks is the store that keeps the blocked parts of prompts.
 	Blocks BlockStore
+	// Duties makes the calls of duties; nil if there are none.
+	Duties DutyPlatform
+	// Usage is the store that keeps the usage ledger.
+	Usage UsageStore
 	// LoadSettings reads the settings again.
 	LoadSettings func() (*settingsv1.Gateway, error)
 	// Hangups receives a value for each SIGHUP, from the start of the process to its end.
@@ -84,20 +89,24 @@
 	peerMetrics := peerrpc.NewMetrics(metrics)
 	client := peerrpc.NewClient(peerrpc.ClientOptions{Metrics: peerMetrics})
 	defer client.Close()
-	adapter := peerAdapter{g: g, follower: follower}
+	configs := &configFetcher{log: log, client: client, follower: follower}
+	adapter := peerAdapter{g: g, follower: follower, ctx: ctx, configs: configs}
 	var heartbeater *gatewaypeers.Heartbeater
 	placer := g.EnableCoordination(client, func(service string) (name, address string) { return heartbeater.Owner(service) })
 	streams := g.EnableStreamOrigins(client)
 	trials := g.EnableTrials(client, func(key string) (name, address string) { return heartbeater.Owner(key) })
+	incarnation := uint64(time.Now().UnixNano())
+	usageCounter := g.configureUsage(s, deps, incarnation)
 	heartbeater = gatewaypeers.NewHeartbeater(gatewaypeers.Options{
-		Name: s.GetName(), FailureDomain: s.GetFailureDomain(), Address: s.GetPeerAddress(), Incarnation: uint64(time.Now().UnixNano()),
-		Store: deps.Peers, Client: client, Log: log, FillHeartbeat: adapter.fillHeartbeat, OnHeartbeat: adapter.handleHeartbeat, OnReply: adapter.handleReply, Placer: placer, Streams: streams, Trials: trials,
+		Name: s.GetName(), FailureDomain: s.GetFailureDomain(), Address: s.GetPeerAddress(), Incarnation: incarnation, Usage: usageCounter,
+		Store: deps.Peers, Client: client, Log: log, FillHeartbeat: adapter.fillHeartbeat, OnHeartbeat: adapter.handleHeartbeat, OnReply: adapter.handleReply, FetchConfig: configs.serve, Placer: placer, Streams: streams, Trials: trials,
 	})
 	g.peers = heartbeater
 	g.readServers = follower.ConfirmServers
 	stageOptions := StageControllerOptions{
 		Protocol: deps.StageProtocol, Leases: deps.Leases, LeaseDuration: milliseconds(s.GetOrderLeaseMs()), Members: heartbeater.SharingNames,
 	}
+	g.configureDuties(s, deps, client, heartbeater)
 	follower.SetGatewayCount(heartbeater.LiveCount)
 	follower.SetRelay(heartbeater.Relay, lease.BootTime)
 	follower.SetOnChange(heartbeater.NotifyPeers)
@@ -123,6 +132,7 @@
 			func(ctx context.Context) { g.KeepBlocks(ctx, deps.Blocks) },
 			func(ctx context.Context) { g.KeepSoftwareVersions(ctx, deps.Blocks) },
 			func(ctx context.Context) { g.RunStageControllers(ctx, stageOptions) },
+			g.RunDuties,
 		},
 		Drain:         g.Drain,
 		DrainTimeout:  schedule.AcceptUntil + drainMargin,
@@ -132,6 +142,45 @@
 	})
 }
 
+// hasDuty reports whether the settings name a duty that this gateway can perform.
+func hasDuty(s *settingsv1.Gateway, deps Dependencies, name string) bool {
+	return deps.Duties != nil && slices.Contains(s.GetDuties(), name)
+}
+
+// configureUsage lets the gateway count runs if the settings ask for reports of usage. It
+// returns what serves the questions of other gateways, nil if nothing is counted.
+func (g *Gateway) configureUsage(s *settingsv1.Gateway, deps Dependencies, incarnation uint64) peerrpc.UsageCounter {
+	if !hasDuty(s, deps, dutyUsage) {
+		return nil
+	}
+	g.EnableUsage(incarnation, seconds(s.GetUsageWindowS()))
+	return g.usage
+}
+
+// configureDuties enables the duties that the settings name.
+func (g *Gateway) configureDuties(s *settingsv1.Gateway, deps Dependencies, client UsageClient, heartbeater *gatewaypeers.Heartbeater) {
+	if deps.Duties == nil {
+		return
+	}
+	for _, name := range s.GetDuties() {
+		if name != dutyUsage && name != dutyScaling {
+			g.log.Write(logevent.DutyUnknown(name))
+		}
+	}
+	options := DutyOptions{
+		Platform: deps.Duties, Leases: deps.Leases, LeaseDuration: milliseconds(s.GetOrderLeaseMs()), Fenced: s.GetDutyFenced(),
+		CallsPerSecond: s.GetDutyRate(), Members: heartbeater.SharingNames,
+	}
+	var usageOptions *UsageOptions
+	if hasDuty(s, deps, dutyUsage) {
+		usageOptions = &UsageOptions{
+			Store: deps.Usage, Client: client, Peers: heartbeater.Reachable,
+			Window: seconds(s.GetUsageWindowS()), Due: seconds(s.GetUsageDueS()),
+		}
+	}
+	g.EnableDuties(options, usageOptions)
+}
+
 // bounds returns the times within which changes in the store must take effect.
 func bounds(s *settingsv1.Gateway) registry.Bounds {
 	return registry.Bounds{Config: milliseconds(s.GetConfigApplyMs()), Leaving: milliseconds(s.GetDrainNoticeMs())}
--- a/internal/gateway/stages.go
+++ b/internal/gateway/stages.go
@@ -11,6 +11,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/marigoldwing/marigoldwing/internal/duty"
 	"github.com/marigoldwing/marigoldwing/internal/fleet"
 	"github.com/marigoldwing/marigoldwing/internal/lease"
 	"github.com/marigoldwing/marigoldwing/internal/logevent"
@@ -75,25 +76,19 @@
 // stageController changes the stages of one service's engines while this
 // process holds the lease for it.
 type stageController struct {
-	g           *Gateway
-	log         logevent.Log
-	service     string
-	protocol    StageProtocol
-	participant *lease.Participant
-	// members returns the gateways that may hold the lease; nil if unknown.
-	members func() []string
-	// settlePeriod is how long a new holder sends no orders after it acquired
-	// the lease, so that orders of two holders do not interleave.
-	settlePeriod time.Duration
+	g        *Gateway
+	log      logevent.Log
+	service  string
+	protocol StageProtocol
+	duty     *duty.Duty
 
 	// pollRound selects the engines that are polled in this round.
 	pollRound int
 
-	// state, term and termStart belong to the lease currently held; term is 0 while
-	// the lease is not held.
-	state     stageplan.State
-	term      uint64
-	termStart time.Duration
+	// state and term belong to the lease currently held; term is 0 while the lease is not
+	// held.
+	state stageplan.State
+	term  uint64
 	// pending maps engines whose last order had no clear answer to the time from
 	// which that order can no longer be carried out.
 	pending map[string]time.Duration
@@ -140,19 +135,29 @@
 }
 
 func (cs *stageControllers) controller(service string) *stageController {
-	self := lease.Identity{Name: cs.g.opts.Name, Incarnation: uint64(time.Now().UnixNano())}
-	onRestore := func(generation uint64, wait time.Duration) {
-		cs.g.log.Write(logevent.LeaseSuspendedByRestore(service, generation, wait))
-	}
+	settle := settlePeriod(cs.opts.LeaseDuration)
 	return &stageController{
 		g: cs.g, log: cs.g.log, service: service, protocol: cs.opts.Protocol,
-		participant: lease.NewParticipant(cs.opts.Leases, service, lease.Options{
-			Self: self, TTL: ttlFactor * cs.opts.LeaseDuration, Clock: lease.BootTime, Rank: int(xxhash.Sum64String(self.Name) % initialRanks),
-			OnRestore: onRestore,
+		duty: duty.New(duty.Options{
+			Name: service, Holder: cs.g.opts.Name, Store: cs.opts.Leases, TTL: ttlFactor * cs.opts.LeaseDuration,
+			SettleAfterExpiry: settle, SettleAfterRelease: settle,
+			Members: cs.opts.Members, Rank: initialRank(cs.g.opts.Name), OnRestore: cs.g.logLeaseRestore(service),
 		}),
-		members:      cs.opts.Members,
-		settlePeriod: cs.opts.LeaseDuration + cs.opts.LeaseDuration/4,
-		pending:      make(map[string]time.Duration),
+		pending: make(map[string]time.Duration),
+	}
+}
+
+// settlePeriod returns how long a new holder does not act whose predecessor may have acted
+// until just before, so that the acts of several holders do not interleave.
+func settlePeriod(leaseDuration time.Duration) time.Duration { return leaseDuration + leaseDuration/4 }
+
+// initialRank returns the rank of a gateway for leases until the others are known.
+func initialRank(name string) int { return int(xxhash.Sum64String(name) % initialRanks) }
+
+// logLeaseRestore returns a function that logs that a restore of the store suspends a lease.
+func (g *Gateway) logLeaseRestore(name string) func(generation uint64, wait time.Duration) {
+	return func(generation uint64, wait time.Duration) {
+		g.log.Write(logevent.LeaseSuspendedByRestore(name, generation, wait))
 	}
 }
 
@@ -164,17 +169,14 @@
 // run makes decisions until ctx ends.
 func (c *stageController) run(ctx context.Context) {
 	var loop sync.WaitGroup
-	loop.Go(func() { c.participant.Run(ctx) })
+	loop.Go(func() { c.duty.Run(ctx) })
 	defer loop.Wait()
 	runEvery(ctx, pollInterval, func() { c.tick(ctx) })
 }
 
 // tick makes one decision if this process holds the lease.
 func (c *stageController) tick(ctx context.Context) {
-	if c.members != nil {
-		c.participant.SetRank(lease.Rank(c.service, c.g.opts.Name, c.members()))
-	}
-	authority, ok := c.participant.Authority()
+	token, ok := c.duty.Token()
 	if !ok {
 		if c.term != 0 {
 			c.log.Write(logevent.StageLeaseLost(c.service, c.term))
@@ -182,12 +184,11 @@
 		c.term = 0
 		return
 	}
-	now := c.g.now()
-	if authority.Term != c.term {
-		c.log.Write(logevent.StageLeaseAcquired(c.service, authority.Term))
-		c.term, c.termStart, c.state = authority.Term, now, stageplan.State{}
+	if token.Fence != c.term {
+		c.log.Write(logevent.StageLeaseAcquired(c.service, token.Fence))
+		c.term, c.state = token.Fence, stageplan.State{}
 	}
-	if c.g.stop.hasBegun() || now-c.termStart < c.settlePeriod {
+	if c.g.stop.hasBegun() {
 		return
 	}
 	s := c.g.state.Load().services[c.service]
@@ -285,8 +286,8 @@
 
 // sendOrder sends one order. It checks the lease again immediately before.
 func (c *stageController) sendOrder(ctx context.Context, s *service, server fleet.Server, order stageplan.Order, report EngineReport) {
-	authority, ok := c.participant.Authority()
-	if !ok || authority.Term != c.term {
+	token, ok := c.duty.Token()
+	if !ok || token.Fence != c.term {
 		return
 	}
 	response, err := c.g.engineCall(ctx, server, c.protocol.OrderRequest(StageOrder{
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -26,6 +26,8 @@
 	// BlockedParts are the parts of prompts that are kept from the engines of each
 	// service.
 	BlockedParts map[string][]BlockDump `json:"blocked_parts"`
+	// Duties are the calls to the platform that one gateway makes for all.
+	Duties []DutyDump `json:"duties,omitempty"`
 }
 
 // BlockDump is a blocked part of prompts as shown in the state of a gateway.
@@ -59,6 +61,7 @@
 		Name:          g.opts.Name,
 		FailureDomain: g.opts.FailureDomain,
 		Leaving:       g.stop.hasBegun(),
+		Duties:        g.duties.dump(),
 		Services:      make(map[string][]placement.ServerDump, len(current.services)),
 		RetryTokens:   make(map[string]float64, len(current.services)),
 		ServerLimits:  make(map[string][]serverlimit.Dump, len(current.services)),
--- a/internal/gatewaypeers/gatewaypeers.go
+++ b/internal/gatewaypeers/gatewaypeers.go
@@ -150,6 +150,18 @@
 	return names
 }
 
+// Reachable returns the peers whose latest heartbeat is recent, also those that stop, in no
+// particular order.
+func (t *Table) Reachable(now time.Duration) []Peer {
+	var reachable []Peer
+	for _, p := range t.peers {
+		if p.hasHeartbeat && now-p.lastHeartbeat < t.livenessTimeout() {
+			reachable = append(reachable, *p)
+		}
+	}
+	return reachable
+}
+
 // Owner returns the live gateway that is responsible for a key, by rendezvous
 // hash. Gateways that know the same live peers agree on it. The address is
 // empty if the owner is this gateway.
--- a/internal/gatewaypeers/handler.go
+++ b/internal/gatewaypeers/handler.go
@@ -71,10 +71,20 @@
 	}
 }
 
-// FetchConfig implements peerrpc.Handler. The reply is empty, since gateways
-// read the configuration from the store.
-func (h *Heartbeater) FetchConfig(*peerv1.FetchConfig) *peerv1.FetchConfigReply {
-	return &peerv1.FetchConfigReply{}
+// CollectUsage implements peerrpc.UsageCounter.
+func (h *Heartbeater) CollectUsage(collect *peerv1.CollectUsage) *peerv1.CollectUsageReply {
+	if h.opts.Usage == nil {
+		return &peerv1.CollectUsageReply{}
+	}
+	return h.opts.Usage.CollectUsage(collect)
+}
+
+// FetchConfig implements peerrpc.Handler.
+func (h *Heartbeater) FetchConfig(fetch *peerv1.FetchConfig) *peerv1.FetchConfigReply {
+	if h.opts.FetchConfig == nil {
+		return &peerv1.FetchConfigReply{}
+	}
+	return h.opts.FetchConfig(fetch)
 }
 
 // FetchPlan implements peerrpc.Handler. The reply is empty, since gateways use
--- a/internal/gatewaypeers/heartbeater.go
+++ b/internal/gatewaypeers/heartbeater.go
@@ -62,6 +62,9 @@
 	// OnReply is called with each reply to a heartbeat and the time since the heartbeat
 	// was sent, suspension included; it may be nil.
 	OnReply func(reply *peerv1.Heartbeat, elapsed time.Duration)
+	// FetchConfig answers a peer that asks for a newer configuration; nil if this gateway
+	// does not.
+	FetchConfig func(*peerv1.FetchConfig) *peerv1.FetchConfigReply
 	// Placer places prompts on behalf of peers; nil if this gateway does not.
 	Placer peerrpc.Placer
 	// Streams remembers the origins of streams for peers; nil if this gateway does not.
@@ -69,6 +72,8 @@
 	// Trials decides for peers when blocked parts and requests are tried; nil if this
 	// gateway does not.
 	Trials peerrpc.TrialKeeper
+	// Usage counts the runs of client accounts; nil if this gateway does not.
+	Usage peerrpc.UsageCounter
 }
 
 // Heartbeater exchanges heartbeats with the other gateways and tracks which of
@@ -119,6 +124,14 @@
 	return h.table.Owner(h.now(), key)
 }
 
+// Reachable returns the other gateways from which there was a heartbeat recently, also those
+// that stop.
+func (h *Heartbeater) Reachable() []Peer {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.table.Reachable(h.now())
+}
+
 // Keepers returns the addresses of the live gateways, other than this one, that keep
 // what belongs to a key, at most n of them.
 func (h *Heartbeater) Keepers(key string, n int) []string {
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -93,6 +93,8 @@
 type pendingWrite struct {
 	record Record
 	began  time.Duration
+	// afterRelease is set if the record replaces one that names no holder.
+	afterRelease bool
 }
 
 // State is the state of a participant. The zero State is that of a process that
@@ -108,10 +110,16 @@
 	version   uint64
 	observed  bool
 	seenSince time.Duration
+	// vanished is set if a record has been seen and the store holds none any more.
+	vanished bool
 	// holding, term and validUntil describe the lease held by this process.
 	holding    bool
 	term       uint64
 	validUntil time.Duration
+	// since is when the write began that acquired the lease, and afterRelease is set if
+	// the process before gave the lease up.
+	since        time.Duration
+	afterRelease bool
 	// pending is the write in progress, due the time of the next action, and
 	// writes the number of writes so far, which makes nonces unique.
 	pending *pendingWrite
@@ -129,6 +137,11 @@
 	Term uint64
 	// Until is when it expires, on Options.Clock.
 	Until time.Duration
+	// Since is when the process began to acquire the lease, on Options.Clock.
+	Since time.Duration
+	// AfterRelease is set if the holder before gave the lease up, so that it may have
+	// acted until just before.
+	AfterRelease bool
 }
 
 // Authority returns the authority of the process at now, or false if it has
@@ -138,7 +151,7 @@
 	if !s.holding || now >= s.validUntil || now < s.notBefore {
 		return Authority{}, false
 	}
-	return Authority{Term: joinTerm(s.generation, s.term), Until: s.validUntil}, true
+	return Authority{Term: joinTerm(s.generation, s.term), Until: s.validUntil, Since: s.since, AfterRelease: s.afterRelease}, true
 }
 
 // termBits is the number of bits for the terms of one generation.
@@ -288,9 +301,7 @@
 	if ev.Failed {
 		return s.wait(s.retryInterval(o), now)
 	}
-	if !s.observed || ev.Version != s.version {
-		s.observed, s.version, s.seen, s.seenSince = true, ev.Version, ev.Record, now
-	}
+	s = s.observe(ev, now)
 	pending := s.pending
 	s.pending = nil
 	if pending != nil && ev.Version != 0 && ev.Record.Nonce == pending.record.Nonce {
@@ -310,6 +321,21 @@
 	return s.wait(next, now)
 }
 
+// observe records what was read. The term and the time to live of a record that another
+// program has deleted remain known, so that no term is given twice and nobody takes the
+// lease before it has expired.
+func (s State) observe(ev ReadDone, now time.Duration) State {
+	if s.observed && ev.Version == s.version {
+		return s
+	}
+	s.vanished = s.observed && ev.Version == 0
+	if !s.vanished {
+		s.seen = ev.Record
+	}
+	s.observed, s.version, s.seenSince = true, ev.Version, now
+	return s
+}
+
 // retryInterval is the time until the next attempt after the store did not
 // respond. It is short for a holder, whose lease is about to expire. The first
 // candidates retry sooner than they read, because they find out later that the
@@ -332,6 +358,8 @@
 func (s State) resume(o Options, now time.Duration) (State, Action) {
 	if !s.holding || s.term != s.seen.Term {
 		s.holding, s.term, s.validUntil = true, s.seen.Term, 0
+		// What the write replaced is not known.
+		s.since, s.afterRelease = now, true
 	}
 	return s.write(o, s.term, now)
 }
@@ -340,7 +368,7 @@
 // holder, or its version has not changed for its TTL while this process
 // observed it.
 func (s State) claimable(now time.Duration) bool {
-	free := s.version == 0 || s.seen.Holder == Identity{}
+	free := s.version == 0 && !s.vanished || s.seen.Holder == Identity{}
 	return free || now >= s.seenSince+s.seen.TTL
 }
 
@@ -353,7 +381,7 @@
 		Nonce:  fmt.Sprintf("%s/%d/%d", o.Self.Name, o.Self.Incarnation, s.writes),
 		TTL:    o.ttl(),
 	}
-	s.pending = &pendingWrite{record: record, began: now}
+	s.pending = &pendingWrite{record: record, began: now, afterRelease: s.version != 0 && s.seen.Holder == Identity{}}
 	return s, Action{Kind: Write, Record: record, WantVersion: s.version}
 }
 
@@ -383,6 +411,9 @@
 func (s State) hold(o Options, w *pendingWrite, now time.Duration) (State, Action) {
 	s.pending = nil
 	s.seen, s.seenSince = w.record, now
+	if !s.holding || s.term != w.record.Term {
+		s.since, s.afterRelease = w.began, w.afterRelease
+	}
 	s.holding, s.term = true, w.record.Term
 	s.validUntil = w.began + w.record.TTL - w.record.TTL/driftDivisor
 	return s.wait(o.renewInterval()-(now-w.began), now)
--- a/internal/lease/participant.go
+++ b/internal/lease/participant.go
@@ -59,6 +59,14 @@
 	return p.state.Authority(p.now())
 }
 
+// Holder returns the name of the process that was last seen to hold the lease; empty if
+// there was none.
+func (p *Participant) Holder() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.state.seen.Holder.Name
+}
+
 // SetRank changes the rank of the process; see Options.Rank.
 func (p *Participant) SetRank(rank int) {
 	p.mu.Lock()
--- a/internal/lease/takeover_test.go
+++ b/internal/lease/takeover_test.go
@@ -56,3 +56,17 @@
 		require.True(t, ok)
 	})
 }
+
+// TestTermsIncreaseAlthoughRecordWasDeleted guards against a term that is given twice, and
+// against a second holder, after another program has deleted the record of the lease.
+func TestTermsIncreaseAlthoughRecordWasDeleted(t *testing.T) {
+	options := Options{Self: Identity{"next", 1}}
+	state, _ := Step(State{}, options, GenerationObserved{Generation: firstGeneration}, 0)
+	seen := Record{Holder: Identity{"holder", 1}, Term: 7, TTL: DefaultTTL}
+	state, _ = Step(state, options, ReadDone{Version: 3, Record: seen}, 0)
+	state, action := Step(state, options, ReadDone{}, time.Second)
+	require.Equal(t, Wait, action.Kind, "the holder may not know yet")
+	_, action = Step(state, options, ReadDone{}, time.Second+DefaultTTL)
+	require.Equal(t, Write, action.Kind)
+	require.Equal(t, uint64(8), action.Record.Term)
+}
--- a/internal/logevent/logevent.go
+++ b/internal/logevent/logevent.go
@@ -21,6 +21,7 @@
 
 	keyAttemptID     = "attempt_id"
 	keyClient        = "client"
+	keyDuty          = "duty"
 	keyElapsed       = "elapsed_ms"
 	keyError         = "error"
 	keyFencingToken  = "fence"
--- a/internal/logevent/system.go
+++ b/internal/logevent/system.go
@@ -13,6 +13,69 @@
 	return info("configuration applied", slog.Int64(keyVersion, version), slog.Any(keyRevision, revision))
 }
 
+// PeerConfigApplied reports that a gateway now serves requests with a configuration that
+// another gateway has sent.
+func PeerConfigApplied(version int64, peer string) Event {
+	return info("configuration of another gateway applied", slog.Int64(keyVersion, version), slog.String(keyPeer, peer))
+}
+
+// PeerConfigNotFetched reports that another gateway has not sent its newer configuration.
+func PeerConfigNotFetched(peer string, version uint64, err error) Event {
+	return info("configuration of another gateway could not be fetched", slog.String(keyPeer, peer), slog.Uint64(keyVersion, version), errorText(err))
+}
+
+// DutyAcquired reports that this gateway now makes the calls of a duty.
+func DutyAcquired(duty string, fencingToken uint64) Event {
+	return info("duty acquired", slog.String(keyDuty, duty), slog.Uint64(keyFencingToken, fencingToken))
+}
+
+// DutySurrendered reports that the platform has rejected the fencing token of this gateway,
+// which therefore gives the duty up.
+func DutySurrendered(duty string, fencingToken uint64) Event {
+	return info("duty surrendered, the platform knows a higher token", slog.String(keyDuty, duty), slog.Uint64(keyFencingToken, fencingToken))
+}
+
+// DutyUnknown reports a duty in the settings that this program does not know.
+func DutyUnknown(duty string) Event {
+	return failure("duty in the settings is unknown, not performed", slog.String(keyDuty, duty))
+}
+
+// UsageReport describes a call that reports the usage of a window.
+type UsageReport struct {
+	Window int64
+	// Fence is the fencing token with which the call was made.
+	Fence uint64
+	// Accounts is the number of client accounts in the report, and Runs the sum of their
+	// counts.
+	Accounts int
+	Runs     int64
+	// SinceEnd is the time since the end of the window.
+	SinceEnd time.Duration
+	// Err is why the report was not accepted; nil if it was.
+	Err error
+}
+
+// UsageReported reports such a call.
+func UsageReported(r UsageReport) Event {
+	e := info("usage of a window reported", slog.Int64("window", r.Window), slog.Uint64(keyFencingToken, r.Fence), slog.Int("clients", r.Accounts),
+		slog.Int64("runs", r.Runs), milliseconds("since_end_ms", r.SinceEnd), slog.Bool("accepted", r.Err == nil))
+	if r.Err != nil {
+		e.with(errorText(r.Err))
+	}
+	return e
+}
+
+// UsageLedgerNotStored reports that the usage ledger could not be read or written, which is
+// tried again.
+func UsageLedgerNotStored(action string, err error) Event {
+	return info("usage ledger is not available", slog.String("action", action), errorText(err))
+}
+
+// UsageNotCollected reports that a gateway did not answer the question for its counts.
+func UsageNotCollected(peer string, err error) Event {
+	return detail("usage of a gateway could not be collected", slog.String(keyPeer, peer), errorText(err))
+}
+
 // AccountIgnored reports that a part of a client account's entry in a configuration is not
 // used.
 func AccountIgnored(account, reason string, version int64) Event {
--- a/internal/peerrpc/client.go
+++ b/internal/peerrpc/client.go
@@ -131,6 +131,12 @@
 	return c.notify(ctx, address, methodEndTrial, end)
 }
 
+// CollectUsage asks the process at address for the runs that it has counted.
+func (c *Client) CollectUsage(ctx context.Context, address string, collect *peerv1.CollectUsage) (*peerv1.CollectUsageReply, error) {
+	reply := &peerv1.CollectUsageReply{}
+	return reply, c.call(ctx, address, methodCollectUsage, collect, reply)
+}
+
 // notify sends a control message to which there is no reply.
 func (c *Client) notify(ctx context.Context, address, method string, in proto.Message) error {
 	link, err := c.pool(address).control(ctx)
--- a/internal/peerrpc/message.go
+++ b/internal/peerrpc/message.go
@@ -25,6 +25,7 @@
 	methodFindStream    = "findStream"
 	methodBeginTrial    = "beginTrial"
 	methodEndTrial      = "endTrial"
+	methodCollectUsage  = "collectUsage"
 
 	// methodStopSubmitting is called by a server that stops.
 	methodStopSubmitting = "stopSubmitting"
--- a/internal/peerrpc/server.go
+++ b/internal/peerrpc/server.go
@@ -60,6 +60,12 @@
 	EndTrial(end *peerv1.EndTrial)
 }
 
+// UsageCounter is implemented by handlers that count the runs of client accounts. Its
+// method must not block.
+type UsageCounter interface {
+	CollectUsage(collect *peerv1.CollectUsage) *peerv1.CollectUsageReply
+}
+
 // IncarnationReporter is implemented by handlers that report the incarnation of
 // their process to connecting peers.
 type IncarnationReporter interface {
--- a/internal/peerrpc/server_conn.go
+++ b/internal/peerrpc/server_conn.go
@@ -119,6 +119,15 @@
 		h.EndTrial(end)
 		return nil
 	}
+	return c.dispatchUsageCounter(ctx, conn, req)
+}
+
+// dispatchUsageCounter passes the message of UsageCounter to the handler, if it implements
+// that interface.
+func (c *serverConn) dispatchUsageCounter(ctx context.Context, conn *jsonrpc2.Conn, req *jsonrpc2.Request) error {
+	if h, ok := c.server.handler.(UsageCounter); ok && req.Method == methodCollectUsage {
+		return handleCall(ctx, conn, req, &peerv1.CollectUsage{}, h.CollectUsage)
+	}
 	return fmt.Errorf("%w: unknown method %q", ErrMalformed, req.Method)
 }
 
--- a/internal/registry/follower.go
+++ b/internal/registry/follower.go
@@ -194,14 +194,22 @@
 	if config == nil {
 		return
 	}
+	if f.putIntoForce(config) {
+		f.log.Write(logevent.ConfigApplied(config.Version, asOf))
+	}
+}
+
+// putIntoForce puts a configuration into force and reports true if it is newer. The caller
+// holds f.mu.
+func (f *Follower) putIntoForce(config *fleet.Config) bool {
 	next := fleet.Newer(f.config, config)
 	if next == f.config {
-		return
+		return false
 	}
 	f.config = next
-	f.log.Write(logevent.ConfigApplied(next.Version, asOf))
 	f.logAccountProblems(next)
 	f.publish()
+	return true
 }
 
 // logAccountProblems logs what is not used of the client accounts of a configuration.
--- a/internal/registry/peers.go
+++ b/internal/registry/peers.go
@@ -1,6 +1,10 @@
 package registry
 
-import "github.com/marigoldwing/marigoldwing/internal/revision"
+import (
+	"github.com/marigoldwing/marigoldwing/internal/fleet"
+	"github.com/marigoldwing/marigoldwing/internal/logevent"
+	"github.com/marigoldwing/marigoldwing/internal/revision"
+)
 
 // SetGatewayCount sets the function that returns the number of gateways that
 // notify each other, which allows for longer watches. It must be called before
@@ -28,6 +32,23 @@
 	return f.config.Version
 }
 
+// Config returns the configuration in force; nil if there is none.
+func (f *Follower) Config() *fleet.Config {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.config
+}
+
+// ApplyPeerConfig puts a configuration that another gateway has in force into force if it
+// is newer. It says nothing about the store.
+func (f *Follower) ApplyPeerConfig(config *fleet.Config, peer string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.putIntoForce(config) {
+		f.log.Write(logevent.PeerConfigApplied(config.Version, peer))
+	}
+}
+
 // ObservePeerVersions processes the versions that another gateway reported in a
 // heartbeat. A newer version that does not arrive through the own watch is read
 // from the store by a list.
