Refuse unconfirmed keys on request, and call a store that is down less often

Cause: an operator could not say that a gateway which nobody reaches must not rely on its keys; in an outage all gateways of a large fleet called the store five times a second for each kind of object. Change: revocation_limit_ms; gateways that are no relays back off up to 1.2 s, and call again when another gateway knows of a change.

--- a/internal/gateway/accounts.go
+++ b/internal/gateway/accounts.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"net/http"
+	"time"
 
 	"github.com/marigoldwing/marigoldwing/internal/fleet"
 )
@@ -36,6 +37,35 @@
 	return nil
 }
 
+// reasonKeysUnconfirmed is the reason of the refusal of a request by a gateway that does not
+// know whether its configuration is the newest one.
+const reasonKeysUnconfirmed = "keys_unconfirmed"
+
+// unconfirmedKeysRetryAfter is when a caller may come back after such a refusal, most likely to
+// another gateway.
+const unconfirmedKeysRetryAfter = 500 * time.Millisecond
+
+// keysMayBeWithdrawn reports whether the gateway must not rely on the keys that it knows any
+// more, because its configuration has not been confirmed for too long.
+func (g *Gateway) keysMayBeWithdrawn() bool {
+	limit := g.opts.RevocationLimit
+	if limit == 0 || g.configAge == nil {
+		return false
+	}
+	age := g.configAge()
+	return age < 0 || age > limit
+}
+
+// refuseUnconfirmed refuses a request that needs a key if the keys may be withdrawn, and
+// reports whether it did.
+func (q *request) refuseUnconfirmed() bool {
+	if q.account == nil || !q.g.keysMayBeWithdrawn() {
+		return false
+	}
+	q.refuse(refusal{status: http.StatusServiceUnavailable, reason: reasonKeysUnconfirmed, retryAfter: unconfirmedKeysRetryAfter})
+	return true
+}
+
 // refuseUnauthorized ends a request that has not run because it lacks the key of a client
 // account.
 func (q *request) refuseUnauthorized(err error) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -47,6 +47,9 @@
 	// StopGrace is the time between the beginning of the gateway's stop and its kill; 0
 	// means defaultStopGrace.
 	StopGrace time.Duration
+	// RevocationLimit is the time without confirmation of the configuration after which
+	// requests that need a key are refused; 0 means never.
+	RevocationLimit time.Duration
 }
 
 // defaultBufferBytes is the BufferBytes of a gateway whose memory is not known.
@@ -99,6 +102,9 @@
 	// software versions are known.
 	readServers    func(ctx context.Context) bool
 	versionsLoaded atomic.Bool
+	// configAge returns the time since the configuration in force was confirmed to be the
+	// newest one, negative if it never was; nil if the gateway runs without a store.
+	configAge func() time.Duration
 	// coordination lets one gateway per service place all long prompts; nil if
 	// the gateway runs without peers.
 	coordination *coordination
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -153,6 +153,9 @@
 		q.refuseUnauthorized(err)
 		return false
 	}
+	if q.refuseUnconfirmed() {
+		return false
+	}
 	q.service = current.services[route.Target(q.meta.ID)]
 	timeout := q.meta.Timeout
 	if timeout == 0 {
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -82,6 +82,8 @@
 		RetryBudget:   retryBudget(s),
 		BufferBytes:   int64(bufferRatio * s.GetMemoryMb() * bytesPerMB),
 		StopGrace:     seconds(s.GetStopGraceS()),
+
+		RevocationLimit: milliseconds(s.GetRevocationLimitMs()),
 	})
 	schedule := g.stop.schedule
 	follower := registry.NewFollower(deps.Source, bounds(s), log, g.Update)
@@ -103,6 +105,7 @@
 	})
 	g.peers = heartbeater
 	g.readServers = follower.ConfirmServers
+	g.configAge = func() time.Duration { return follower.Confirmation().ConfigAge }
 	stageOptions := StageControllerOptions{
 		Protocol: deps.StageProtocol, Leases: deps.Leases, LeaseDuration: milliseconds(s.GetOrderLeaseMs()), Members: heartbeater.SharingNames,
 	}
@@ -183,7 +186,12 @@
 
 // bounds returns the times within which changes in the store must take effect.
 func bounds(s *settingsv1.Gateway) registry.Bounds {
-	return registry.Bounds{Config: milliseconds(s.GetConfigApplyMs()), Leaving: milliseconds(s.GetDrainNoticeMs())}
+	config := s.GetConfigApplyMs()
+	if limit := s.GetRevocationLimitMs(); limit > 0 {
+		// The configuration must be confirmed that often.
+		config = min(config, limit)
+	}
+	return registry.Bounds{Config: milliseconds(config), Leaving: milliseconds(s.GetDrainNoticeMs())}
 }
 
 func milliseconds(n float64) time.Duration { return time.Duration(n * float64(time.Millisecond)) }
--- a/internal/registry/follower.go
+++ b/internal/registry/follower.go
@@ -34,6 +34,10 @@
 	// maxBackoff is short.
 	minBackoff = 50 * time.Millisecond
 	maxBackoff = 300 * time.Millisecond
+	// relayedMaxBackoff takes the place of maxBackoff at gateways that are no relays. They
+	// learn from relays that the store is back, and many of them calling as often as
+	// relays would multiply the calls of an outage.
+	relayedMaxBackoff = 1200 * time.Millisecond
 	// minCoalesceDelay delays the next watch after a change at least, so that
 	// changes in quick succession arrive in one response.
 	minCoalesceDelay = 150 * time.Millisecond
--- a/internal/registry/watch.go
+++ b/internal/registry/watch.go
@@ -80,8 +80,33 @@
 		}
 		f.recordFailure(err, kind.name, since, &storeLost)
 		since = 0
-		sleep(ctx, backoff/2+rand.N(backoff/2))
-		backoff = min(2*backoff, maxBackoff)
+		f.sleepBackoff(ctx, kind.name, backoff/2+rand.N(backoff/2))
+		backoff = min(2*backoff, f.longestBackoff())
+	}
+}
+
+// longestBackoff returns the longest time between two calls to a store that does not respond.
+func (f *Follower) longestBackoff() time.Duration {
+	if f.hasRelays() && !f.readsForItself() {
+		return relayedMaxBackoff
+	}
+	return maxBackoff
+}
+
+// sleepBackoff waits for d, until another gateway knows of a newer change, or until ctx is
+// done. A wait of up to maxBackoff is never shortened, since the store may stay out of reach
+// for this gateway while others learn of changes.
+func (f *Follower) sleepBackoff(ctx context.Context, kind string, d time.Duration) {
+	sleep(ctx, min(d, maxBackoff))
+	if d <= maxBackoff {
+		return
+	}
+	timer := time.NewTimer(d - maxBackoff)
+	defer timer.Stop()
+	select {
+	case <-f.relist[kind]:
+	case <-timer.C:
+	case <-ctx.Done():
 	}
 }
 
