Estimate the true time, and decide how many servers a service should have

Cause: windows of usage begin in true time, but the time of day of some instances jumps by seconds, and back. Services whose configuration has "autoscale" need a number of servers in each failure domain, which nothing decided; the field was not read. Change: internal/fleetclock adds the median of the gateways' offsets, from heartbeats' unix_us and half of the round trip, to the boot-time clock. The gateway states its time of day, observes those of its peers and returns the estimate. internal/autoscale orders servers at once when the load needs them, and gives them up when the highest load of four start times, at least 20 s, allows it. fleet.Service has Scaling, decoded from "autoscale"; impossible values leave a service unscaled. No call to the platform is wired yet. docs/design/scaling.md and docs/design/fleet-time.md describe both.

--- a/internal/fleet/config.go
+++ b/internal/fleet/config.go
@@ -123,6 +123,16 @@
 	HealthPath string
 	// Engine is nil for services without model engines.
 	Engine *EngineSpec
+	// Scaling is nil for services whose number of servers is not controlled.
+	Scaling *Scaling
+}
+
+// Scaling bounds the number of servers of a service in each failure domain.
+type Scaling struct {
+	// Min is at least 1, and Max at least Min.
+	Min, Max int
+	// StartTime is the time from the order of a server until it serves.
+	StartTime time.Duration
 }
 
 // Config is one accepted configuration. It is immutable.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -47,6 +47,8 @@
 	// StopGrace is the time between the beginning of the gateway's stop and its kill; 0
 	// means defaultStopGrace.
 	StopGrace time.Duration
+	// TimeOfDay returns this instance's time of day; nil means time.Now.
+	TimeOfDay func() time.Time
 }
 
 // defaultBufferBytes is the BufferBytes of a gateway whose memory is not known.
@@ -77,6 +79,7 @@
 	bodyBuffers *upstream.Buffers
 	metrics     *metrics
 	startTime   time.Time
+	trueClock   *trueClock
 	state       atomic.Pointer[state]
 	stop        *stop
 	// updateMu is held while the servers of services change. registered are those of
@@ -122,6 +125,7 @@
 		bodyBuffers: upstream.NewBuffers(cmp.Or(opts.BufferBytes, defaultBufferBytes)),
 		metrics:     newMetrics(opts.Registerer),
 		startTime:   time.Now(),
+		trueClock:   newTrueClock(opts.TimeOfDay),
 		stop:        newStop(drain.NewSchedule(cmp.Or(opts.StopGrace, defaultStopGrace))),
 		departures:  departures{book: departure.New(), asked: make(map[fleet.Key]bool)},
 		retired:     make(map[string]retiredService),
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -18,7 +18,7 @@
 }
 
 // fillHeartbeat adds this gateway's configuration revision, registration
-// revision and loads at the servers to a heartbeat.
+// revision, loads at the servers and time of day to a heartbeat.
 func (a peerAdapter) fillHeartbeat(h *peerv1.Heartbeat) {
 	h.Leaving = a.g.stop.hasBegun()
 	confirmation := a.follower.Confirmation()
@@ -31,6 +31,9 @@
 	}
 	h.ServerDepartures = departuresToProto(a.g.departures.reports(a.g.now()))
 	h.PoisonReports = a.g.poisonReports()
+	// Last, because the rest takes time. It is the instance's own time of day and not the
+	// estimate, which would make the gateways' clocks depend on each other.
+	h.UnixUs = a.g.trueClock.timeOfDay().UnixMicro()
 }
 
 // ageToProto returns an age in milliseconds, rounded up, plus one; 0 for a negative one,
@@ -49,6 +52,7 @@
 
 // handleReply processes the reply to a heartbeat that was sent elapsed ago.
 func (a peerAdapter) handleReply(h *peerv1.Heartbeat, elapsed time.Duration) {
+	a.g.trueClock.observe(h.GetSender(), h.GetUnixUs(), elapsed)
 	a.follower.ObserveConfirmation(registry.Confirmation{
 		ConfigVersion: int64(h.GetConfigRevision()), ConfigAge: ageFromProto(h.GetStoreAgeMs()),
 		ChangeRevision: revision.Join(h.GetServersGeneration(), h.GetServersRevision()), ServersAge: ageFromProto(h.GetServersAgeMs()),
