--- a/internal/gateway/config_message.go
+++ b/internal/gateway/config_message.go
@@ -63,6 +63,9 @@
 			LinkMbps: e.LinkMbps, StageChangeMs: e.StageChangeTime.Milliseconds(),
 		}
 	}
+	if s.Scaling != nil {
+		message.Scaling = &peerv1.GatewayScaling{Min: int32(s.Scaling.Min), Max: int32(s.Scaling.Max), StartMs: s.Scaling.StartTime.Milliseconds()}
+	}
 	return message
 }
 
@@ -131,6 +134,9 @@
 			LinkMbps: e.GetLinkMbps(), StageChangeTime: millisecondsOf(e.GetStageChangeMs()),
 		}
 	}
+	if scaling := s.GetScaling(); scaling != nil {
+		service.Scaling = &fleet.Scaling{Min: int(scaling.GetMin()), Max: int(scaling.GetMax()), StartTime: millisecondsOf(scaling.GetStartMs())}
+	}
 	return service
 }
 
--- a/internal/gateway/config_peers_test.go
+++ b/internal/gateway/config_peers_test.go
@@ -23,7 +23,7 @@
 			MaxEventGap: 2 * time.Second, MaxAttempts: 2, Priority: 3, Targets: []fleet.Target{{Service: "lm", Weight: 9}, {Service: "app", Weight: 1}}},
 		{Name: "open", Host: "h", Prefix: "/open/", Kind: fleet.Idempotent, MaxAttempts: 1, Public: true, Targets: []fleet.Target{{Service: "app", Weight: 1}}},
 	}, []fleet.Service{
-		{Name: "app", HealthPath: "/health"},
+		{Name: "app", HealthPath: "/health", Scaling: &fleet.Scaling{Min: 1, Max: 4, StartTime: 2 * time.Second}},
 		{Name: "lm", Engine: &fleet.EngineSpec{Slots: 8, KVCapacityTokens: 1000, KVBytesPerToken: 16, LinkMbps: 100, StageChangeTime: 3 * time.Second}},
 	})
 	config.Accounts = accounts.New([]accounts.Entry{
--- a/internal/gateway/duties.go
+++ b/internal/gateway/duties.go
@@ -80,8 +80,6 @@
 	CallsPerSecond float64
 	// Members returns the gateways that may hold the duties; nil if unknown.
 	Members func() []string
-	// Clock is that of the lease; nil means lease.BootTime.
-	Clock func() time.Duration
 }
 
 // dutyCaller makes calls to the platform while this gateway holds the duties.
@@ -101,16 +99,13 @@
 }
 
 func newDutyCaller(g *Gateway, opts DutyOptions) *dutyCaller {
-	if opts.Clock == nil {
-		opts.Clock = lease.BootTime
-	}
 	return &dutyCaller{
-		g: g, platform: opts.Platform, fenced: opts.Fenced, clock: opts.Clock,
+		g: g, platform: opts.Platform, fenced: opts.Fenced, clock: g.opts.BootTime,
 		interval: time.Duration(float64(time.Second) / (dutyRateShare * opts.CallsPerSecond)),
 		duty: duty.New(duty.Options{
 			Name: dutyName, Holder: g.opts.Name, Store: opts.Leases, TTL: opts.LeaseDuration,
 			SettleAfterExpiry: opts.LeaseDuration / 4, SettleAfterRelease: settlePeriod(opts.LeaseDuration),
-			Members: opts.Members, Rank: initialRank(g.opts.Name), OnRestore: g.logLeaseRestore(dutyName), Clock: opts.Clock,
+			Members: opts.Members, Rank: initialRank(g.opts.Name), OnRestore: g.logLeaseRestore(dutyName), Clock: g.opts.BootTime,
 		}),
 	}
 }
@@ -179,14 +174,20 @@
 // duties are the duties that consist of calls to the platform.
 type duties struct {
 	caller *dutyCaller
-	// usage reports the usage of client accounts; nil if that is no duty.
-	usage *usageReporter
+	// usage reports the usage of client accounts, and scaling orders servers; nil if that
+	// is no duty.
+	usage   *usageReporter
+	scaling *scaler
 }
 
-// EnableDuties lets this gateway compete for the duties that consist of calls to the platform,
-// and reports usage if that is one of them. It must be called before RunDuties.
-func (g *Gateway) EnableDuties(opts DutyOptions, usageOptions *UsageOptions) {
+// EnableDuties lets this gateway compete for the duties that consist of calls to the platform:
+// reports of usage unless usageOptions is nil, and the scaling of services if scales is set. It
+// must be called before RunDuties.
+func (g *Gateway) EnableDuties(opts DutyOptions, usageOptions *UsageOptions, scales bool) {
 	g.duties = &duties{caller: newDutyCaller(g, opts)}
+	if scales {
+		g.duties.scaling = &scaler{g: g, caller: g.duties.caller}
+	}
 	if usageOptions != nil {
 		g.duties.usage = &usageReporter{g: g, opts: *usageOptions, caller: g.duties.caller}
 	}
@@ -210,6 +211,9 @@
 	if g.duties.usage != nil {
 		loops.Go(func() { g.duties.usage.run(ctx) })
 	}
+	if g.duties.scaling != nil {
+		loops.Go(func() { g.duties.scaling.run(ctx) })
+	}
 	loops.Wait()
 }
 
@@ -219,7 +223,10 @@
 // needsDuties reports whether the configuration gives rise to calls to the platform.
 func (g *Gateway) needsDuties() bool {
 	config := g.state.Load().config
-	return config != nil && g.duties.usage != nil && config.Accounts != nil
+	if config == nil {
+		return false
+	}
+	return g.duties.usage != nil && config.Accounts != nil || g.duties.scaling != nil && config.Scales()
 }
 
 // DutyDump is a duty as shown in the state of a gateway.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -23,6 +23,7 @@
 	"github.com/marigoldwing/marigoldwing/internal/departure"
 	"github.com/marigoldwing/marigoldwing/internal/drain"
 	"github.com/marigoldwing/marigoldwing/internal/fleet"
+	"github.com/marigoldwing/marigoldwing/internal/lease"
 	"github.com/marigoldwing/marigoldwing/internal/logevent"
 	"github.com/marigoldwing/marigoldwing/internal/retry"
 	"github.com/marigoldwing/marigoldwing/internal/upstream"
@@ -50,6 +51,10 @@
 	// RevocationLimit is the time without confirmation of the configuration after which
 	// requests that need a key are refused; 0 means never.
 	RevocationLimit time.Duration
+	// TimeOfDay returns this instance's time of day; nil means time.Now.
+	TimeOfDay func() time.Time
+	// BootTime is a clock that counts suspension; nil means lease.BootTime.
+	BootTime func() time.Duration
 }
 
 // defaultBufferBytes is the BufferBytes of a gateway whose memory is not known.
@@ -80,6 +85,7 @@
 	bodyBuffers *upstream.Buffers
 	metrics     *metrics
 	startTime   time.Time
+	trueClock   *trueClock
 	state       atomic.Pointer[state]
 	stop        *stop
 	// updateMu is held while the servers of services change. registered are those of
@@ -125,6 +131,9 @@
 // New returns a Gateway without configuration. It refuses all requests until
 // the first Update.
 func New(opts Options) *Gateway {
+	if opts.BootTime == nil {
+		opts.BootTime = lease.BootTime
+	}
 	g := &Gateway{
 		opts:        opts,
 		log:         opts.Log,
@@ -133,6 +142,7 @@
 		bodyBuffers: upstream.NewBuffers(cmp.Or(opts.BufferBytes, defaultBufferBytes)),
 		metrics:     newMetrics(opts.Registerer),
 		startTime:   time.Now(),
+		trueClock:   newTrueClock(opts.TimeOfDay, opts.BootTime),
 		stop:        newStop(drain.NewSchedule(cmp.Or(opts.StopGrace, defaultStopGrace))),
 		departures:  departures{book: departure.New(), asked: make(map[fleet.Key]bool)},
 		retired:     make(map[string]retiredService),
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -181,7 +181,7 @@
 			Window: seconds(s.GetUsageWindowS()), Due: seconds(s.GetUsageDueS()),
 		}
 	}
-	g.EnableDuties(options, usageOptions)
+	g.EnableDuties(options, usageOptions, hasDuty(s, deps, dutyScaling))
 }
 
 // bounds returns the times within which changes in the store must take effect.
--- a/internal/gateway/usage_test.go
+++ b/internal/gateway/usage_test.go
@@ -104,17 +104,20 @@
 
 func (f *usageFleet) start(name string) {
 	f.starts++
-	g := New(Options{Name: name, FailureDomain: "here", Registerer: prometheus.NewRegistry(), RetryBudget: RetryBudget{Ratio: 1}})
+	// lease.BootTime does not follow the virtual time of the test.
+	start := time.Now()
+	g := New(Options{
+		Name: name, FailureDomain: "here", Registerer: prometheus.NewRegistry(), RetryBudget: RetryBudget{Ratio: 1},
+		BootTime: func() time.Duration { return time.Since(start) },
+	})
 	config := fleet.NewConfig(1, 0, nil, nil)
 	config.Accounts = accounts.New([]accounts.Entry{{Account: accounts.Account{Client: limits.Client{Name: "a"}}}})
 	g.Update(config, nil)
 	g.EnableUsage(f.starts, testWindow)
-	// lease.BootTime does not follow the virtual time of the test.
-	start := time.Now()
-	clock := func() time.Duration { return time.Since(start) }
 	g.EnableDuties(
-		DutyOptions{Platform: f.platform, Leases: f.store, LeaseDuration: testLease, Fenced: f.fenced, CallsPerSecond: 50, Clock: clock},
+		DutyOptions{Platform: f.platform, Leases: f.store, LeaseDuration: testLease, Fenced: f.fenced, CallsPerSecond: 50},
 		&UsageOptions{Store: f.store, Client: f, Peers: func() []gatewaypeers.Peer { return f.peersOf(name) }, Window: testWindow, Due: testDue},
+		false,
 	)
 	ctx, stop := context.WithCancel(f.ctx)
 	f.mu.Lock()
--- a/internal/logevent/system.go
+++ b/internal/logevent/system.go
@@ -65,6 +65,18 @@
 	return e
 }
 
+// ServersOrdered reports a call that orders the number of servers of a service in a failure
+// domain. err is why it was not accepted; nil if it was.
+func ServersOrdered(service, failureDomain string, desired, registered, requests int, fencingToken uint64, err error) Event {
+	e := info("number of servers ordered", slog.String(keyService, service), slog.String("failure_domain", failureDomain),
+		slog.Int("desired", desired), slog.Int("registered", registered), slog.Int("requests", requests),
+		slog.Uint64(keyFencingToken, fencingToken), slog.Bool("accepted", err == nil))
+	if err != nil {
+		e.with(errorText(err))
+	}
+	return e
+}
+
 // UsageLedgerNotStored reports that the usage ledger could not be read or written, which is
 // tried again.
 func UsageLedgerNotStored(action string, err error) Event {
--- a/internal/placement/load.go
+++ b/internal/placement/load.go
@@ -149,6 +149,14 @@
 	return ahead
 }
 
+// Requests returns the estimated number of requests at a server, 0 for an unknown one.
+func (t *Table) Requests(now time.Duration, id string) float64 {
+	if s := t.find(id); s != nil {
+		return s.requests(now)
+	}
+	return 0
+}
+
 // requests returns the estimated number of requests at the server.
 func (s *server) requests(now time.Duration) float64 {
 	return float64(s.ownRequests) + s.otherRequests(now)
