Find fair levels by priority, and from what a service completes

Cause: the fair level needs a known capacity and knows no priority. Gateways know neither the capacity of a service nor when it is short. A client beyond the bound of unlisted ones cost a scan of all accounts per request. Change: Limiter has a level for each priority, periods that last until there are enough requests, and counts that reach into the next period. Idle accounts are evicted once a second at most.

--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -19,6 +19,7 @@
 package limits
 
 import (
+	"cmp"
 	"errors"
 	"math"
 	"time"
@@ -54,6 +55,17 @@
 	// their own. At the bound idle accounts are evicted; if none is idle, new
 	// clients share one account.
 	MaxUnlisted int
+	// Priorities is the number of priorities that the fair share distinguishes.
+	// Zero means 1.
+	Priorities int
+	// LevelPeriod is the time between adjustments of the fair levels. Zero means
+	// one second. A period with fewer requests than LevelRequests is prolonged,
+	// because single requests say little about the load.
+	LevelPeriod   time.Duration
+	LevelRequests int
+	// LevelMemory is the part of a period's counts that the next one starts with,
+	// from 0 to below 1.
+	LevelMemory float64
 }
 
 // Reason is the reason for refusing a request.
@@ -74,6 +86,9 @@
 	Client string
 	// Cost is the cost in engine seconds, or 1 for plain services.
 	Cost float64
+	// Priority of the request; 0 is the most urgent. Requests are not refused for
+	// the sake of less urgent ones.
+	Priority int
 	// Seed makes the decision reproducible. It must differ between requests.
 	Seed uint64
 }
@@ -90,8 +105,8 @@
 // usageWindow is the time constant of the moving average of a client's usage.
 const usageWindow = 5 * time.Second
 
-// levelPeriod is the time between adjustments of the fair level.
-const levelPeriod = time.Second
+// defaultLevelPeriod is the LevelPeriod of options that set none.
+const defaultLevelPeriod = time.Second
 
 // account is the state of one client. Keep it small: the memory for 12,000
 // accounts is part of an entry's memory budget.
@@ -105,10 +120,10 @@
 	// tat is the theoretical arrival time of the generic cell rate algorithm
 	// (GCRA).
 	tat time.Duration
-	// offeredRate is the moving average of the cost per second that the client
-	// requests, as of updatedAt.
-	offeredRate float64
-	updatedAt   time.Duration
+	// offeredRates are the moving averages of the cost per second that the client
+	// requests at each priority and more urgent ones, as of updatedAt.
+	offeredRates []float64
+	updatedAt    time.Duration
 }
 
 // Limiter enforces the limits of the clients of one service at one entry.
@@ -121,21 +136,37 @@
 	unlisted int
 	// overflow is the account shared by unlisted clients beyond MaxUnlisted.
 	overflow account
-	fair     fairLevel
+	// fair holds the fair level of each priority, for the period that began at
+	// periodStart and has had periodRequests. Their counts include those of keptPeriod
+	// before it.
+	fair           []fairLevel
+	levelPeriod    time.Duration
+	periodStart    time.Duration
+	periodRequests int
+	keptPeriod     time.Duration
+	evictedAt      time.Duration
 }
 
 // New returns a limiter without listed clients, with a share of 1 and unlimited
 // capacity.
 func New(opts Options) *Limiter {
-	return &Limiter{
-		opts:     opts,
-		share:    1,
-		capacity: math.Inf(1),
-		lookup:   func(string) (Client, bool) { return Client{}, false },
-		accounts: make(map[string]*account),
-		overflow: account{weight: weightOf(opts.UnlistedWeight)},
-		fair:     newFairLevel(),
+	l := &Limiter{
+		opts:        opts,
+		share:       1,
+		capacity:    math.Inf(1),
+		lookup:      func(string) (Client, bool) { return Client{}, false },
+		accounts:    make(map[string]*account),
+		fair:        newFairLevels(opts.Priorities),
+		levelPeriod: cmp.Or(opts.LevelPeriod, defaultLevelPeriod),
 	}
+	l.overflow = *l.newAccount()
+	l.overflow.weight = weightOf(opts.UnlistedWeight)
+	return l
+}
+
+// newAccount returns an account without usage and limits.
+func (l *Limiter) newAccount() *account {
+	return &account{offeredRates: make([]float64, len(l.fair))}
 }
 
 // SetClients replaces the listed clients. Clients that remain keep their usage.
@@ -200,8 +231,8 @@
 	if wait := a.rateWait(now); wait > 0 {
 		return Decision{Reason: ReasonRateLimit, RetryAfter: wait}, nil
 	}
-	a.recordOffered(now, r.Cost)
-	if !l.withinFairShare(now, a, r) {
+	a.recordOffered(now, l.priority(r), r.Cost)
+	if !l.withinFairShare(now, a, r, 1) {
 		return Decision{Reason: ReasonFairShare}, nil
 	}
 	a.charge(now, l.share)
@@ -217,7 +248,7 @@
 		return
 	}
 	a.tat = max(0, a.tat-a.localInterval(l.share))
-	l.fair.refund(r.Cost)
+	l.refund(r)
 }
 
 // account returns the account of a client and creates it at the first request.
@@ -226,7 +257,7 @@
 		return a, nil
 	}
 	if c, ok := l.lookup(name); ok {
-		a := &account{}
+		a := l.newAccount()
 		a.applyLimits(c)
 		l.accounts[name] = a
 		return a, nil
@@ -240,14 +271,20 @@
 	if l.unlisted >= l.opts.MaxUnlisted {
 		return &l.overflow, nil
 	}
-	a := &account{weight: weightOf(l.opts.UnlistedWeight)}
+	a := l.newAccount()
+	a.weight = weightOf(l.opts.UnlistedWeight)
 	l.accounts[name] = a
 	l.unlisted++
 	return a, nil
 }
 
-// evictIdle removes the accounts of unlisted clients without recent requests.
+// evictIdle removes the accounts of unlisted clients without recent requests. It
+// does nothing if it has just done so, because it looks at all accounts.
 func (l *Limiter) evictIdle(now time.Duration) {
+	if now-l.evictedAt < evictInterval {
+		return
+	}
+	l.evictedAt = now
 	for name, a := range l.accounts {
 		if !a.listed && now-a.updatedAt > 2*usageWindow {
 			delete(l.accounts, name)
@@ -256,6 +293,9 @@
 	}
 }
 
+// evictInterval is the time between evictions of idle accounts.
+const evictInterval = time.Second
+
 // localInterval returns the time between requests at the sustained rate at this
 // entry.
 func (a *account) localInterval(share float64) time.Duration {
@@ -278,10 +318,15 @@
 	}
 }
 
-// recordOffered adds the cost of a request to the moving average of the offered
-// rate.
-func (a *account) recordOffered(now time.Duration, cost float64) {
+// recordOffered adds the cost of a request to the moving averages of the offered
+// rates.
+func (a *account) recordOffered(now time.Duration, priority int, cost float64) {
 	decay := math.Exp(-float64(now-a.updatedAt) / float64(usageWindow))
-	a.offeredRate = a.offeredRate*decay + cost/usageWindow.Seconds()
+	for i := range a.offeredRates {
+		a.offeredRates[i] *= decay
+		if i >= priority {
+			a.offeredRates[i] += cost / usageWindow.Seconds()
+		}
+	}
 	a.updatedAt = now
 }
