Hold client accounts to their fair share of services short of capacity

Cause: under scarcity every account's requests are sent until all of them are late; one account with more than half of the load takes as much of the servers. Change: after the placement and before the first transmission, a gateway counts each request of an account by its cost (time of the uncached prompt and part of a stream's slot; 1 for plain services). Above the account's share of a service that is short, it answers 503 with the reason fair_share and a Retry-After between a ninth and a third of the time left. Requests without an account take none of these steps. Requests that are predicted to be late are sent as before. Result: tests of internal/gateway, internal/logevent and docs pass, and those of accounts in platform.

--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -30,6 +30,8 @@
 	// the request needs none.
 	account    *accounts.Account
 	authConfig *fleet.Config
+	// share is what the request counts in the fair shares of the service's accounts.
+	share shareUse
 	// traits are what the request has in common with others that may crash servers.
 	traits []poison.Trait
 	// sentAt is when the last attempt was sent, and proven is set once an engine has
@@ -190,6 +192,10 @@
 			q.failNoServer(last)
 			return
 		}
+		if q.refuseAboveShare(choice) {
+			q.notifyPlaceEnded(false)
+			return
+		}
 		if !q.meetsDeadline(choice) {
 			q.notifyPlaceEnded(false)
 			q.fail(lastOutcomeOr(last, "overloaded"), overloadRetryAfter(choice, q.route))
@@ -277,11 +283,16 @@
 // deadline and, for a stream that begins, within the route's MaxEventGap, after which
 // callers disconnect. The caller of one that has begun can't begin anew.
 func (q *request) meetsDeadline(c placement.Choice) bool {
+	return c.TimeToFirstEvent+minUsefulTime < q.timeToStart()
+}
+
+// timeToStart returns the time left for the first event of the next attempt.
+func (q *request) timeToStart() time.Duration {
 	available := q.remaining()
 	if q.route.MaxEventGap > 0 && !q.headerSent && !q.hasBegun() {
 		available = min(available, q.arrivedAt+q.route.MaxEventGap-q.g.now())
 	}
-	return c.TimeToFirstEvent+minUsefulTime < available
+	return available
 }
 
 // handleOutcome processes an attempt's outcome. It reports whether the request
@@ -295,6 +306,10 @@
 	q.recordEvidence(out, choice.Server)
 	switch out.result {
 	case delivered:
+		q.completeShare()
+		if q.share.counted && q.firstEventAt > 0 {
+			q.service.recordStream(q.g.now() - q.firstEventAt)
+		}
 		q.service.recordDuration(q.route.Kind, q.g.now()-q.arrivedAt)
 		q.finish("answered", "", out.status())
 		return true
--- a/internal/gateway/load_metrics.go
+++ b/internal/gateway/load_metrics.go
@@ -24,6 +24,8 @@
 		"Requests per second that a backend server takes from all gateways together, as it has stated.", []string{"service", "server"}, nil)
 	blockedParts = prometheus.NewDesc("marigold_gateway_blocked_parts",
 		"Parts of prompts that are kept from the engines of a service, because engines crashed under them.", []string{"service"}, nil)
+	capacityShort = prometheus.NewDesc("marigold_gateway_capacity_short",
+		"1 while a service with client accounts is short of capacity and its accounts are held to their fair shares.", []string{"service"}, nil)
 	retryTokens = prometheus.NewDesc("marigold_gateway_retry_tokens",
 		"Retries that this gateway's budget permits at present.", []string{"service"}, nil)
 )
@@ -35,6 +37,7 @@
 	out <- retryTokens
 	out <- serverLimit
 	out <- blockedParts
+	out <- capacityShort
 }
 
 // Collect implements prometheus.Collector.
@@ -46,6 +49,13 @@
 	for service, tokens := range state.RetryTokens {
 		gauge(retryTokens, tokens, service)
 	}
+	for service, shares := range state.FairShares {
+		short := 0.0
+		if shares.Short {
+			short = 1
+		}
+		gauge(capacityShort, short, service)
+	}
 	for service, blocks := range state.BlockedParts {
 		gauge(blockedParts, float64(len(blocks)), service)
 	}
--- a/internal/gateway/log.go
+++ b/internal/gateway/log.go
@@ -71,6 +71,7 @@
 // finish counts and logs the end of a request. Status 0 means that the caller
 // received no complete response.
 func (q *request) finish(outcome, reason string, status int) {
+	q.endShare()
 	elapsed := q.g.now() - q.arrivedAt
 	q.g.metrics.requests.WithLabelValues(q.route.Name, outcome, reasonLabel(reason)).Inc()
 	q.g.metrics.duration.WithLabelValues(q.route.Name).Observe(elapsed.Seconds())
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -28,6 +28,7 @@
 	health     *retry.HealthTracker
 	budget     *retry.Budget
 	limits     *serverlimit.Book
+	shares     shares
 	poison     *poison.Detector
 	origins    *streamorigin.Origins
 	// numbering is how servers number the events of streams.
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/marigoldwing/marigoldwing/internal/limits"
 	"github.com/marigoldwing/marigoldwing/internal/placement"
 	"github.com/marigoldwing/marigoldwing/internal/poison"
 	"github.com/marigoldwing/marigoldwing/internal/serverlimit"
@@ -26,6 +27,9 @@
 	// BlockedParts are the parts of prompts that are kept from the engines of each
 	// service.
 	BlockedParts map[string][]BlockDump `json:"blocked_parts"`
+	// FairShares are the fair shares of the accounts of each service that has had requests
+	// of accounts.
+	FairShares map[string]limits.FairShareState `json:"fair_shares,omitempty"`
 }
 
 // BlockDump is a blocked part of prompts as shown in the state of a gateway.
@@ -64,6 +68,7 @@
 		ServerLimits:  make(map[string][]serverlimit.Dump, len(current.services)),
 		Pauses:        make(map[string][]serverlimit.PauseDump, len(current.services)),
 		BlockedParts:  make(map[string][]BlockDump, len(current.services)),
+		FairShares:    make(map[string]limits.FairShareState),
 	}
 	if current.config != nil {
 		dump.ConfigVersion = current.config.Version
@@ -76,6 +81,9 @@
 		dump.ServerLimits[name] = s.limits.Dump(now)
 		dump.Pauses[name] = s.limits.DumpPauses(now)
 		dump.BlockedParts[name] = dumpBlocks(now, s.poison.Blocks())
+		if s.shares.fair != nil {
+			dump.FairShares[name] = s.shares.fair.State(now)
+		}
 		s.mu.Unlock()
 	}
 	return dump
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -134,6 +134,7 @@
 		q.w.WriteHeader(http.StatusOK)
 		q.headerSent = true
 		q.firstEventAt = q.g.now()
+		q.completeShare()
 		q.g.metrics.firstEvent.WithLabelValues(q.route.Name).Observe((q.firstEventAt - q.arrivedAt).Seconds())
 	}
 	if len(data) > 0 {
--- a/internal/logevent/request.go
+++ b/internal/logevent/request.go
@@ -275,6 +275,18 @@
 		slog.String(keyServer, server), slog.String(keyReason, reason), slog.Bool("avoided", avoided))
 }
 
+// CapacityShortage reports that a service whose requests belong to client accounts has
+// become short of capacity, or no longer is. The pressure is the average of its requests',
+// completed the cost per second that it has completed at this gateway recently.
+func CapacityShortage(service string, short bool, pressure, completed float64) Event {
+	message := info("service is no longer short of capacity", slog.String(keyService, service))
+	if short {
+		message = info("service is short of capacity, accounts are held to their fair shares",
+			slog.String(keyService, service), slog.Float64("pressure", pressure), slog.Float64("completed_per_s", completed))
+	}
+	return message
+}
+
 // HandleReleaseFailed reports that an engine keeps the KV cache of a prefilled
 // prompt that will not be used, until the cache expires.
 func HandleReleaseFailed(server string, err error) Event {
