--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -24,6 +24,7 @@
 	placements    *prometheus.CounterVec
 	departures    *prometheus.CounterVec
 	pauses        *prometheus.CounterVec
+	shareRefusals *prometheus.CounterVec
 	engineCrashes *prometheus.CounterVec
 	dutyCalls     *prometheus.CounterVec
 	inflight      prometheus.Gauge
@@ -79,6 +80,9 @@
 		dutyCalls: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "marigold_gateway_duty_calls_total", Help: "Calls to the platform that one gateway makes for all, by duty and outcome.",
 		}, []string{"duty", "outcome"}),
+		shareRefusals: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "marigold_gateway_fair_share_refusals_total", Help: "Requests refused because their account uses more than its fair share, by service.",
+		}, []string{"service"}),
 		inflight: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "marigold_gateway_inflight_requests", Help: "Requests that have been read and not answered.",
 		}),
@@ -86,7 +90,7 @@
 			Name: "marigold_gateway_config_version", Help: "Version of the configuration in force.",
 		}),
 	}
-	registerer.MustRegister(m.requests, m.attempts, m.retries, m.streamEnds, m.unframedEnds, m.resumes, m.firstEvent, m.eventGap, m.duration, m.loadAge, m.placements, m.engineCrashes, m.dutyCalls, m.departures, m.pauses, m.inflight, m.configVersion)
+	registerer.MustRegister(m.requests, m.attempts, m.retries, m.streamEnds, m.unframedEnds, m.resumes, m.firstEvent, m.eventGap, m.duration, m.loadAge, m.placements, m.engineCrashes, m.dutyCalls, m.departures, m.pauses, m.shareRefusals, m.inflight, m.configVersion)
 	return m
 }
 
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/marigoldwing/marigoldwing/internal/limits"
 	"github.com/marigoldwing/marigoldwing/internal/placement"
 	"github.com/marigoldwing/marigoldwing/internal/poison"
 	"github.com/marigoldwing/marigoldwing/internal/serverlimit"
@@ -28,6 +29,9 @@
 	BlockedParts map[string][]BlockDump `json:"blocked_parts"`
 	// Duties are the calls to the platform that one gateway makes for all.
 	Duties []DutyDump `json:"duties,omitempty"`
+	// FairShares are the fair shares of the accounts of each service that has had requests
+	// of accounts.
+	FairShares map[string]limits.FairShareState `json:"fair_shares,omitempty"`
 }
 
 // BlockDump is a blocked part of prompts as shown in the state of a gateway.
@@ -67,6 +71,7 @@
 		ServerLimits:  make(map[string][]serverlimit.Dump, len(current.services)),
 		Pauses:        make(map[string][]serverlimit.PauseDump, len(current.services)),
 		BlockedParts:  make(map[string][]BlockDump, len(current.services)),
+		FairShares:    make(map[string]limits.FairShareState),
 	}
 	if current.config != nil {
 		dump.ConfigVersion = current.config.Version
@@ -79,6 +84,9 @@
 		dump.ServerLimits[name] = s.limits.Dump(now)
 		dump.Pauses[name] = s.limits.DumpPauses(now)
 		dump.BlockedParts[name] = dumpBlocks(now, s.poison.Blocks())
+		if s.shares.fair != nil {
+			dump.FairShares[name] = s.shares.fair.State(now)
+		}
 		s.mu.Unlock()
 	}
 	return dump
