--- a/internal/agent/probe_test.go
+++ b/internal/agent/probe_test.go
@@ -84,6 +84,8 @@
 	answer func(s *rawService, conn net.Conn)
 	// answersOptions is the answer to a request that concerns the service as a whole.
 	answersOptions string
+	// idleTimeout is how long a connection without a request stays open; 0 for ever.
+	idleTimeout time.Duration
 
 	mu       sync.Mutex
 	accepted []net.Conn
@@ -119,6 +121,9 @@
 
 func (s *rawService) serve(conn net.Conn) {
 	defer func() { _ = conn.Close() }()
+	if s.idleTimeout > 0 {
+		_ = conn.SetReadDeadline(time.Now().Add(s.idleTimeout))
+	}
 	r, err := http.ReadRequest(bufio.NewReader(conn))
 	switch {
 	case err != nil:
@@ -371,3 +376,113 @@
 	address := startImpatientService(t, "", func(_ net.Listener, conn net.Conn) { _, _ = io.WriteString(conn, unmarkedAnswer) })
 	require.True(t, callPlain(t, runnerOf(address), http.MethodPost).complete)
 }
+
+// TestSlowAnswersOfServiceThatClosesIdleConnectionsAreRelayed checks the same whenever the
+// answers end, for the first calls to a service and for later ones. The idle timeout is long
+// enough for machines that stand still for up to 300 ms.
+func TestSlowAnswersOfServiceThatClosesIdleConnectionsAreRelayed(t *testing.T) {
+	var calls atomic.Int64
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	s := &rawService{listener: listener, answersOptions: "HTTP/1.0 501 Unsupported\r\n\r\n", idleTimeout: 500 * time.Millisecond}
+	s.answer = func(_ *rawService, conn net.Conn) {
+		time.Sleep(time.Duration(4+calls.Add(1)%8) * 150 * time.Millisecond)
+		_, _ = io.WriteString(conn, unmarkedAnswer)
+	}
+	go s.run(false)
+	runner := runnerOf(listener.Addr().String())
+	for range 2 {
+		var running sync.WaitGroup
+		for range 8 {
+			running.Go(func() {
+				if !callPlain(t, runner, http.MethodPost).complete {
+					t.Error("sound answer not relayed")
+				}
+			})
+		}
+		running.Wait()
+	}
+}
+
+// TestNextStartOfServiceThatClosesIdleConnectionsConfirmsNothing guards against a part of an
+// answer that is taken for the whole: the first connections beside the call have timed out,
+// and the last ones are to the next start of the service, up before the call's has ended.
+func TestNextStartOfServiceThatClosesIdleConnectionsConfirmsNothing(t *testing.T) {
+	const idleTimeout = 100 * time.Millisecond
+	for delay := 80 * time.Millisecond; delay < 400*time.Millisecond; delay += 20 * time.Millisecond {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		address := listener.Addr().String()
+		answer := func(s *rawService, conn net.Conn) {
+			time.Sleep(delay)
+			_, _ = io.WriteString(conn, strings.TrimSuffix(unmarkedAnswer, "ole"))
+			s.end(conn)
+			nextListener, err := net.Listen("tcp", address)
+			if err != nil {
+				return
+			}
+			t.Cleanup(func() { _ = nextListener.Close() })
+			next := &rawService{listener: nextListener, answer: write(unmarkedAnswer), answersOptions: s.answersOptions, idleTimeout: idleTimeout}
+			go next.run(false)
+			time.Sleep(2 * linkTime)
+		}
+		s := &rawService{listener: listener, answer: answer, answersOptions: "HTTP/1.0 501 Unsupported\r\n\r\n", idleTimeout: idleTimeout}
+		go s.run(false)
+		requireCut(t, callPlain(t, runnerOf(address), http.MethodPost))
+	}
+}
+
+// TestFurtherConnectionsAreBounded guards against a service that is burdened by connections
+// because it closes them at once, or because a call takes long.
+func TestFurtherConnectionsAreBounded(t *testing.T) {
+	for idleTimeout, most := range map[time.Duration]int{time.Millisecond: 2, 100 * time.Millisecond: 65} {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		answer := func(_ *rawService, conn net.Conn) {
+			time.Sleep(time.Second)
+			_, _ = io.WriteString(conn, unmarkedAnswer)
+		}
+		s := &rawService{listener: listener, answer: answer, idleTimeout: idleTimeout}
+		go s.run(false)
+		callPlain(t, runnerOf(listener.Addr().String()), http.MethodPost)
+		require.LessOrEqual(t, s.connections(), most, "%s", idleTimeout)
+		_ = listener.Close()
+	}
+}
+
+// TestOneEarlyCloseDoesNotMultiplyConnections guards against a service that is burdened for
+// ever because it has closed one connection early.
+func TestOneEarlyCloseDoesNotMultiplyConnections(t *testing.T) {
+	s := startRawService(t, false, func(_ *rawService, conn net.Conn) {
+		time.Sleep(time.Second)
+		_, _ = io.WriteString(conn, unmarkedAnswer)
+	})
+	runner := runnerOf(s.listener.Addr().String())
+	runner.ends.recordClosed(minLifetime)
+	require.True(t, callPlain(t, runner, http.MethodPost).complete)
+	require.LessOrEqual(t, s.connections(), 25)
+	require.Greater(t, time.Duration(runner.ends.lifetime.Load()), 800*time.Millisecond)
+}
+
+// TestServiceThatHandsItsAddressOverIsNotConfirmed guards against a part of an answer that
+// is taken for the whole: another process listens at the address while the one that was
+// called works on and has closed its idle connections, and the latter is killed.
+func TestServiceThatHandsItsAddressOverIsNotConfirmed(t *testing.T) {
+	for delay := 30 * time.Millisecond; delay < 300*time.Millisecond; delay += 30 * time.Millisecond {
+		s := startRawService(t, false, func(s *rawService, conn net.Conn) {
+			time.Sleep(delay)
+			s.end(conn)
+			nextListener, err := net.Listen("tcp", s.listener.Addr().String())
+			if err != nil {
+				return
+			}
+			t.Cleanup(func() { _ = nextListener.Close() })
+			next := &rawService{listener: nextListener, answer: write(unmarkedAnswer), answersOptions: s.answersOptions}
+			go next.run(false)
+			time.Sleep(delay)
+			_, _ = io.WriteString(conn, strings.TrimSuffix(unmarkedAnswer, "ole"))
+		})
+		requireCut(t, callPlain(t, runnerOf(s.listener.Addr().String()), http.MethodPost))
+	}
+}
