Avoid crashed engines while they are asked for their state

A server that has lost a connection is asked up to three times whether it has ended, and was avoided for 300 ms meanwhile. The questions may take up to 800 ms each, as on a machine under load. When the 300 ms were over before the answers, the server got prompts again and lost them; the more so if the other engines had just started and get little at first.

The server is now avoided until the questions have ended. If they have not shown whether it has ended, it is avoided for 300 ms from the first one, as before.

This explains how TestNextStartOfCrashedEngineIsUsed lost 5 prompts of 20 once; that failure itself has no logs and was not reproduced.

--- a/internal/gateway/poison.go
+++ b/internal/gateway/poison.go
@@ -38,9 +38,13 @@
 	// engineCheckInterval apart, because a live one does so at times.
 	engineChecks        = 3
 	engineCheckInterval = 50 * time.Millisecond
-	// suspicionTime bounds the time for which a server that is asked is avoided. It
-	// exceeds the time of engineChecks short answers.
+	// suspicionTime bounds the time for which a server is avoided whose answers have not
+	// shown whether it has ended. It exceeds the time of engineChecks short answers.
 	suspicionTime = 300 * time.Millisecond
+	// maxCheckTime is the longest time that engineChecks questions take. A server is avoided
+	// while it is asked: with suspicionTime only, further prompts were lost at crashed
+	// engines on a machine under load.
+	maxCheckTime = engineChecks * (engineCallTimeout + engineCheckInterval)
 )
 
 // Sources of what a gateway learns about crashes and blocked parts.
@@ -113,8 +117,9 @@
 
 // checkServer finds out whether a server that has lost a connection has ended.
 func (g *Gateway) checkServer(s *service, server fleet.Server) {
+	begun := g.now()
 	result := g.serverState(context.Background(), s, server)
-	crash, ended := s.endCheck(g.now(), server, result.check)
+	crash, ended := s.endCheck(begun, g.now(), server, result.check)
 	if ended {
 		g.crashObserved(s, crash, poisonFromSelf)
 	}
@@ -359,7 +364,7 @@
 	defer s.mu.Unlock()
 	check = s.poison.RecordLoss(now, engineName(server), traits)
 	if check {
-		s.health.Suspect(server.ID, now+suspicionTime)
+		s.health.Suspect(server.ID, now+maxCheckTime)
 	}
 	return check
 }
@@ -383,11 +388,13 @@
 	return s.poison.RecordSound(now, request, sentAt, traits)
 }
 
-func (s *service) endCheck(now time.Duration, server fleet.Server, result poison.Check) (poison.Crash, bool) {
+func (s *service) endCheck(begun, now time.Duration, server fleet.Server, result poison.Check) (poison.Crash, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if result == poison.CheckAlive {
 		s.health.Trust(server.ID)
+	} else {
+		s.health.EndSuspicion(server.ID, begun+suspicionTime)
 	}
 	return s.poison.EndCheck(now, engineName(server), result)
 }
--- a/internal/retry/health.go
+++ b/internal/retry/health.go
@@ -183,6 +183,13 @@
 	}
 }
 
+// EndSuspicion lets a suspected backend server be avoided no longer than until a time.
+func (h *HealthTracker) EndSuspicion(name string, until time.Duration) {
+	if s := h.servers[name]; s != nil {
+		s.suspectUntil = min(s.suspectUntil, until)
+	}
+}
+
 // RecordRecovery records that a backend server is serving again after it was
 // down or unreachable, which begins its slow start.
 func (h *HealthTracker) RecordRecovery(now time.Duration, name string) {
