Learn the speed of each server from all gateways' observations

Cause: engines of one service differ in speed by nearly three times. A gateway kept a slowdown per server that was half forgotten after 4 s, towards 1, while it sees a server 0.3 times a second in a fleet of 32 gateways, so that it knew next to nothing. The fourth figure of a plain server's load was not used. A refusal counted as a fast answer. Change: internal/serverspeed keeps a long-term part and a short-term deviation per start of a server, merges what other gateways report of their own observations in heartbeats, separates the gateway's own conditions, learns which servers slow down long before they are full, and applies a stated figure while it is fresh. internal/placement uses it in place of its slowdown. A new start is tried with little load.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -292,10 +292,15 @@
 		return q.sendFailed(ctx, err, headTimedOut)
 	}
 	defer exchange.Release()
-	q.service.recordPrefilled(q.g.now(), inFlight)
-	q.notifyPlaceEnded(true)
 	response := q.g.opts.Protocol.ParseResponse(exchange.Response.StatusCode, exchange.Response.Header)
+	// The load comes first: what the server states of its instance explains how long the
+	// answer has taken.
 	q.service.recordLoad(q.g.now(), c.Server.ID, response)
+	if !response.NotExecuted {
+		// A refusal shows neither how fast the server is nor that it has cached the prompt.
+		q.service.recordPrefilled(q.g.now(), inFlight)
+	}
+	q.notifyPlaceEnded(!response.NotExecuted)
 	q.observeStatements(c.Server, answerToRun, sentAt, response)
 	if response.NotExecuted && meta.KVSource == nil && !refusesWeights(meta, response) {
 		// With a KV source, the server may have refused the source rather than
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -19,6 +19,7 @@
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
+	"golang.org/x/time/rate"
 
 	"github.com/marigoldwing/marigoldwing/internal/departure"
 	"github.com/marigoldwing/marigoldwing/internal/drain"
@@ -92,6 +93,8 @@
 	// seed is incremented for each retry decision, so that their jitter differs.
 	seed        atomic.Uint64
 	retryBudget atomic.Pointer[RetryBudget]
+	// speedReportLimit bounds the reports of servers' speeds to other gateways.
+	speedReportLimit *rate.Limiter
 	// peers reports on the other gateways; nil if the gateway runs without peers.
 	peers Peers
 	// readServers reads the registrations anew and reports whether the known ones are the
@@ -122,9 +125,12 @@
 		bodyBuffers: upstream.NewBuffers(cmp.Or(opts.BufferBytes, defaultBufferBytes)),
 		metrics:     newMetrics(opts.Registerer),
 		startTime:   time.Now(),
-		stop:        newStop(drain.NewSchedule(cmp.Or(opts.StopGrace, defaultStopGrace))),
-		departures:  departures{book: departure.New(), asked: make(map[fleet.Key]bool)},
-		retired:     make(map[string]retiredService),
+
+		speedReportLimit: newSpeedReportLimit(),
+
+		stop:       newStop(drain.NewSchedule(cmp.Or(opts.StopGrace, defaultStopGrace))),
+		departures: departures{book: departure.New(), asked: make(map[fleet.Key]bool)},
+		retired:    make(map[string]retiredService),
 	}
 	g.trials = ownTrials(g)
 	g.setRetryBudget(opts.RetryBudget)
--- a/internal/gateway/load_metrics.go
+++ b/internal/gateway/load_metrics.go
@@ -13,6 +13,12 @@
 	ownerOthers = "others"
 )
 
+// Values of the part label.
+const (
+	slowdownPresent  = "present"
+	slowdownLongTerm = "long_term"
+)
+
 var (
 	serverRequests = prometheus.NewDesc("marigold_gateway_server_requests",
 		"Requests at a backend server: this gateway's, and those that others are thought to have.",
@@ -20,6 +26,9 @@
 	serverQueuedWork = prometheus.NewDesc("marigold_gateway_server_queued_work",
 		"Work of prompts that this gateway has sent or placed and that are not prefilled yet, in tokens without a context.",
 		[]string{"service", "server"}, nil)
+	serverSlowdown = prometheus.NewDesc("marigold_gateway_server_slowdown",
+		"Factor by which work takes longer on a backend server than on a usual one: at present, and its long-term part.",
+		[]string{"service", "server", "part"}, nil)
 	serverLimit = prometheus.NewDesc("marigold_gateway_server_limit",
 		"Requests per second that a backend server takes from all gateways together, as it has stated.", []string{"service", "server"}, nil)
 	blockedParts = prometheus.NewDesc("marigold_gateway_blocked_parts",
@@ -32,6 +41,7 @@
 func (loadCollector) Describe(out chan<- *prometheus.Desc) {
 	out <- serverRequests
 	out <- serverQueuedWork
+	out <- serverSlowdown
 	out <- retryTokens
 	out <- serverLimit
 	out <- blockedParts
@@ -59,6 +69,8 @@
 			gauge(serverRequests, float64(s.OwnRequests), service, s.ID, ownerSelf)
 			gauge(serverRequests, s.OtherRequests, service, s.ID, ownerOthers)
 			gauge(serverQueuedWork, s.QueuedWork, service, s.ID)
+			gauge(serverSlowdown, s.Slowdown, service, s.ID, slowdownPresent)
+			gauge(serverSlowdown, s.LongTermSlowdown, service, s.ID, slowdownLongTerm)
 		}
 	}
 }
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -24,6 +24,7 @@
 	placements    *prometheus.CounterVec
 	departures    *prometheus.CounterVec
 	pauses        *prometheus.CounterVec
+	speedReports  *prometheus.CounterVec
 	engineCrashes *prometheus.CounterVec
 	inflight      prometheus.Gauge
 	configVersion prometheus.Gauge
@@ -75,6 +76,9 @@
 		pauses: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "marigold_gateway_server_pauses_total", Help: "Refusals in which a backend server asked for a pause, by service.",
 		}, []string{"service"}),
+		speedReports: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "marigold_gateway_speed_reports_total", Help: "Reports on the speed of a backend server, by whether they were sent, or received and used.",
+		}, []string{"outcome"}),
 		inflight: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "marigold_gateway_inflight_requests", Help: "Requests that have been read and not answered.",
 		}),
@@ -82,7 +86,7 @@
 			Name: "marigold_gateway_config_version", Help: "Version of the configuration in force.",
 		}),
 	}
-	registerer.MustRegister(m.requests, m.attempts, m.retries, m.streamEnds, m.unframedEnds, m.resumes, m.firstEvent, m.eventGap, m.duration, m.loadAge, m.placements, m.engineCrashes, m.departures, m.pauses, m.inflight, m.configVersion)
+	registerer.MustRegister(m.requests, m.attempts, m.retries, m.streamEnds, m.unframedEnds, m.resumes, m.firstEvent, m.eventGap, m.duration, m.loadAge, m.placements, m.engineCrashes, m.departures, m.pauses, m.speedReports, m.inflight, m.configVersion)
 	return m
 }
 
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -18,7 +18,7 @@
 }
 
 // fillHeartbeat adds this gateway's configuration revision, registration
-// revision and loads at the servers to a heartbeat.
+// revision, loads at the servers and what it has observed of them to a heartbeat.
 func (a peerAdapter) fillHeartbeat(h *peerv1.Heartbeat) {
 	h.Leaving = a.g.stop.hasBegun()
 	confirmation := a.follower.Confirmation()
@@ -29,6 +29,7 @@
 		h.Loads = append(h.Loads, loadsToProto(s.ownLoads(a.g.now()))...)
 		h.ServerLimits = append(h.ServerLimits, limitsToProto(s.limitReports(a.g.now()))...)
 	}
+	h.ServerSpeeds = a.g.speedReports(a.g.now())
 	h.ServerDepartures = departuresToProto(a.g.departures.reports(a.g.now()))
 	h.PoisonReports = a.g.poisonReports()
 }
@@ -99,9 +100,11 @@
 func (a peerAdapter) handleHeartbeat(h *peerv1.Heartbeat) {
 	a.follower.ObservePeerVersions(int64(h.GetConfigRevision()), revision.Join(h.GetServersGeneration(), h.GetServersRevision()))
 	loads := loadsFromProto(h.GetLoads())
+	speeds := speedsFromProto(h.GetServerSpeeds())
 	now := a.g.now()
 	for _, s := range a.g.state.Load().services {
 		s.setPeerLoads(now, h.GetSender(), loads)
+		a.g.mergeSpeeds(now, s, h.GetSender(), speeds)
 		a.g.mergeLimits(s, h)
 		a.g.mergeDepartures(s, h)
 	}
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -45,10 +45,12 @@
 func (g *Gateway) newService(spec fleet.Service) *service {
 	limits := serverlimit.New(g.opts.Name, minGateways)
 	limits.SetGateways(g.now(), g.sharingGateways())
+	placementOptions := placement.DefaultOptions(g.opts.FailureDomain)
+	placementOptions.Gateway = g.opts.Name
 	return &service{
 		name:    spec.Name,
 		engine:  spec.Engine,
-		table:   placement.NewTable(placement.DefaultOptions(g.opts.FailureDomain), spec.Engine),
+		table:   placement.NewTable(placementOptions, spec.Engine),
 		health:  retry.NewHealthTracker(retry.DefaultHealthOptions()),
 		budget:  retry.NewBudget(g.now(), g.retryOptions()),
 		limits:  limits,
--- a/internal/placement/cost.go
+++ b/internal/placement/cost.go
@@ -46,15 +46,16 @@
 }
 
 // slotWaitSeconds returns the expected time that a request waits for a slot of
-// an engine.
-func (t *Table) slotWaitSeconds(s *server, now time.Duration) float64 {
+// an engine that has the given number of requests and takes the given factor
+// longer than a usual one.
+func (t *Table) slotWaitSeconds(requests, factor float64) float64 {
 	slots := float64(max(1, t.engine.Slots))
-	requests := s.requests(now) + 1
+	requests++
 	fill := min(1, requests/slots)
 	// Steps take longer in a fuller batch.
-	wait := fullBatchDelaySeconds * fill * s.currentSlowdown(now)
+	wait := fullBatchDelaySeconds * fill * factor
 	if requests > slots {
-		wait += (requests - slots) / slots * typicalSlotSeconds
+		wait += (requests - slots) / slots * typicalSlotSeconds * factor
 	}
 	return wait
 }
--- a/internal/placement/engines.go
+++ b/internal/placement/engines.go
@@ -31,21 +31,24 @@
 // chooseSingle chooses one decode engine for both prefill and decode.
 func (t *Table) chooseSingle(q *query) (best candidate, found bool) {
 	rate := t.prefillRate.perSecond * decodePrefillShare
+	common := t.commonFactor(q.now, fleet.StageDecode)
 	for _, s := range q.decodeEngines {
 		if q.excluded(s) {
 			continue
 		}
 		priority := clampPriority(q.Priority)
-		ahead, behind := s.backlog(q.now, rate, priority)
+		requests := s.requests(q.now)
+		factor := t.workFactor(q.now, s, requests, common)
+		ahead, behind := s.backlog(q.now, rate/factor, priority)
 		wait := ahead / rate
 		hit := t.prefixHitFor(q, s, q.decodeHome, seconds(wait))
 		uncached := q.uncachedTokens(hit)
 		prefill := q.prefillSeconds(hit, rate)
-		first := (t.firstSteps[directStep].seconds+prefill+wait)*s.currentSlowdown(q.now) + t.transferSeconds(hit.fetched) + t.slotWaitSeconds(s, q.now)
+		first := (t.firstSteps[directStep].seconds+prefill+wait)*factor + t.transferSeconds(hit.fetched) + t.slotWaitSeconds(requests, factor)
 		c := candidate{Choice: t.newChoice(q.now, s, first)}
 		c.UncachedTokens, c.FetchFrom, c.Priority = int(uncached), hit.sourceAddress, priority
-		c.score = first/s.weight + t.domainCost(q.OriginDomain, s, q.BodyBytes) + t.recomputeCost(q, hit.tokens) + t.opts.OvertakingWeight*behind/rate +
-			t.opts.FetchPenaltyPerToken*float64(hit.fetched) + t.interferenceCost(prefill, s.requests(q.now))
+		c.score = first*s.trialCost(q.now)/s.weight + t.domainCost(q.OriginDomain, s, q.BodyBytes) + t.recomputeCost(q, hit.tokens) + t.opts.OvertakingWeight*behind/rate +
+			t.opts.FetchPenaltyPerToken*float64(hit.fetched) + t.interferenceCost(prefill, requests)
 		keepBetter(&best, &found, c)
 	}
 	return best, found
@@ -76,24 +79,26 @@
 
 // choosePrefill chooses the engine that prefills the prompt.
 func (t *Table) choosePrefill(q *query) (best candidate, found bool) {
+	common := t.commonFactor(q.now, fleet.StagePrefill)
 	for _, s := range q.prefillEngines {
 		if q.excluded(s) {
 			continue
 		}
+		factor := t.workFactor(q.now, s, s.requests(q.now), common)
 		rate := t.prefillRate.perSecond
 		hit := t.prefixHitFor(q, s, q.prefillHome, 0)
 		priority := q.prefillPriority(q.prefillSeconds(hit, rate))
-		ahead, behind := s.backlog(q.now, rate, priority)
+		ahead, behind := s.backlog(q.now, rate/factor, priority)
 		wait := ahead / rate
 		if wait > 0 {
 			hit = t.prefixHitFor(q, s, q.prefillHome, seconds(wait))
 		}
 		uncached := q.uncachedTokens(hit)
 		prefill := q.prefillSeconds(hit, rate)
-		first := (t.firstSteps[prefillStep].seconds+prefill+wait)*s.currentSlowdown(q.now) + t.transferSeconds(hit.fetched)
+		first := (t.firstSteps[prefillStep].seconds+prefill+wait)*factor + t.transferSeconds(hit.fetched)
 		c := candidate{Choice: t.newChoice(q.now, s, first)}
 		c.UncachedTokens, c.FetchFrom, c.Priority = int(uncached), hit.sourceAddress, priority
-		c.score = first/s.weight + t.domainCost(q.OriginDomain, s, q.BodyBytes) + t.recomputeCost(q, hit.tokens) + t.opts.OvertakingWeight*behind/rate + t.opts.FetchPenaltyPerToken*float64(hit.fetched)
+		c.score = first*s.trialCost(q.now)/s.weight + t.domainCost(q.OriginDomain, s, q.BodyBytes) + t.recomputeCost(q, hit.tokens) + t.opts.OvertakingWeight*behind/rate + t.opts.FetchPenaltyPerToken*float64(hit.fetched)
 		if s != q.prefillHome {
 			c.score += t.opts.NonHomePenalty
 		}
@@ -131,10 +136,13 @@
 // chooseDecode chooses the decode engine for a prompt prefilled by another
 // engine.
 func (t *Table) chooseDecode(q *query, prefill fleet.Server) (best candidate, found bool) {
+	common := t.commonFactor(q.now, fleet.StageDecode)
 	for _, s := range q.decodeEngines {
 		if q.excluded(s) {
 			continue
 		}
+		requests := s.requests(q.now)
+		factor := t.workFactor(q.now, s, requests, common)
 		transfer := t.transferSeconds(q.PromptTokens)
 		cost := t.opts.TransferPenaltyPerToken * float64(q.PromptTokens)
 		if s.FailureDomain != prefill.FailureDomain {
@@ -142,10 +150,10 @@
 			cost *= 2
 		}
 		rate := t.prefillRate.perSecond * decodePrefillShare
-		wait := s.backlogAhead(q.now, rate, clampPriority(q.Priority)) / rate
-		first := (t.firstSteps[importStep].seconds+wait)*s.currentSlowdown(q.now) + transfer + t.slotWaitSeconds(s, q.now)
+		wait := s.backlogAhead(q.now, rate/factor, clampPriority(q.Priority)) / rate
+		first := (t.firstSteps[importStep].seconds+wait)*factor + transfer + t.slotWaitSeconds(requests, factor)
 		c := candidate{Choice: t.newChoice(q.now, s, first)}
-		c.score = first/s.weight + cost + t.domainCost(q.OriginDomain, s, q.BodyBytes)
+		c.score = first*s.trialCost(q.now)/s.weight + cost + t.domainCost(q.OriginDomain, s, q.BodyBytes)
 		keepBetter(&best, &found, c)
 	}
 	return best, found
--- a/internal/placement/estimate.go
+++ b/internal/placement/estimate.go
@@ -1,47 +1,9 @@
 package placement
 
 import (
-	"math"
-	"time"
-
 	"github.com/marigoldwing/marigoldwing/internal/fleet"
 )
 
-const (
-	// slowdownSmoothing is the weight of one observation in the moving average
-	// of a server's slowdown.
-	slowdownSmoothing = 0.1
-	// slowdownNoiseSeconds is added to the observed and the predicted time, in
-	// seconds, so that noise in short times does not distort their ratio.
-	slowdownNoiseSeconds = 0.02
-	// minSlowdown and maxSlowdown bound the slowdown. maxSlowdown also bounds
-	// the ratio of a single observation in both directions.
-	minSlowdown = 0.5
-	maxSlowdown = 8.0
-	// slowdownHalfLife is the time without observations after which half of the
-	// slowdown is forgotten, so that a server that was slow is tried again.
-	slowdownHalfLife = 4 * time.Second
-)
-
-// observeLatency updates the slowdown with the observed and the predicted time
-// to first event, in seconds. The prediction already includes the slowdown, so
-// their ratio is the factor by which the slowdown has to change.
-func (s *server) observeLatency(now time.Duration, took, predicted float64) {
-	ratio := (took + slowdownNoiseSeconds) / (predicted + slowdownNoiseSeconds)
-	ratio = min(max(ratio, 1/maxSlowdown), maxSlowdown)
-	s.slowdown = s.currentSlowdown(now)
-	s.observedAt = now
-	s.slowdown += slowdownSmoothing * (ratio*s.slowdown - s.slowdown)
-	s.slowdown = min(max(s.slowdown, minSlowdown), maxSlowdown)
-}
-
-// currentSlowdown returns the factor by which the server takes longer than
-// usual.
-func (s *server) currentSlowdown(now time.Duration) float64 {
-	age := float64(now-s.observedAt) / float64(slowdownHalfLife)
-	return 1 + (s.slowdown-1)*math.Exp2(-age)
-}
-
 // prefillRateEstimate estimates the prefill rate of an unloaded engine, in work
 // per second. It tracks the rate that about one in five prefills exceeds, among
 // those with no queue known to this gateway. A plain mean would be too low
@@ -132,8 +94,9 @@
 }
 
 // observeUnqueued updates the estimates with a request that waited behind no
-// other one that this gateway knows of.
+// other one that this gateway knows of. They are those of a usual server.
 func (t *Table) observeUnqueued(f *InFlightSend, took float64) {
+	took /= f.server.speed.estimate.LongTerm()
 	step := &t.firstSteps[f.stepOf()]
 	prefill := f.work / t.rateOf(f.server)
 	switch {
--- a/internal/placement/load.go
+++ b/internal/placement/load.go
@@ -33,15 +33,15 @@
 	var loads []GatewayLoad
 	for _, s := range t.servers {
 		if s.ownRequests > 0 {
-			loads = append(loads, GatewayLoad{ServerID: s.ID, Requests: s.ownRequests, Work: s.uncoordinatedWork(now, t.rateOf(s))})
+			loads = append(loads, GatewayLoad{ServerID: s.ID, Requests: s.ownRequests, Work: s.uncoordinatedWork(now, t.rateOf(s)/t.currentFactor(now, s))})
 		}
 	}
 	return loads
 }
 
-// uncoordinatedWork returns the work of the prompts that this gateway placed.
+// uncoordinatedWork returns the work of the prompts that this gateway placed, given
+// the server's prefill rate in work per second.
 func (s *server) uncoordinatedWork(now time.Duration, rate float64) QueuedWork {
-	rate /= s.currentSlowdown(now)
 	work := s.queue.work(now, rate, false)
 	coordinated := s.queue.work(now, rate, true)
 	work.InService -= coordinated.InService
@@ -125,7 +125,6 @@
 	if len(s.queue.prompts) == 0 && len(s.peers) == 0 {
 		return 0, 0
 	}
-	rate /= s.currentSlowdown(now)
 	for _, l := range s.peers {
 		if now-l.receivedAt < peerLoadTTL {
 			work := l.work
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -102,6 +102,9 @@
 // additional time to first event.
 type Options struct {
 	FailureDomain string
+	// Gateway is the name of this gateway. It determines when the gateway begins to use
+	// a server that has started anew.
+	Gateway string
 	// NonHomePenalty applies to an engine that is not the home of the prompt,
 	// which rendezvous hashing of the prompt's first part determines. It keeps
 	// gateways that know little of each other's requests in agreement on where a
@@ -131,8 +134,8 @@
 	LongInterferenceFactor float64
 }
 
-// DefaultOptions returns the default options for a gateway in the given failure
-// domain.
+// DefaultOptions returns the default options for an unnamed gateway in the given
+// failure domain.
 func DefaultOptions(failureDomain string) Options {
 	return Options{
 		FailureDomain:             failureDomain,
--- a/internal/placement/table.go
+++ b/internal/placement/table.go
@@ -7,6 +7,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/marigoldwing/marigoldwing/internal/fleet"
+	"github.com/marigoldwing/marigoldwing/internal/serverspeed"
 )
 
 // Table holds what one gateway knows of the servers of one service.
@@ -16,7 +17,11 @@
 	servers     []*server
 	prefillRate prefillRateEstimate
 	firstSteps  [stepKindCount]firstStepEstimate
-	lastSweep   time.Duration
+	// conditions is what is common to the servers of each stage, stageServers their
+	// number.
+	conditions   [stageCount]serverspeed.Conditions
+	stageServers [stageCount]int
+	lastSweep    time.Duration
 	// knowsAllCaches is set when this table has been the coordinator for at
 	// least coordinatorWarmUp, so that it knows all long prompts that the
 	// engines have cached.
@@ -42,10 +47,8 @@
 	hasReport        bool
 	// peers holds the loads reported by other gateways, by gateway.
 	peers map[string]peerLoad
-	// slowdown is the smoothed ratio, as of observedAt, of observed times to
-	// those predicted for a server without slowdown.
-	slowdown   float64
-	observedAt time.Duration
+	// speed is what is known of the server's speed.
+	speed speed
 	// weight is the fraction of its usual load that the server should get.
 	weight float64
 	// weights is the version of the weights that the server stated last; empty if none.
@@ -75,29 +78,38 @@
 func (t *Table) SetServers(engine *fleet.EngineSpec, servers []fleet.Server) {
 	t.engine = engine
 	old := t.servers
-	t.servers = make([]*server, 0, len(servers))
+	t.servers, t.stageServers = make([]*server, 0, len(servers)), [stageCount]int{}
 	for _, server := range servers {
-		s := carryOver(old, server)
+		s := t.carryOver(old, server)
 		if engine != nil {
 			s.cache.setMemory(engine.KVCapacityTokens)
 		}
 		t.servers = append(t.servers, s)
+		t.stageServers[s.Stage]++
 	}
 }
 
+// stageCount is the number of stages.
+const stageCount = int(fleet.StageDecode) + 1
+
 // carryOver returns the state of a registered server, which is new if the
-// server or its incarnation is not in old.
-func carryOver(old []*server, registered fleet.Server) *server {
+// server or its incarnation is not in old. If old is empty, this gateway has
+// started, not the server.
+func (t *Table) carryOver(old []*server, registered fleet.Server) *server {
 	for _, s := range old {
 		if s.Key() == registered.Key() {
 			s.Server = registered
 			return s
 		}
 	}
-	return &server{
-		Server: registered, hash: xxhash.Sum64String(registered.ID), slowdown: 1, weight: 1,
+	added := &server{
+		Server: registered, hash: xxhash.Sum64String(registered.ID), weight: 1,
 		cache: newCache(), peers: make(map[string]peerLoad),
 	}
+	if len(old) > 0 {
+		added.speed.trial = serverspeed.NewTrial(t.opts.Gateway, registered.ID)
+	}
+	return added
 }
 
 // SetWeight sets the fraction of its usual load that a server should get. Zero
@@ -130,8 +142,10 @@
 	// imported is set if the server imports the prompt's KV cache.
 	coordinated, imported bool
 	sentAt                time.Duration
-	// predicted is the predicted time to first event in seconds.
+	// predicted is the predicted time to first event in seconds, and factors those
+	// that it includes.
 	predicted float64
+	factors   speedFactors
 	// prefilled is set by RecordPrefilled.
 	prefilled bool
 	// newParts are the keys of the parts that the server prefills for this
@@ -172,7 +186,8 @@
 		server: s, work: prefillWork(float64(send.UncachedTokens), float64(send.PromptTokens)), priority: clampPriority(send.Priority),
 		coordinated: send.Coordinated, imported: send.Imported, sentAt: now, predicted: send.TimeToFirstEvent.Seconds(),
 	}
-	f.queued = s.backlogAhead(now, t.rateOf(s), f.priority) > 0
+	f.factors = t.speedFactors(now, s, s.requests(now), t.commonFactor(now, s.Stage))
+	f.queued = s.backlogAhead(now, t.rateOf(s)/f.factors.total(), f.priority) > 0
 	s.ownRequests++
 	s.queue.add(now, f)
 	keys := prefixKeys(send.Parts)
@@ -190,7 +205,7 @@
 	f.server.queue.remove(now, f)
 	f.server.cache.markAvailable(now+handoffDelay, f.newParts)
 	took := (now - f.sentAt).Seconds()
-	f.server.observeLatency(now, took, f.predicted)
+	t.observeLatency(now, f, took)
 	if !f.queued {
 		t.observeUnqueued(f, took)
 	}
@@ -241,6 +256,7 @@
 	s.ownAtReport = s.ownRequests
 	s.reportedAt = now
 	s.hasReport = true
+	s.speed.stated.Observe(now, l.WorkPercent)
 	if l.Slots > 0 {
 		s.Slots = l.Slots
 	}
