Weigh interference by speed, and let gateways prefer different servers

Cause: a prefill on a slow engine delays the streams there for longer, which its cost did not include. Gateways learn of each other's requests only after seconds, and all of them chose the same engine meanwhile. Short-term deviations that all gateways hear of made this worse. Change: the cost of interference and of overtaken prompts is multiplied by the speed; each gateway weighs the requests at a server by a factor of its own; deviations below 0.2 count as noise; factors are relative to the mean of the known servers.

--- a/internal/gatewaybench/routers.go
+++ b/internal/gatewaybench/routers.go
@@ -22,19 +22,26 @@
 func newGatewayRouter(sim *simulation, coordinated bool) *gatewayRouter {
 	g := &gatewayRouter{profile: sim.profile, coordinated: coordinated}
 	for i := range sim.profile.gateways {
-		table := placement.NewTable(placement.DefaultOptions(domainOf(i, sim.profile)), sim.profile.spec())
+		opts := placement.DefaultOptions(domainOf(i, sim.profile))
+		opts.Gateway = fmt.Sprint("gateway-", i)
+		table := placement.NewTable(opts, sim.profile.spec())
 		table.SetServers(sim.profile.spec(), sim.servers())
 		g.tables = append(g.tables, table)
 	}
 	return g
 }
 
+// maxSpeedReports is the number of reports that a gateway can send to each other one in
+// an exchange, with the 40 per second of package gateway.
+const maxSpeedReports = 1
+
 // tick implements router.
 func (g *gatewayRouter) tick(now time.Duration) {
 	for i, from := range g.tables {
 		for j, to := range g.tables {
 			if i != j {
 				to.SetPeerLoads(now, fmt.Sprint("gateway-", i), from.OwnLoads(now))
+				to.MergeSpeeds(now, fmt.Sprint("gateway-", i), from.SpeedReports(now, maxSpeedReports))
 			}
 		}
 	}
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -93,16 +93,18 @@
 func (t *Table) choosePlainServer(now time.Duration, r Request) (Choice, error) {
 	var best candidate
 	found := false
-	common := t.commonFactor(now, fleet.StageWhole)
+	stage := t.stageFactors(now, fleet.StageWhole)
 	for _, s := range t.usableFor(now, r, fleet.StageWhole) {
 		if slices.Contains(r.Exclude, s.ID) {
 			continue
 		}
 		requests := s.requests(now)
-		first := plainServiceSeconds * t.workFactor(now, s, requests, common) * (1 + expectedServiceWaits(s, requests))
+		service := plainServiceSeconds * t.workFactor(now, s, requests, stage)
+		wait := service * expectedServiceWaits(s, requests)
+		first := service + wait
 		keepBetter(&best, &found, candidate{
 			Choice: t.newChoice(now, s, first),
-			score:  first*s.trialCost(now)/s.weight + t.domainCost(t.opts.FailureDomain, s, r.BodyBytes),
+			score:  (service+wait*s.loadAversion)*s.trialCost(now)/s.weight + t.domainCost(t.opts.FailureDomain, s, r.BodyBytes),
 		})
 	}
 	if !found {
--- a/internal/placement/dump.go
+++ b/internal/placement/dump.go
@@ -30,12 +30,12 @@
 func (t *Table) Dump(now time.Duration) []ServerDump {
 	dumps := make([]ServerDump, 0, len(t.servers))
 	for _, s := range t.servers {
-		common := t.commonFactor(now, s.Stage)
-		factors, estimate := t.speedFactors(now, s, s.requests(now), common), &s.speed.estimate
+		stage := t.stageFactors(now, s.Stage)
+		factors, estimate := t.speedFactors(now, s, s.requests(now), stage), &s.speed.estimate
 		dumps = append(dumps, ServerDump{
 			ID: s.ID, Stage: s.Stage.String(), Leaving: s.Leaving,
 			OwnRequests: s.ownRequests, OtherRequests: s.otherRequests(now), QueuedWork: s.queue.work(now, t.rateOf(s)/factors.total(), false).total(),
-			Slowdown: factors.server, LongTermSlowdown: estimate.LongTerm(), ObservedWeight: estimate.Weight(), ObservedAgeMS: ageMilliseconds(estimate.Age(now)),
+			Slowdown: factors.server / factors.usual, LongTermSlowdown: estimate.LongTerm() / factors.usual, ObservedWeight: estimate.Weight(), ObservedAgeMS: ageMilliseconds(estimate.Age(now)),
 			StatedFactor: factors.stated, Crowding: factors.crowding, Weight: s.weight, CachedParts: len(s.cache.entries),
 		})
 	}
--- a/internal/placement/engines.go
+++ b/internal/placement/engines.go
@@ -31,14 +31,14 @@
 // chooseSingle chooses one decode engine for both prefill and decode.
 func (t *Table) chooseSingle(q *query) (best candidate, found bool) {
 	rate := t.prefillRate.perSecond * decodePrefillShare
-	common := t.commonFactor(q.now, fleet.StageDecode)
+	stage := t.stageFactors(q.now, fleet.StageDecode)
 	for _, s := range q.decodeEngines {
 		if q.excluded(s) {
 			continue
 		}
 		priority := clampPriority(q.Priority)
 		requests := s.requests(q.now)
-		factor := t.workFactor(q.now, s, requests, common)
+		factor := t.workFactor(q.now, s, requests, stage)
 		ahead, behind := s.backlog(q.now, rate/factor, priority)
 		wait := ahead / rate
 		hit := t.prefixHitFor(q, s, q.decodeHome, seconds(wait))
@@ -47,8 +47,8 @@
 		first := (t.firstSteps[directStep].seconds+prefill+wait)*factor + t.transferSeconds(hit.fetched) + t.slotWaitSeconds(requests, factor)
 		c := candidate{Choice: t.newChoice(q.now, s, first)}
 		c.UncachedTokens, c.FetchFrom, c.Priority = int(uncached), hit.sourceAddress, priority
-		c.score = first*s.trialCost(q.now)/s.weight + t.domainCost(q.OriginDomain, s, q.BodyBytes) + t.recomputeCost(q, hit.tokens) + t.opts.OvertakingWeight*behind/rate +
-			t.opts.FetchPenaltyPerToken*float64(hit.fetched) + t.interferenceCost(prefill, requests)
+		c.score = first*s.trialCost(q.now)/s.weight + t.domainCost(q.OriginDomain, s, q.BodyBytes) + t.recomputeCost(q, hit.tokens) + t.opts.OvertakingWeight*behind/rate*factor +
+			t.opts.FetchPenaltyPerToken*float64(hit.fetched) + t.interferenceCost(prefill*factor, requests)*s.loadAversion
 		keepBetter(&best, &found, c)
 	}
 	return best, found
@@ -79,12 +79,12 @@
 
 // choosePrefill chooses the engine that prefills the prompt.
 func (t *Table) choosePrefill(q *query) (best candidate, found bool) {
-	common := t.commonFactor(q.now, fleet.StagePrefill)
+	stage := t.stageFactors(q.now, fleet.StagePrefill)
 	for _, s := range q.prefillEngines {
 		if q.excluded(s) {
 			continue
 		}
-		factor := t.workFactor(q.now, s, s.requests(q.now), common)
+		factor := t.workFactor(q.now, s, s.requests(q.now), stage)
 		rate := t.prefillRate.perSecond
 		hit := t.prefixHitFor(q, s, q.prefillHome, 0)
 		priority := q.prefillPriority(q.prefillSeconds(hit, rate))
@@ -98,7 +98,7 @@
 		first := (t.firstSteps[prefillStep].seconds+prefill+wait)*factor + t.transferSeconds(hit.fetched)
 		c := candidate{Choice: t.newChoice(q.now, s, first)}
 		c.UncachedTokens, c.FetchFrom, c.Priority = int(uncached), hit.sourceAddress, priority
-		c.score = first*s.trialCost(q.now)/s.weight + t.domainCost(q.OriginDomain, s, q.BodyBytes) + t.recomputeCost(q, hit.tokens) + t.opts.OvertakingWeight*behind/rate + t.opts.FetchPenaltyPerToken*float64(hit.fetched)
+		c.score = first*s.trialCost(q.now)/s.weight + t.domainCost(q.OriginDomain, s, q.BodyBytes) + t.recomputeCost(q, hit.tokens) + t.opts.OvertakingWeight*behind/rate*factor + t.opts.FetchPenaltyPerToken*float64(hit.fetched)
 		if s != q.prefillHome {
 			c.score += t.opts.NonHomePenalty
 		}
@@ -136,13 +136,13 @@
 // chooseDecode chooses the decode engine for a prompt prefilled by another
 // engine.
 func (t *Table) chooseDecode(q *query, prefill fleet.Server) (best candidate, found bool) {
-	common := t.commonFactor(q.now, fleet.StageDecode)
+	stage := t.stageFactors(q.now, fleet.StageDecode)
 	for _, s := range q.decodeEngines {
 		if q.excluded(s) {
 			continue
 		}
 		requests := s.requests(q.now)
-		factor := t.workFactor(q.now, s, requests, common)
+		factor := t.workFactor(q.now, s, requests, stage)
 		transfer := t.transferSeconds(q.PromptTokens)
 		cost := t.opts.TransferPenaltyPerToken * float64(q.PromptTokens)
 		if s.FailureDomain != prefill.FailureDomain {
--- a/internal/placement/estimate.go
+++ b/internal/placement/estimate.go
@@ -96,7 +96,7 @@
 // observeUnqueued updates the estimates with a request that waited behind no
 // other one that this gateway knows of. They are those of a usual server.
 func (t *Table) observeUnqueued(f *InFlightSend, took float64) {
-	took /= f.server.speed.estimate.LongTerm()
+	took *= t.conditions[f.server.Stage].Usual() / f.server.speed.estimate.LongTerm()
 	step := &t.firstSteps[f.stepOf()]
 	prefill := f.work / t.rateOf(f.server)
 	switch {
--- a/internal/placement/speed.go
+++ b/internal/placement/speed.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"iter"
 	"slices"
 	"time"
 
@@ -25,22 +26,39 @@
 // a usual server.
 type speedFactors struct {
 	// server is that of the server itself, crowding that of the requests there,
-	// stated that of its instance at the moment, common that of all servers.
-	server, crowding, stated, common float64
+	// stated that of its instance at the moment.
+	server, crowding, stated float64
+	stageFactors
 	// utilization is the share of the server's slots that are taken.
 	utilization float64
 }
 
-// total returns the product of the factors.
-func (f speedFactors) total() float64 { return f.server * f.crowding * f.stated * f.common }
+// stageFactors are the factors that are the same for all servers of a stage: common is
+// that by which work takes longer at all of them, usual that of a usual server among
+// them.
+type stageFactors struct{ common, usual float64 }
+
+// total returns the factor by which work takes longer than on a usual server.
+func (f speedFactors) total() float64 { return f.server / f.usual * f.crowding * f.stated * f.common }
 
 // speedFactors returns the factors of a server that has the given number of
 // requests.
-func (t *Table) speedFactors(now time.Duration, s *server, requests, common float64) speedFactors {
+func (t *Table) speedFactors(now time.Duration, s *server, requests float64, stage stageFactors) speedFactors {
 	utilization := requests / float64(max(1, s.Slots))
 	return speedFactors{
 		server: s.speed.estimate.Factor(now), crowding: s.speed.crowding.Factor(utilization),
-		stated: s.speed.stated.Factor(now), common: common, utilization: utilization,
+		stated: s.speed.stated.Factor(now), stageFactors: stage, utilization: utilization,
+	}
+}
+
+// estimates returns the estimates of the servers of a stage.
+func (t *Table) estimates(stage fleet.Stage) iter.Seq[*serverspeed.Estimate] {
+	return func(yield func(*serverspeed.Estimate) bool) {
+		for _, s := range t.servers {
+			if s.Stage == stage && !yield(&s.speed.estimate) {
+				return
+			}
+		}
 	}
 }
 
@@ -50,21 +68,21 @@
 	return s.speed.trial.CostFactor(now, &s.speed.estimate, s.ownRequests)
 }
 
-// commonFactor returns the factor by which work takes longer at all servers of a
-// stage.
-func (t *Table) commonFactor(now time.Duration, stage fleet.Stage) float64 {
-	return t.conditions[stage].Factor(now, t.stageServers[stage])
+// stageFactors returns the factors of all servers of a stage.
+func (t *Table) stageFactors(now time.Duration, stage fleet.Stage) stageFactors {
+	c := &t.conditions[stage]
+	return stageFactors{common: c.Factor(now, t.stageServers[stage]), usual: c.Usual()}
 }
 
 // workFactor returns the factor by which work takes longer at a server with the
 // given number of requests than at a usual one.
-func (t *Table) workFactor(now time.Duration, s *server, requests, common float64) float64 {
-	return t.speedFactors(now, s, requests, common).total()
+func (t *Table) workFactor(now time.Duration, s *server, requests float64, stage stageFactors) float64 {
+	return t.speedFactors(now, s, requests, stage).total()
 }
 
 // currentFactor is workFactor of a server with its present requests.
 func (t *Table) currentFactor(now time.Duration, s *server) float64 {
-	return t.workFactor(now, s, s.requests(now), t.commonFactor(now, s.Stage))
+	return t.workFactor(now, s, s.requests(now), t.stageFactors(now, s.Stage))
 }
 
 // observeLatency updates what is known of a server's speed with the observed time
--- a/internal/placement/table.go
+++ b/internal/placement/table.go
@@ -49,6 +49,9 @@
 	peers map[string]peerLoad
 	// speed is what is known of the server's speed.
 	speed speed
+	// loadAversion is the factor of the cost of other requests at the server, which
+	// differs between gateways.
+	loadAversion float64
 	// weight is the fraction of its usual load that the server should get.
 	weight float64
 	// weights is the version of the weights that the server stated last; empty if none.
@@ -103,7 +106,7 @@
 		}
 	}
 	added := &server{
-		Server: registered, hash: xxhash.Sum64String(registered.ID), weight: 1,
+		Server: registered, hash: xxhash.Sum64String(registered.ID), weight: 1, loadAversion: loadAversion(t.opts.Gateway, registered.ID),
 		cache: newCache(), peers: make(map[string]peerLoad),
 	}
 	if len(old) > 0 {
@@ -186,7 +189,7 @@
 		server: s, work: prefillWork(float64(send.UncachedTokens), float64(send.PromptTokens)), priority: clampPriority(send.Priority),
 		coordinated: send.Coordinated, imported: send.Imported, sentAt: now, predicted: send.TimeToFirstEvent.Seconds(),
 	}
-	f.factors = t.speedFactors(now, s, s.requests(now), t.commonFactor(now, s.Stage))
+	f.factors = t.speedFactors(now, s, s.requests(now), t.stageFactors(now, s.Stage))
 	f.queued = s.backlogAhead(now, t.rateOf(s)/f.factors.total(), f.priority) > 0
 	s.ownRequests++
 	s.queue.add(now, f)
@@ -295,7 +298,8 @@
 // sweepInterval is the time between evictions of unused parts.
 const sweepInterval = time.Second
 
-// sweep evicts the parts that have not been used for partTTL.
+// sweep evicts the parts that have not been used for partTTL, and updates what the
+// speeds of the servers have in common.
 func (t *Table) sweep(now time.Duration) {
 	if now-t.lastSweep < sweepInterval {
 		return
@@ -304,6 +308,9 @@
 	for _, s := range t.servers {
 		s.cache.evictUnused(now - partTTL)
 	}
+	for stage := range t.conditions {
+		t.conditions[stage].SetServers(t.estimates(fleet.Stage(stage)))
+	}
 }
 
 // Usable reports whether a server may get requests.
--- a/internal/serverspeed/serverspeed.go
+++ b/internal/serverspeed/serverspeed.go
@@ -23,7 +23,11 @@
 	recentHalfLife = 2 * time.Second
 	// recentPrior is the weight with which the long-term part counts in the short-term
 	// deviation. It keeps single outliers from moving the factor far.
-	recentPrior = 3
+	recentPrior = 4
+	// deviationNoise is the part of the logarithm of the short-term deviation that is not
+	// told from noise. All gateways hear of the same deviations, so that without it they
+	// go together to the server that has been lucky.
+	deviationNoise = 0.2
 	// longHalfLife is the time after which an observation counts half in the long-term
 	// part, if there are newer ones. A server that is slow for 10 s changes it little.
 	longHalfLife = 60 * time.Second
@@ -136,6 +140,10 @@
 	}
 	left := decay(elapsed, recentHalfLife)
 	deviation := (e.recent.total - e.recent.weight*e.logLong) * left / (e.recent.weight*left + recentPrior)
+	deviation = math.Copysign(max(0, math.Abs(deviation)-deviationNoise), deviation)
+	if deviation == 0 {
+		return e.longFactor
+	}
 	return min(max(e.longFactor*math.Exp(deviation), MinFactor), MaxFactor)
 }
 
