--- a/internal/gateway/duties.go
+++ b/internal/gateway/duties.go
@@ -189,7 +189,7 @@
 		g.duties.scaling = &scaler{g: g, caller: g.duties.caller}
 	}
 	if usageOptions != nil {
-		g.duties.usage = &usageReporter{g: g, opts: *usageOptions, caller: g.duties.caller}
+		g.duties.usage = &usageReporter{g: g, opts: *usageOptions, caller: g.duties.caller, generation: neverRestored}
 	}
 }
 
@@ -217,6 +217,10 @@
 	loops.Wait()
 }
 
+// neverRestored is the generation of a store that has not been restored. One that states no
+// generation has 0.
+const neverRestored = 1
+
 // dutyPollInterval is how often a gateway looks whether a configuration asks for duties.
 const dutyPollInterval = 500 * time.Millisecond
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -19,6 +19,7 @@
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
+	"golang.org/x/time/rate"
 
 	"github.com/marigoldwing/marigoldwing/internal/departure"
 	"github.com/marigoldwing/marigoldwing/internal/drain"
@@ -101,6 +102,8 @@
 	// seed is incremented for each retry decision, so that their jitter differs.
 	seed        atomic.Uint64
 	retryBudget atomic.Pointer[RetryBudget]
+	// speedReportLimit bounds the reports of servers' speeds to other gateways.
+	speedReportLimit *rate.Limiter
 	// peers reports on the other gateways; nil if the gateway runs without peers.
 	peers Peers
 	// readServers reads the registrations anew and reports whether the known ones are the
@@ -135,17 +138,18 @@
 		opts.BootTime = lease.BootTime
 	}
 	g := &Gateway{
-		opts:        opts,
-		log:         opts.Log,
-		pool:        upstream.NewPool(func(h http.Header) string { return opts.Protocol.ResponseID(h) }),
-		buffers:     upstream.NewBuffers(cmp.Or(opts.BufferBytes, defaultBufferBytes)),
-		bodyBuffers: upstream.NewBuffers(cmp.Or(opts.BufferBytes, defaultBufferBytes)),
-		metrics:     newMetrics(opts.Registerer),
-		startTime:   time.Now(),
-		trueClock:   newTrueClock(opts.TimeOfDay, opts.BootTime),
-		stop:        newStop(drain.NewSchedule(cmp.Or(opts.StopGrace, defaultStopGrace))),
-		departures:  departures{book: departure.New(), asked: make(map[fleet.Key]bool)},
-		retired:     make(map[string]retiredService),
+		opts:             opts,
+		log:              opts.Log,
+		pool:             upstream.NewPool(func(h http.Header) string { return opts.Protocol.ResponseID(h) }),
+		buffers:          upstream.NewBuffers(cmp.Or(opts.BufferBytes, defaultBufferBytes)),
+		bodyBuffers:      upstream.NewBuffers(cmp.Or(opts.BufferBytes, defaultBufferBytes)),
+		metrics:          newMetrics(opts.Registerer),
+		startTime:        time.Now(),
+		speedReportLimit: newSpeedReportLimit(),
+		trueClock:        newTrueClock(opts.TimeOfDay, opts.BootTime),
+		stop:             newStop(drain.NewSchedule(cmp.Or(opts.StopGrace, defaultStopGrace))),
+		departures:       departures{book: departure.New(), asked: make(map[fleet.Key]bool)},
+		retired:          make(map[string]retiredService),
 	}
 	g.trials = ownTrials(g)
 	g.setRetryBudget(opts.RetryBudget)
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -25,6 +25,7 @@
 	departures    *prometheus.CounterVec
 	pauses        *prometheus.CounterVec
 	shareRefusals *prometheus.CounterVec
+	speedReports  *prometheus.CounterVec
 	engineCrashes *prometheus.CounterVec
 	dutyCalls     *prometheus.CounterVec
 	inflight      prometheus.Gauge
@@ -83,6 +84,9 @@
 		shareRefusals: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "marigold_gateway_fair_share_refusals_total", Help: "Requests refused because their account uses more than its fair share, by service.",
 		}, []string{"service"}),
+		speedReports: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "marigold_gateway_speed_reports_total", Help: "Reports on the speed of a backend server, by whether they were sent, or received and used.",
+		}, []string{"outcome"}),
 		inflight: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "marigold_gateway_inflight_requests", Help: "Requests that have been read and not answered.",
 		}),
@@ -90,7 +94,7 @@
 			Name: "marigold_gateway_config_version", Help: "Version of the configuration in force.",
 		}),
 	}
-	registerer.MustRegister(m.requests, m.attempts, m.retries, m.streamEnds, m.unframedEnds, m.resumes, m.firstEvent, m.eventGap, m.duration, m.loadAge, m.placements, m.engineCrashes, m.dutyCalls, m.departures, m.pauses, m.shareRefusals, m.inflight, m.configVersion)
+	registerer.MustRegister(m.requests, m.attempts, m.retries, m.streamEnds, m.unframedEnds, m.resumes, m.firstEvent, m.eventGap, m.duration, m.loadAge, m.placements, m.engineCrashes, m.dutyCalls, m.departures, m.pauses, m.speedReports, m.shareRefusals, m.inflight, m.configVersion)
 	return m
 }
 
--- a/internal/gateway/usage.go
+++ b/internal/gateway/usage.go
@@ -11,6 +11,7 @@
 	peerv1 "github.com/marigoldwing/marigoldwing/api/peer/v1"
 	"github.com/marigoldwing/marigoldwing/internal/fleet"
 	"github.com/marigoldwing/marigoldwing/internal/gatewaypeers"
+	"github.com/marigoldwing/marigoldwing/internal/lease"
 	"github.com/marigoldwing/marigoldwing/internal/logevent"
 	"github.com/marigoldwing/marigoldwing/internal/platform"
 	"github.com/marigoldwing/marigoldwing/internal/usage"
@@ -122,6 +123,9 @@
 	opts   UsageOptions
 	caller *dutyCaller
 
+	// generation is that of the store at the latest tenure. A process that has just started
+	// takes the store for one that was never restored.
+	generation uint64
 	// fence is the fencing token of the tenure to which the following belongs; 0 if this
 	// gateway does not hold the duty.
 	fence uint64
@@ -162,11 +166,15 @@
 	}
 	if now := r.g.trueTime(); r.collectionDue(now) {
 		r.collectedAt = now
-		complete := r.collect(ctx)
-		r.closeWindows(now, complete)
+		closed := r.closeWindows(now, r.collect(ctx))
 		if r.unsaved && !r.save(ctx) {
 			return
 		}
+		if closed {
+			// All gateways learn how far windows are final before a report is sent, because
+			// the store may forget the ledger.
+			r.collect(ctx)
+		}
 	}
 	r.report(ctx)
 }
@@ -206,10 +214,13 @@
 
 // firstCall returns when the new holder may send its first report. A predecessor's report
 // without an answer may still be carried out, which only the platform's check of fencing tokens
-// makes harmless.
+// makes harmless. After a restore of the store the ledger does not show whether there is one.
 func (r *usageReporter) firstCall() time.Duration {
 	now := r.g.now()
-	if r.caller.fenced || len(r.ledger.Unsent()) == 0 {
+	generation := max(neverRestored, lease.GenerationOf(r.fence))
+	restored := generation != r.generation
+	r.generation = generation
+	if r.caller.fenced || len(r.ledger.Unsent()) == 0 && !restored {
 		return now
 	}
 	return now + lateCallTimeout
@@ -300,17 +311,19 @@
 }
 
 // closeWindows makes the counts of windows final that all gateways have answered for, or that
-// have waited for the others for long enough.
-func (r *usageReporter) closeWindows(now time.Time, complete bool) {
+// have waited for the others for long enough. It reports whether there are any.
+func (r *usageReporter) closeWindows(now time.Time, complete bool) bool {
 	wait := time.Duration(closeShare * float64(r.opts.Due))
 	if complete {
 		wait = min(wait, collectDelay)
 	}
 	before := windowOf(now.Add(-wait), r.opts.Window)
-	if before > r.ledger.Next() {
-		r.ledger.Close(before)
-		r.unsaved = true
+	if before <= r.ledger.Next() {
+		return false
 	}
+	r.ledger.Close(before)
+	r.unsaved = true
+	return true
 }
 
 // report sends the reports of closed windows, oldest first, until one fails.
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -160,6 +160,9 @@
 // joinTerm returns the term that is unique and increasing over all generations.
 func joinTerm(generation, term uint64) uint64 { return generation<<termBits | term }
 
+// GenerationOf returns the generation of the store in which a term was given.
+func GenerationOf(term uint64) uint64 { return term >> termBits }
+
 // Generation returns the newest generation of the store that the process has
 // observed.
 func (s State) Generation() uint64 { return s.generation }
--- a/internal/placement/cost.go
+++ b/internal/placement/cost.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // expectedServiceWaits returns the expected number of service times that a new
@@ -46,15 +48,16 @@
 }
 
 // slotWaitSeconds returns the expected time that a request waits for a slot of
-// an engine.
-func (t *Table) slotWaitSeconds(s *server, now time.Duration) float64 {
+// an engine that has the given number of requests and takes the given factor
+// longer than a usual one.
+func (t *Table) slotWaitSeconds(requests, factor float64) float64 {
 	slots := float64(max(1, t.engine.Slots))
-	requests := s.requests(now) + 1
+	requests++
 	fill := min(1, requests/slots)
 	// Steps take longer in a fuller batch.
-	wait := fullBatchDelaySeconds * fill * s.currentSlowdown(now)
+	wait := fullBatchDelaySeconds * fill * factor
 	if requests > slots {
-		wait += (requests - slots) / slots * typicalSlotSeconds
+		wait += (requests - slots) / slots * typicalSlotSeconds * factor
 	}
 	return wait
 }
@@ -78,3 +81,20 @@
 
 // transferSetupSeconds is the time before a KV transfer starts.
 const transferSetupSeconds = 0.003
+
+// loadAversion returns the factor by which a gateway weighs the cost of other requests
+// at a server, between 1 and 1+aversionSpread. Gateways know each other's requests only
+// after a while. With the same weights all of them would choose the same server
+// meanwhile.
+func loadAversion(gateway, server string) float64 {
+	if gateway == "" {
+		return 1
+	}
+	const positions = 1024
+	return 1 + aversionSpread*float64(xxhash.Sum64String(gateway+"\x00"+server)%positions)/positions
+}
+
+// aversionSpread is the spread of the weights. With 1, 32 gateways in front of 18 engines
+// at 70 % of their capacity serve as many requests in time at equal speeds as without
+// any speeds learned; a larger one is worse with 8 gateways.
+const aversionSpread = 1
--- a/internal/placement/idle.go
+++ b/internal/placement/idle.go
@@ -20,7 +20,7 @@
 		return IdleEstimate{FirstEvent: c.TimeToFirstEvent}
 	}
 	if t.engine == nil {
-		return IdleEstimate{FirstEvent: seconds(plainServiceSeconds * runs.currentSlowdown(now))}
+		return IdleEstimate{FirstEvent: seconds(plainServiceSeconds * t.currentFactor(now, runs))}
 	}
 	prefills, step, first := runs, directStep, 0.0
 	if prefill := t.find(c.PrefillServer.ID); c.Split && prefill != nil {
@@ -29,10 +29,10 @@
 		if prefill.FailureDomain != runs.FailureDomain {
 			transfer *= 2
 		}
-		first = t.firstSteps[importStep].seconds*runs.currentSlowdown(now) + transfer
+		first = t.firstSteps[importStep].seconds*t.currentFactor(now, runs) + transfer
 	}
 	work := prefillWork(float64(c.UncachedTokens), float64(promptTokens)) / t.rateOf(prefills)
-	first += (t.firstSteps[step].seconds + work) * prefills.currentSlowdown(now)
+	first += (t.firstSteps[step].seconds + work) * t.currentFactor(now, prefills)
 	if c.FetchFrom != "" {
 		first += t.transferSeconds(max(0, promptTokens-c.UncachedTokens))
 	}
