--- a/internal/serverspeed/serverspeed.go
+++ b/internal/serverspeed/serverspeed.go
@@ -19,15 +19,15 @@
 
 const (
 	// recentHalfLife is the time after which an observation counts half in the
-	// short-term deviation. A change is followed within two of them.
-	recentHalfLife = 2 * time.Second
+	// short-term deviation. A change is followed within less than two of them.
+	recentHalfLife = 1200 * time.Millisecond
 	// recentPrior is the weight with which the long-term part counts in the short-term
 	// deviation. It keeps single outliers from moving the factor far.
-	recentPrior = 4
-	// deviationNoise is the part of the logarithm of the short-term deviation that is not
-	// told from noise. All gateways hear of the same deviations, so that without it they
+	recentPrior = 1
+	// deviationNoise is the logarithm of a short-term deviation up to which it is taken for
+	// noise. Greater ones count the more the greater they are. All gateways hear of the same deviations, so that without it they
 	// go together to the server that has been lucky.
-	deviationNoise = 0.2
+	deviationNoise = 0.4
 	// longHalfLife is the time after which an observation counts half in the long-term
 	// part, if there are newer ones. A server that is slow for 10 s changes it little.
 	longHalfLife = 60 * time.Second
@@ -41,7 +41,7 @@
 	MinFactor, MaxFactor = 0.25, 8.0
 	MaxSurprise          = 3.0
 	// maxReportedWeight bounds the weight of a report, so that no gateway outvotes all
-	// others. It is that of eight observations per second.
+	// others. It is that of 14 observations per second.
 	maxReportedWeight = 24
 	// minNewWeight is the weight of new observations from which a report changes
 	// anything. Below it the mean of the new ones is lost in rounding.
@@ -51,6 +51,9 @@
 	// is repeated.
 	maxReporters   = 32
 	reporterMemory = 7 * recentHalfLife
+	// maxTransitJitter is the difference between the ages of a report that is repeated, since
+	// they do not include the time on the way.
+	maxTransitJitter = 250 * time.Millisecond
 	// KnownWeight is the weight of observations from which a server is known.
 	KnownWeight = 4
 	// newsPerObservation is the news in an observation that surprises nobody, and
@@ -116,7 +119,10 @@
 
 // add adds observations of this gateway or of others.
 func (e *Estimate) add(at time.Duration, logFactor, weight float64) {
-	e.long.keep(at, longHalfLife, keptWeight)
+	if at-e.long.at > reporterMemory {
+		// Not sooner, so that reports commute.
+		e.long.keep(at, longHalfLife, keptWeight)
+	}
 	e.recent.add(at, recentHalfLife, logFactor, weight)
 	e.long.add(at, longHalfLife, logFactor, weight)
 	e.seen += weight
@@ -140,10 +146,10 @@
 	}
 	left := decay(elapsed, recentHalfLife)
 	deviation := (e.recent.total - e.recent.weight*e.logLong) * left / (e.recent.weight*left + recentPrior)
-	deviation = math.Copysign(max(0, math.Abs(deviation)-deviationNoise), deviation)
-	if deviation == 0 {
+	if math.Abs(deviation) <= deviationNoise {
 		return e.longFactor
 	}
+	deviation -= deviationNoise * deviationNoise / deviation
 	return min(max(e.longFactor*math.Exp(deviation), MinFactor), MaxFactor)
 }
 
@@ -195,7 +201,8 @@
 		return true
 	}
 	previous := &e.reporters[i]
-	if at <= previous.at || latest.logFactor == previous.logFactor && latest.weight == previous.weight {
+	repeated := latest.logFactor == previous.logFactor && latest.weight == previous.weight && at < previous.at+maxTransitJitter
+	if at <= previous.at || repeated {
 		return false
 	}
 	left := previous.weight * decay(at-previous.at, recentHalfLife)
