Explain what a gateway would do with a request

Cause: why a request goes to one server and not to another, or is refused, could only be learned from the log of a request that was sent.

Change: a gateway serves /debug/explain on its metrics listener, and marigoldctl explain-request shows the answer as text or JSON: route, account, whether a key is needed, priority, configuration version, service, the choice or the refusal, each registered server with its score or the reason why it is not used, and the ages of the inputs. Nothing is sent, counted or logged.

The answer comes from the functions that decide on requests. request.match, coordinator, serverWait, noServerOutcome, heldOutcome and shareDemand are split from the code that writes the response. placement.Table.Explain runs Choose on a copy of the table, which has only the prompt's parts of the caches; keepBetter reports each candidate. limits.FairShare.Preview runs Admit on a copy. The coordinator of a long prompt is named and not called.

A question names an account. Unknown parameters are rejected, headers are not read, and no answer or error repeats a value, in case a key was entered by mistake.

Result: in a rapid test a table that also explains each choice makes the same choices as one that does not, and the explained choice is the one made; the same holds for 4,000 decisions on fair shares, for 40 requests through a gateway with stand-in servers, and for the reasons of eight kinds of requests. Tests of accounts, gateway, limits, operatorapi, placement, telemetry, platform (135 s), marigoldctl and docs pass. Not tested: the explanation of a blocked prompt and of a stopping gateway, and the path in a started gateway process.

--- a/cmd/marigoldctl/main.go
+++ b/cmd/marigoldctl/main.go
@@ -121,7 +121,7 @@
 func (o *options) newFlags(name string) *flag.FlagSet {
 	fs := flag.NewFlagSet("marigoldctl "+name, flag.ContinueOnError)
 	fs.SetOutput(o.stderr)
-	fs.StringVar(&o.server, "server", "http://127.0.0.1:7201", "base `URL` of an entry")
+	fs.StringVar(&o.server, "server", "http://127.0.0.1:7201", "base `URL` of an entry; for explain-request and dump, of a process on its metrics address")
 	fs.StringVar(&o.output, "output", "text", "output `format`: text or json")
 	return fs
 }
@@ -164,11 +164,11 @@
 		LongHelp:   "Manages a marigoldwing deployment: applies deployment files and shows the state.\n\n" + exitHelp,
 		FlagSet:    fs,
 		Subcommands: []*ffcli.Command{
-			newValidate(o), newApply(o), newDiff(o), newStatus(o), newExplain(o), newDump(o), newTrace(o, os.Stdin),
+			newValidate(o), newApply(o), newDiff(o), newStatus(o), newExplain(o), newExplainRequest(o), newDump(o), newTrace(o, os.Stdin),
 		},
 		Exec: func(_ context.Context, args []string) error {
 			if len(args) > 0 {
-				return withExitCode(exitUsage, "unknown subcommand %q; allowed: validate, apply, diff, status, explain, dump, trace", args[0])
+				return withExitCode(exitUsage, "unknown subcommand %q; allowed: validate, apply, diff, status, explain, explain-request, dump, trace", args[0])
 			}
 			return flag.ErrHelp
 		},
--- a/internal/accounts/accounts.go
+++ b/internal/accounts/accounts.go
@@ -126,6 +126,17 @@
 	return d.accounts.Find(key)
 }
 
+// Named returns the account with a name to which a key belongs. It looks at all keys. The
+// account must not be modified.
+func (d *Directory) Named(name string) (*Account, bool) {
+	for _, account := range d.accounts {
+		if account.Name == name {
+			return account, true
+		}
+	}
+	return nil, false
+}
+
 // Entries returns the accounts in use. They must not be modified.
 func (d *Directory) Entries() []Entry { return d.entries }
 
--- a/internal/gateway/accounts.go
+++ b/internal/gateway/accounts.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"github.com/marigoldwing/marigoldwing/internal/accounts"
 	"github.com/marigoldwing/marigoldwing/internal/fleet"
 )
 
@@ -18,16 +19,27 @@
 // whose key is unknown to the configuration that is in force when they are to be sent.
 const reasonKeyWithdrawn = "key_withdrawn"
 
-// authenticate finds the client account of the request in a configuration.
+// needsKey reports whether requests to a route need the key of a client account.
+func needsKey(config *fleet.Config, route fleet.Route) bool {
+	return config.Accounts != nil && !route.Public
+}
+
+// authenticate finds the client account of the request in a configuration, by its key.
 func (q *request) authenticate(config *fleet.Config) error {
+	return q.identify(config, q.meta.Key, (*accounts.Directory).Authenticate)
+}
+
+// identify finds the client account of the request in a configuration: that which find
+// returns for what identifies it.
+func (q *request) identify(config *fleet.Config, id string, find func(*accounts.Directory, string) (*accounts.Account, bool)) error {
 	q.authConfig, q.account = config, nil
-	if config.Accounts == nil || q.route.Public {
+	if !needsKey(config, q.route) {
 		return nil
 	}
-	if q.meta.Key == "" {
+	if id == "" {
 		return errKeyMissing
 	}
-	account, ok := config.Accounts.Authenticate(q.meta.Key)
+	account, ok := find(config.Accounts, id)
 	if !ok {
 		return errKeyUnknown
 	}
@@ -56,21 +68,12 @@
 	return age < 0 || age > limit
 }
 
-// refuseUnconfirmed refuses a request that needs a key if the keys may be withdrawn, and
-// reports whether it did.
-func (q *request) refuseUnconfirmed() bool {
-	if q.account == nil || !q.g.keysMayBeWithdrawn() {
-		return false
-	}
-	q.refuse(refusal{status: http.StatusServiceUnavailable, reason: reasonKeysUnconfirmed, retryAfter: unconfirmedKeysRetryAfter})
-	return true
-}
+// unconfirmed reports whether the request needs a key and the keys may be withdrawn.
+func (q *request) unconfirmed() bool { return q.account != nil && q.g.keysMayBeWithdrawn() }
 
-// refuseUnauthorized ends a request that has not run because it lacks the key of a client
-// account.
-func (q *request) refuseUnauthorized(err error) {
-	q.w.Header().Set("WWW-Authenticate", "Bearer")
-	q.refuse(refusal{status: http.StatusUnauthorized, reason: err.Error()})
+// unauthorized returns the refusal of a request that lacks the key of a client account.
+func unauthorized(err error) refusal {
+	return refusal{status: http.StatusUnauthorized, reason: err.Error()}
 }
 
 // isAuthorized reports whether the request has the same client account in the
@@ -101,7 +104,7 @@
 	case q.possibleExecutions > 0 || q.headerSent:
 		q.fail(lastOutcomeOr(last, reasonKeyWithdrawn), 0)
 	default:
-		q.refuseUnauthorized(errors.New(reasonKeyWithdrawn))
+		q.refuse(unauthorized(errors.New(reasonKeyWithdrawn)))
 	}
 	return true
 }
--- a/internal/gateway/body.go
+++ b/internal/gateway/body.go
@@ -20,6 +20,9 @@
 // reasonBodyMemoryFull is the reason of a request for whose body there is no memory.
 const reasonBodyMemoryFull = "body_memory_full"
 
+// bodyTooLarge is the refusal of a request whose body exceeds the limit of the configuration.
+var bodyTooLarge = refusal{status: http.StatusRequestEntityTooLarge, reason: "body_too_large"}
+
 // readBody reads the request's body. It reports whether it is there; if not, it has sent
 // the response.
 func (q *request) readBody(limit int64) bool {
@@ -39,7 +42,7 @@
 		q.body = data
 		return true
 	case errors.As(err, &tooLarge):
-		q.refuse(refusal{status: http.StatusRequestEntityTooLarge, reason: "body_too_large"})
+		q.refuse(bodyTooLarge)
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		q.refuseForStop()
 	case errors.Is(err, upstream.ErrBuffersFull):
--- a/internal/gateway/coordinate.go
+++ b/internal/gateway/coordinate.go
@@ -66,15 +66,14 @@
 // the coordinator of the service; if it returns no usable choice, this gateway
 // chooses itself.
 func (q *request) choose(ctx context.Context) (placement.Choice, error) {
-	coordination := q.g.coordination
-	if coordination == nil || q.service.engineSpec() == nil || q.meta.PromptTokens < placement.MinCoordinatedTokens || q.pin.pinned {
+	name, address, coordinated := q.coordinator()
+	if !coordinated {
 		return q.service.choose(q.g.now(), q.placementRequest())
 	}
-	name, address := coordination.coordinatorOf(q.service.name)
 	q.service.setCoordinator(q.g.now(), address == "")
 	placedBy := placementSelf
 	if address != "" {
-		if choice, ok := coordination.askCoordinator(ctx, q, name, address); ok {
+		if choice, ok := q.g.coordination.askCoordinator(ctx, q, name, address); ok {
 			q.g.metrics.placements.WithLabelValues(placementCoordinator).Inc()
 			return choice, nil
 		}
@@ -85,6 +84,17 @@
 	return q.service.choose(q.g.now(), q.placementRequest())
 }
 
+// coordinator returns the coordinator that places the request, with an empty address if it
+// is this gateway. It reports false if the request is placed without a coordinator.
+func (q *request) coordinator() (name, address string, coordinated bool) {
+	c := q.g.coordination
+	if c == nil || q.service.engineSpec() == nil || q.meta.PromptTokens < placement.MinCoordinatedTokens || q.pin.pinned {
+		return "", "", false
+	}
+	name, address = c.coordinatorOf(q.service.name)
+	return name, address, true
+}
+
 // askCoordinator has the coordinator place the request. It reports whether the
 // coordinator returned a choice that this gateway can use.
 func (c *coordination) askCoordinator(ctx context.Context, q *request, name, address string) (placement.Choice, bool) {
--- a/internal/gateway/fairshare.go
+++ b/internal/gateway/fairshare.go
@@ -53,16 +53,8 @@
 		return false
 	}
 	q.share.counted = true
-	available := q.objectiveRemaining()
-	if available == 0 {
-		available = q.timeToStart()
-	}
-	remaining := q.remaining()
-	q.share.request = limits.Request{Client: q.account.Name, Priority: q.basePriority(), Seed: q.g.seed.Add(1)}
-	decision, change := q.service.admitShare(q.g.now(), &q.share.request, shareDemand{
-		choice: c, promptTokens: q.meta.PromptTokens, available: available,
-		maxRetryAfter: time.Duration(returnShare * float64(remaining)),
-	})
+	q.share.request = q.shareRequest(q.g.seed.Add(1))
+	decision, change := q.service.admitShare(q.g.now(), &q.share.request, q.shareDemand(c))
 	if change.changed {
 		q.g.log.Write(logevent.CapacityShortage(q.service.name, change.short, change.pressure, change.completed))
 	}
@@ -71,10 +63,33 @@
 	}
 	q.share.completed = true // nothing to revert
 	q.g.metrics.shareRefusals.WithLabelValues(q.service.name).Inc()
-	q.refuse(refusal{status: http.StatusServiceUnavailable, reason: reasonFairShare, retryAfter: decision.RetryAfter})
+	q.refuse(aboveShare(decision))
 	return true
 }
 
+// aboveShare returns the refusal of a request whose account uses more than its fair share.
+func aboveShare(d limits.Decision) refusal {
+	return refusal{status: http.StatusServiceUnavailable, reason: reasonFairShare, retryAfter: d.RetryAfter}
+}
+
+// shareRequest describes the request to the fair shares, without its cost.
+func (q *request) shareRequest(seed uint64) limits.Request {
+	return limits.Request{Client: q.account.Name, Priority: q.basePriority(), Seed: seed}
+}
+
+// shareDemand returns what the cost and the urgency of the request with a choice follow
+// from.
+func (q *request) shareDemand(c placement.Choice) shareDemand {
+	available := q.objectiveRemaining()
+	if available == 0 {
+		available = q.timeToStart()
+	}
+	return shareDemand{
+		choice: c, promptTokens: q.meta.PromptTokens, available: available,
+		maxRetryAfter: time.Duration(returnShare * float64(q.remaining())),
+	}
+}
+
 // completeShare counts the work of a request as done, at its first event or its complete
 // answer.
 func (q *request) completeShare() {
@@ -105,28 +120,51 @@
 	pressure, completed float64
 }
 
-// admitShare decides on a request and sets its cost: 1 for a plain service; for engines
-// the time that one works on the prompt, and the part of an engine's time that a stream
-// in one of its slots takes.
+// admitShare decides on a request and sets its cost.
 func (s *service) admitShare(now time.Duration, r *limits.Request, d shareDemand) (limits.Decision, shortageChange) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.shares.fair == nil {
-		s.shares = shares{fair: limits.NewFairShare(maxSharingAccounts, placement.PriorityLevels), streamSeconds: initialStreamSeconds}
+	s.shares = s.currentShares()
+	demand := s.demand(now, s.shares.streamSeconds, *r, d)
+	r.Cost = demand.Cost
+	decision := s.shares.fair.Admit(now, demand)
+	state := s.shares.fair.State(now)
+	change := shortageChange{changed: state.Short != s.shares.short, short: state.Short, pressure: state.Pressure, completed: state.CompletedPerSecond}
+	s.shares.short = state.Short
+	return decision, change
+}
+
+// currentShares returns the shares of the service, which are new before the first request
+// of an account. The caller holds s.mu.
+func (s *service) currentShares() shares {
+	if s.shares.fair != nil {
+		return s.shares
 	}
+	return shares{fair: limits.NewFairShare(maxSharingAccounts, placement.PriorityLevels), streamSeconds: initialStreamSeconds}
+}
+
+// demand returns the demand of a request for a share of the service.
+// Its cost is 1 for a plain service; for engines the time that one works on the prompt, and
+// the part of an engine's time that a stream in one of its slots takes. The caller holds
+// s.mu.
+func (s *service) demand(now time.Duration, streamSeconds float64, r limits.Request, d shareDemand) limits.Demand {
 	idle := s.table.EstimateIdle(now, d.choice, d.promptTokens)
 	r.Cost = 1
 	if s.engine != nil {
-		r.Cost = idle.PrefillSeconds + s.shares.streamSeconds/float64(max(1, s.engine.Slots))
+		r.Cost = idle.PrefillSeconds + streamSeconds/float64(max(1, s.engine.Slots))
 	}
-	decision := s.shares.fair.Admit(now, limits.Demand{
-		Request: *r, Wait: d.choice.TimeToFirstEvent - idle.FirstEvent, MaxRetryAfter: d.maxRetryAfter,
+	return limits.Demand{
+		Request: r, Wait: d.choice.TimeToFirstEvent - idle.FirstEvent, MaxRetryAfter: d.maxRetryAfter,
 		Spare: max(d.available-idle.FirstEvent, d.available/minSpareDivisor),
-	})
-	state := s.shares.fair.State(now)
-	change := shortageChange{changed: state.Short != s.shares.short, short: state.Short, pressure: state.Pressure, completed: state.CompletedPerSecond}
-	s.shares.short = state.Short
-	return decision, change
+	}
+}
+
+// previewShare returns what admitShare would decide, and counts nothing.
+func (s *service) previewShare(now time.Duration, r limits.Request, d shareDemand) limits.Decision {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	current := s.currentShares()
+	return current.fair.Preview(now, s.demand(now, current.streamSeconds, r, d))
 }
 
 // completeShare counts the cost of a request of an account whose work is done.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -111,6 +111,8 @@
 	// configAge returns the time since the configuration in force was confirmed to be the
 	// newest one, negative if it never was; nil if the gateway runs without a store.
 	configAge func() time.Duration
+	// serversAge is that of the registrations.
+	serversAge func() time.Duration
 	// coordination lets one gateway per service place all long prompts; nil if
 	// the gateway runs without peers.
 	coordination *coordination
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -26,6 +26,9 @@
 	service *service
 	config  *fleet.Config
 	body    []byte
+	// explainedBodyBytes is the size of the body of a request that is explained, which has
+	// none; 0 for other requests.
+	explainedBodyBytes int
 	// account is the client account of the request's key according to authConfig; nil if
 	// the request needs none.
 	account    *accounts.Account
@@ -139,24 +142,30 @@
 // prepare matches the route, sets the deadline and reads the body. It reports
 // whether the request can be served; if not, it has sent the response.
 func (q *request) prepare() bool {
-	current := q.g.state.Load()
-	if current.config == nil {
-		q.refuse(refusal{status: http.StatusServiceUnavailable, reason: "not_configured", retryAfter: notConfiguredRetryAfter})
+	if r, ok := q.match(q.g.state.Load(), q.authenticate); !ok {
+		q.refuse(r)
 		return false
 	}
+	return q.readBody(q.config.MaxBodyBytes)
+}
+
+// match finds the route, the client account and the service of the request, and sets the
+// deadline. It returns false and the refusal if the request can't be served.
+func (q *request) match(current *state, authenticate func(*fleet.Config) error) (refusal, bool) {
+	if current.config == nil {
+		return refusal{status: http.StatusServiceUnavailable, reason: "not_configured", retryAfter: notConfiguredRetryAfter}, false
+	}
 	q.config = current.config
 	route, ok := current.config.Match(q.r.Host, q.r.URL.Path)
 	if !ok {
-		q.refuse(refusal{status: http.StatusNotFound, reason: "no_route"})
-		return false
+		return refusal{status: http.StatusNotFound, reason: "no_route"}, false
 	}
 	q.route = route
-	if err := q.authenticate(current.config); err != nil {
-		q.refuseUnauthorized(err)
-		return false
+	if err := authenticate(current.config); err != nil {
+		return unauthorized(err), false
 	}
-	if q.refuseUnconfirmed() {
-		return false
+	if q.unconfirmed() {
+		return refusal{status: http.StatusServiceUnavailable, reason: reasonKeysUnconfirmed, retryAfter: unconfirmedKeysRetryAfter}, false
 	}
 	q.service = current.services[route.Target(q.meta.ID)]
 	timeout := q.meta.Timeout
@@ -167,13 +176,16 @@
 		timeout = min(timeout, route.Timeout)
 	}
 	q.deadline = q.arrivedAt + timeout
-	return q.readBody(current.config.MaxBodyBytes)
+	return refusal{}, true
 }
 
+// unknownService is the refusal of a request to a service that the configuration lacks.
+var unknownService = refusal{status: http.StatusServiceUnavailable, reason: "unknown_service", retryAfter: noServerRetryAfter}
+
 // serve makes attempts until the request has its final response.
 func (q *request) serve(ctx context.Context) {
 	if q.service == nil {
-		q.refuse(refusal{status: http.StatusServiceUnavailable, reason: "unknown_service", retryAfter: noServerRetryAfter})
+		q.refuse(unknownService)
 		return
 	}
 	q.service.recordRequest()
@@ -203,7 +215,7 @@
 		}
 		if !q.meetsDeadline(choice) {
 			q.notifyPlaceEnded(false)
-			q.fail(lastOutcomeOr(last, "overloaded"), overloadRetryAfter(choice, q.route))
+			q.fail(lastOutcomeOr(last, reasonOverloaded), overloadRetryAfter(choice, q.route))
 			return
 		}
 		if choice.Split && !q.mayPrefill() {
@@ -220,21 +232,24 @@
 	}
 }
 
-// failNoServer ends a request for which there is no server. One that is bound to a
-// software version that no server has any more can't be served later either.
-func (q *request) failNoServer(last *outcome) {
+// failNoServer ends a request for which there is no server.
+func (q *request) failNoServer(last *outcome) { q.fail(q.noServerOutcome(last)) }
+
+// noServerOutcome returns the outcome of a request for which there is no server, and when
+// its caller may come back. One that is bound to a software version that no server has any
+// more can't be served later either.
+func (q *request) noServerOutcome(last *outcome) (outcome, time.Duration) {
 	if q.pin.pinned && !q.service.hasVersion(q.pin.version) {
-		q.fail(lastOutcomeOr(last, reasonVersionGone), 0)
-		return
+		return lastOutcomeOr(last, reasonVersionGone), 0
 	}
-	if q.failHeld() {
-		return
+	if out, retryAfter, held := q.heldOutcome(); held {
+		return out, retryAfter
 	}
 	reason := reasonNoServer
 	if q.service.allLeaving() {
 		reason = reasonServersLeaving
 	}
-	q.fail(lastOutcomeOr(last, reason), noServerRetryAfter)
+	return lastOutcomeOr(last, reason), noServerRetryAfter
 }
 
 // mayPrefill reports whether the prompt may be prefilled at a separate engine.
@@ -262,7 +277,7 @@
 	return placement.Request{
 		Parts:            q.meta.Parts,
 		PromptTokens:     q.meta.PromptTokens,
-		BodyBytes:        len(q.body),
+		BodyBytes:        q.bodyBytes(),
 		Exclude:          q.excluded,
 		FirstEventBudget: q.objectiveRemaining(),
 		NoSplit:          q.directOnly,
@@ -274,6 +289,9 @@
 	}
 }
 
+// bodyBytes returns the size of the request's body.
+func (q *request) bodyBytes() int { return max(len(q.body), q.explainedBodyBytes) }
+
 // objectiveRemaining returns the time left in which the first event meets the
 // route's latency objective, at least one millisecond; 0 if the route has no
 // objective.
--- a/internal/gateway/hold.go
+++ b/internal/gateway/hold.go
@@ -39,15 +39,8 @@
 // waitForServer waits until there may be a server that takes a request of this gateway,
 // if the caller bears that. It reports whether it has waited.
 func (q *request) waitForServer(ctx context.Context) bool {
-	h := q.service.hold(q.g.now(), q.placementRequest())
-	wait := h.wait
-	if !h.ends {
-		if h.held || h.free || !q.mayAwaitServer() {
-			return false
-		}
-		wait = serverPollInterval
-	}
-	if wait > q.bearableWait() || q.g.stop.hasBegun() && q.g.now()+wait > q.sendUntil() {
+	wait, bearable := q.serverWait()
+	if !bearable {
 		return false
 	}
 	select {
@@ -58,6 +51,21 @@
 	}
 }
 
+// serverWait returns how long the request waits until there may be a server that takes it,
+// and whether its caller bears that.
+func (q *request) serverWait() (time.Duration, bool) {
+	h := q.service.hold(q.g.now(), q.placementRequest())
+	wait := h.wait
+	if !h.ends {
+		if h.held || h.free || !q.mayAwaitServer() {
+			return 0, false
+		}
+		wait = serverPollInterval
+	}
+	tooLong := wait > q.bearableWait() || q.g.stop.hasBegun() && q.g.now()+wait > q.sendUntil()
+	return wait, !tooLong
+}
+
 // mayAwaitServer reports whether the request may wait though there is no server at
 // present. The caller of a stream that has begun can't begin anew, and servers that
 // crashed may be back while it stays.
@@ -83,19 +91,19 @@
 	return staysUntil - now - minUsefulTime
 }
 
-// failHeld ends a request that has not run and that only limits and pauses prevent from
-// being sent. It reports false if there is another reason.
-func (q *request) failHeld() bool {
+// heldOutcome returns the outcome of a request that has not run and that only limits and
+// pauses prevent from being sent, and when its caller may come back. It reports false if
+// there is another reason.
+func (q *request) heldOutcome() (outcome, time.Duration, bool) {
 	h := q.service.hold(q.g.now(), q.placementRequest())
 	if !h.held || h.free || q.possibleExecutions > 0 {
-		return false
+		return outcome{}, 0, false
 	}
 	reason := reasonServerLimit
 	if h.paused {
 		reason = reasonServersPaused
 	}
-	q.fail(outcome{result: notExecuted, reason: reason}, h.retryAfter())
-	return true
+	return outcome{result: notExecuted, reason: reason}, h.retryAfter(), true
 }
 
 // retryAfter returns when a caller may come back.
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -76,13 +76,20 @@
 func (s *service) setCoordinator(now time.Duration, isCoordinator bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.coordinatorSince = s.sinceCoordinator(now, isCoordinator)
+	s.table.SetCoordinatorSince(now, s.coordinatorSince)
+}
+
+// sinceCoordinator returns what coordinatorSince becomes if this gateway is now the
+// coordinator, or is not. The caller holds s.mu.
+func (s *service) sinceCoordinator(now time.Duration, isCoordinator bool) time.Duration {
 	switch {
 	case !isCoordinator:
-		s.coordinatorSince = notCoordinator
+		return notCoordinator
 	case s.coordinatorSince == notCoordinator:
-		s.coordinatorSince = now
+		return now
 	}
-	s.table.SetCoordinatorSince(now, s.coordinatorSince)
+	return s.coordinatorSince
 }
 
 // notCoordinator is the coordinatorSince of a gateway that is not the
--- a/internal/gateway/poison.go
+++ b/internal/gateway/poison.go
@@ -303,10 +303,15 @@
 	if q.possibleExecutions == 0 {
 		out = outcome{result: notExecuted, reason: reason}
 	}
-	q.fail(out, max(minBlockedRetryAfter, block.NextTrial()-q.g.now()))
+	q.fail(out, q.blockedRetryAfter(block))
 	return true
 }
 
+// blockedRetryAfter returns when the caller of a request with a blocked trait may come back.
+func (q *request) blockedRetryAfter(block poison.Block) time.Duration {
+	return max(minBlockedRetryAfter, block.NextTrial()-q.g.now())
+}
+
 // noteBlock notes what the request is refused for, for the log, and returns the
 // reason.
 func (q *request) noteBlock(block poison.Block) string {
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -106,6 +106,7 @@
 	g.peers = heartbeater
 	g.readServers = follower.ConfirmServers
 	g.configAge = func() time.Duration { return follower.Confirmation().ConfigAge }
+	g.serversAge = func() time.Duration { return follower.Confirmation().ServersAge }
 	stageOptions := StageControllerOptions{
 		Protocol: deps.StageProtocol, Leases: deps.Leases, LeaseDuration: milliseconds(s.GetOrderLeaseMs()), Members: heartbeater.SharingNames,
 	}
@@ -118,6 +119,7 @@
 		State:   func(context.Context) any { return g.State() },
 		Ready:   func() error { return g.ready(follower) },
 	})
+	mux.HandleFunc("GET "+telemetry.PathExplain, g.serveExplain)
 	log.Write(logevent.Starting(s.GetFailureDomain(), s.GetCallersAddress()))
 	reloads := &reloader{g: g, follower: follower, load: deps.LoadSettings, current: s, hangups: deps.Hangups}
 	return process.Run(ctx, process.Options{
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -149,12 +149,17 @@
 // setWeights copies the servers' health weights into the placement table and
 // excludes the servers that a request must not use now. The caller holds s.mu.
 func (s *service) setWeights(now time.Duration, mayUse func(now time.Duration, id string) bool) {
+	s.setWeightsIn(s.table, now, mayUse)
+}
+
+// setWeightsIn is setWeights for a copy of the placement table.
+func (s *service) setWeightsIn(table *placement.Table, now time.Duration, mayUse func(now time.Duration, id string) bool) {
 	for _, server := range s.registered {
 		weight := 0.0
 		if mayUse(now, server.ID) {
 			weight = s.health.Weight(now, server.ID)
 		}
-		s.table.SetWeight(server.ID, weight)
+		table.SetWeight(server.ID, weight)
 	}
 }
 
--- a/internal/operatorapi/client.go
+++ b/internal/operatorapi/client.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -18,6 +19,7 @@
 	configv1 "github.com/marigoldwing/marigoldwing/api/config/v1"
 	peerv1 "github.com/marigoldwing/marigoldwing/api/peer/v1"
 	statusv1 "github.com/marigoldwing/marigoldwing/api/status/v1"
+	"github.com/marigoldwing/marigoldwing/internal/explanation"
 	"github.com/marigoldwing/marigoldwing/internal/httpclient"
 	"github.com/marigoldwing/marigoldwing/internal/telemetry"
 )
@@ -104,6 +106,27 @@
 	return body, nil
 }
 
+// ExplainRequest returns what the process, a gateway, would do with a request.
+func (c *Client) ExplainRequest(ctx context.Context, q explanation.Question) (*explanation.Explanation, error) {
+	status, body, err := c.do(ctx, http.MethodGet, telemetry.PathExplain+"?"+q.Values().Encode(), nil)
+	var failed *url.Error
+	if errors.As(err, &failed) {
+		// Its URL contains the question, in which a key may have been entered by mistake.
+		err = fmt.Errorf("operator: %s: %w", telemetry.PathExplain, failed.Err)
+	}
+	switch {
+	case err != nil:
+		return nil, err
+	case status != http.StatusOK:
+		return nil, decodeProblem(status, body)
+	}
+	reply := &explanation.Explanation{}
+	if err := json.Unmarshal(body, reply); err != nil {
+		return nil, fmt.Errorf("operator: malformed response from %s: %w", telemetry.PathExplain, err)
+	}
+	return reply, nil
+}
+
 // call sends a request and decodes the response into reply.
 func (c *Client) call(ctx context.Context, method, path string, body []byte, reply proto.Message) error {
 	status, data, err := c.do(ctx, method, path, body)
--- a/internal/operatorapi/client_test.go
+++ b/internal/operatorapi/client_test.go
@@ -13,6 +13,7 @@
 	"github.com/stretchr/testify/require"
 
 	statusv1 "github.com/marigoldwing/marigoldwing/api/status/v1"
+	"github.com/marigoldwing/marigoldwing/internal/explanation"
 )
 
 // startWriting starts a process that writes text after each call and closes the connection,
@@ -66,6 +67,10 @@
 		_, err := c.Explain(ctx, "s")
 		return err
 	},
+	"explain request": func(ctx context.Context, c *Client) error {
+		_, err := c.ExplainRequest(ctx, explanation.Question{Host: "h", Path: "/"})
+		return err
+	},
 	"state": func(ctx context.Context, c *Client) error {
 		_, err := c.DumpState(ctx)
 		return err
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -80,9 +80,12 @@
 	score float64
 }
 
-// keepBetter replaces best by o if o has the lower score or nothing was found
-// yet.
-func keepBetter(best *candidate, found *bool, c candidate) {
+// keepBetter replaces best by c, which is for a kind of step, if c has the lower score
+// or nothing was found yet.
+func (t *Table) keepBetter(step stepKind, best *candidate, found *bool, c candidate) {
+	if t.considered != nil {
+		t.considered(step, c)
+	}
 	if !*found || c.score < best.score {
 		*best, *found = c, true
 	}
@@ -98,7 +101,7 @@
 			continue
 		}
 		first := plainServiceSeconds * s.currentSlowdown(now) * (1 + expectedServiceWaits(s, s.requests(now)))
-		keepBetter(&best, &found, candidate{
+		t.keepBetter(directStep, &best, &found, candidate{
 			Choice: t.newChoice(now, s, first),
 			score:  first/s.weight + t.domainCost(t.opts.FailureDomain, s, r.BodyBytes),
 		})
--- a/internal/placement/engines.go
+++ b/internal/placement/engines.go
@@ -46,7 +46,7 @@
 		c.UncachedTokens, c.FetchFrom, c.Priority = int(uncached), hit.sourceAddress, priority
 		c.score = first/s.weight + t.domainCost(q.OriginDomain, s, q.BodyBytes) + t.recomputeCost(q, hit.tokens) + t.opts.OvertakingWeight*behind/rate +
 			t.opts.FetchPenaltyPerToken*float64(hit.fetched) + t.interferenceCost(prefill, s.requests(q.now))
-		keepBetter(&best, &found, c)
+		t.keepBetter(directStep, &best, &found, c)
 	}
 	return best, found
 }
@@ -97,7 +97,7 @@
 		if s != q.prefillHome {
 			c.score += t.opts.NonHomePenalty
 		}
-		keepBetter(&best, &found, c)
+		t.keepBetter(prefillStep, &best, &found, c)
 	}
 	return best, found
 }
@@ -146,7 +146,7 @@
 		first := (t.firstSteps[importStep].seconds+wait)*s.currentSlowdown(q.now) + transfer + t.slotWaitSeconds(s, q.now)
 		c := candidate{Choice: t.newChoice(q.now, s, first)}
 		c.score = first/s.weight + cost + t.domainCost(q.OriginDomain, s, q.BodyBytes)
-		keepBetter(&best, &found, c)
+		t.keepBetter(importStep, &best, &found, c)
 	}
 	return best, found
 }
--- a/internal/placement/table.go
+++ b/internal/placement/table.go
@@ -22,6 +22,9 @@
 	// engines have cached.
 	knowsAllCaches bool
 	peerSends      map[peerSendKey]*peerSend
+	// considered is called for each candidate of a choice that is explained; nil in the
+	// table of a gateway.
+	considered func(step stepKind, c candidate)
 }
 
 // server is a backend server with the gateway's view of it.
@@ -298,9 +301,7 @@
 
 // usable reports whether the server may get requests: it is not leaving, has a
 // weight and is not in a refusal backoff.
-func (s *server) usable(now time.Duration) bool {
-	return !s.Leaving && s.weight > 0 && now >= s.backoffUntil
-}
+func (s *server) usable(now time.Duration) bool { return s.unusable(now) == "" }
 
 // usable returns the servers of a stage that may get requests.
 func (t *Table) usable(now time.Duration, stage fleet.Stage) []*server {
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -29,6 +29,9 @@
 	PathReady   = "/readyz"
 )
 
+// PathExplain is the path at which a gateway explains what a request would get.
+const PathExplain = "/debug/explain"
+
 // NewLogger returns a logger that writes JSON lines with the name of the process
 // to w. It writes messages up to the given verbosity, as in logr.Logger.V; 0 is
 // level info.
@@ -135,7 +138,7 @@
 	mux := http.NewServeMux()
 	mux.Handle("GET "+PathMetrics, promhttp.HandlerFor(opts.Metrics, promhttp.HandlerOpts{}))
 	mux.HandleFunc("GET "+PathState, func(w http.ResponseWriter, r *http.Request) {
-		writeState(w, opts.State(r.Context()))
+		WriteState(w, opts.State(r.Context()))
 	})
 	mux.HandleFunc("GET "+PathHealth, func(w http.ResponseWriter, _ *http.Request) {
 		writeText(w, http.StatusOK, "ok\n")
@@ -150,8 +153,8 @@
 	return mux
 }
 
-// writeState writes the state dump of a process.
-func writeState(w http.ResponseWriter, state any) {
+// WriteState writes the state of a process, or a part of it, as MarshalJSON encodes it.
+func WriteState(w http.ResponseWriter, state any) {
 	data, err := MarshalJSON(state)
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusInternalServerError)
