--- a/internal/placement/engines.go
+++ b/internal/placement/engines.go
@@ -49,7 +49,7 @@
 		c.UncachedTokens, c.FetchFrom, c.Priority = int(uncached), hit.sourceAddress, priority
 		c.score = first*s.trialCost(q.now)/s.weight + t.domainCost(q.OriginDomain, s, q.BodyBytes) + t.recomputeCost(q, hit.tokens) + t.opts.OvertakingWeight*behind/rate*factor +
 			t.opts.FetchPenaltyPerToken*float64(hit.fetched) + t.interferenceCost(prefill*factor, requests)*s.loadAversion
-		keepBetter(&best, &found, c)
+		t.keepBetter(directStep, &best, &found, c)
 	}
 	return best, found
 }
@@ -102,7 +102,7 @@
 		if s != q.prefillHome {
 			c.score += t.opts.NonHomePenalty
 		}
-		keepBetter(&best, &found, c)
+		t.keepBetter(prefillStep, &best, &found, c)
 	}
 	return best, found
 }
@@ -154,7 +154,7 @@
 		first := (t.firstSteps[importStep].seconds+wait)*factor + transfer + t.slotWaitSeconds(requests, factor)
 		c := candidate{Choice: t.newChoice(q.now, s, first)}
 		c.score = first*s.trialCost(q.now)/s.weight + cost + t.domainCost(q.OriginDomain, s, q.BodyBytes)
-		keepBetter(&best, &found, c)
+		t.keepBetter(importStep, &best, &found, c)
 	}
 	return best, found
 }
