Keep a tenure of the usage duty when its lease is renewed late

Change: the wait belongs to the fencing token. Result: TestRenewedTenureDoesNotWaitAgain, which fails without the change.

--- a/internal/gateway/usage.go
+++ b/internal/gateway/usage.go
@@ -126,8 +126,8 @@
 	// generation is that of the store at the latest tenure. A process that has just started
 	// takes the store for one that was never restored.
 	generation uint64
-	// fence is the fencing token of the tenure to which the following belongs; 0 if this
-	// gateway does not hold the duty.
+	// fence is the fencing token of the latest tenure, to which the following belongs; 0
+	// before the first one.
 	fence uint64
 	// ledger is nil until it has been read, and version that of its stored object.
 	ledger  *usage.Ledger
@@ -155,7 +155,8 @@
 func (r *usageReporter) tick(ctx context.Context) {
 	token, held := r.caller.duty.Token()
 	if !held {
-		r.fence, r.ledger = 0, nil
+		// The same tenure goes on if the lease is renewed late.
+		r.ledger = nil
 		return
 	}
 	if token.Fence != r.fence {
--- a/internal/gateway/usage_test.go
+++ b/internal/gateway/usage_test.go
@@ -277,6 +277,30 @@
 	})
 }
 
+// TestRenewedTenureDoesNotWaitAgain guards against a holder whose lease expires for a moment
+// while the store is down, and which then waits for late calls of a predecessor once more.
+func TestRenewedTenureDoesNotWaitAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &usageFleet{
+			ctx: t.Context(), store: fake.New(fake.Options{}), platform: &fakeDutyPlatform{},
+			gateways: make(map[string]*Gateway), stops: make(map[string]context.CancelFunc),
+		}
+		f.start("gw-1")
+		f.record("a", 12*time.Second)
+		f.platform.setError(ErrDutyNoAnswer)
+		f.record("a", 6*time.Second)
+		f.platform.setError(nil)
+		f.store.SetFaults(fake.Faults{Down: true})
+		f.record("a", 8*time.Second)
+		f.store.SetFaults(fake.Faults{})
+		back := time.Now()
+		f.record("a", 6*time.Second)
+		last := f.platform.calls[len(f.platform.calls)-1]
+		require.True(t, last.at.After(back), "no report within 6 s")
+		require.Equal(t, f.platform.calls[0].Fence, last.Fence)
+	})
+}
+
 // TestUnreadableLedgerIsReplaced guards against an odd object of another writer that ends all
 // reports.
 func TestUnreadableLedgerIsReplaced(t *testing.T) {
