Use plain terms in accounts, duties and speeds, and report no window 0

Cause: several names and comments of the change were figurative, restated names, or justified constants by earlier trials. The review also found faults: - Ledger.Answered shifted the list that the reporter of usage iterates over.

The hash of a gateway and a server, which stood in placement and serverspeed, is serverspeed.Position. The log line and the error for a rejected fencing token have a new wording.

Result: the new tests in internal/usage fail with the former ledger ([10 12 0] for [10 11 12]) and pass with the new one. Without the race detector, the tests of usage, serverspeed, limits, fleetclock, duty, autoscale, logevent, registry, accounts, gateway, gatewaybench, platform and platform/standin pass. TestSlowAnswersOfServiceThatClosesIdleConnectionsAreRelayed in internal/agent failed in one of two runs, on a machine with load 41.

--- a/internal/agent/probe.go
+++ b/internal/agent/probe.go
@@ -57,7 +57,7 @@
 
 // add opens a connection and reports whether it is open.
 func (p *probe) add(ctx context.Context, address net.Addr, linked bool) bool {
-	conn, err := dialBeside(ctx, address)
+	conn, err := dialAddr(ctx, address)
 	if err != nil {
 		return false
 	}
--- a/internal/agent/probe_conn.go
+++ b/internal/agent/probe_conn.go
@@ -28,8 +28,8 @@
 	maxProbeConns = 6
 )
 
-// dialBeside opens a connection to the address of another.
-func dialBeside(ctx context.Context, address net.Addr) (net.Conn, error) {
+// dialAddr opens a connection to an address within dialTimeout.
+func dialAddr(ctx context.Context, address net.Addr) (net.Conn, error) {
 	dialer := net.Dialer{Timeout: dialTimeout}
 	return dialer.DialContext(ctx, address.Network(), address.String())
 }
@@ -55,8 +55,8 @@
 	linked, further bool
 }
 
-// isIdle reports whether the connection is open and nothing has come. What comes before a
-// question does not answer it.
+// isIdle reports whether the connection is open and no data has arrived. Data that arrives
+// before a request does not answer it.
 func (c *probeConn) isIdle() bool {
 	openFor := time.Since(c.opened)
 	if connstate.Peek(c.Conn) != connstate.Idle {
@@ -71,7 +71,7 @@
 // that no longer listens may be ending.
 func (c *probeConn) confirm(ctx context.Context) error {
 	if c.further {
-		conn, err := dialBeside(ctx, c.RemoteAddr())
+		conn, err := dialAddr(ctx, c.RemoteAddr())
 		if err != nil {
 			return err
 		}
--- a/internal/autoscale/autoscale.go
+++ b/internal/autoscale/autoscale.go
@@ -29,7 +29,7 @@
 	// change the number each period.
 	keepMargin = 1.1
 	// startsPerPeriod is the period in start times, and minPeriod its minimum: loads
-	// that swing within a few seconds must not change the number of servers that start
+	// that rise and fall within a few seconds must not change the number of servers that start
 	// quickly.
 	startsPerPeriod = 4
 	minPeriod       = 20 * time.Second
@@ -72,7 +72,7 @@
 	Registered int
 }
 
-// State is what Decide remembers between calls. The zero value is that of a process that
+// State is what Decide keeps between calls. The zero value is that of a process that
 // takes over the decision. Copies are independent.
 type State struct {
 	// desired is the number of servers decided on; 0 before the first observation.
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -24,7 +24,7 @@
 	byAgent   map[string][]*configv1.BackendServer
 	models    map[string]*configv1.Model
 	clients   map[string]*configv1.Client
-	// byToken indexes clients by their bearer token.
+	// byToken indexes clients by the digest of their bearer token.
 	byToken accounts.KeyIndex[*configv1.Client]
 	// regions holds the region of each failure domain.
 	regions map[string]string
--- a/internal/duty/duty.go
+++ b/internal/duty/duty.go
@@ -80,7 +80,7 @@
 	for ctx.Err() == nil {
 		d.runParticipant(ctx)
 		if ctx.Err() == nil {
-			// The duty was surrendered. Another process shall have the chance to take it.
+			// The duty was surrendered. The wait lets another process acquire it.
 			sleep(ctx, d.opts.TTL)
 		}
 	}
--- a/internal/fleetclock/fleetclock.go
+++ b/internal/fleetclock/fleetclock.go
@@ -58,7 +58,7 @@
 	sorted []time.Duration
 }
 
-// New returns a Clock that knows no peers.
+// New returns a Clock without observations.
 func New() *Clock {
 	return &Clock{peers: make(map[string]observation), sorted: make([]time.Duration, 0, maxPeers+1)}
 }
@@ -91,7 +91,7 @@
 	return time.Unix(0, int64(now+c.offset))
 }
 
-// refresh computes the median anew and forgets old offsets.
+// refresh computes the median anew and discards old offsets.
 func (c *Clock) refresh(now, own time.Duration) {
 	c.computed, c.computedAt = true, now
 	c.sorted = append(c.sorted[:0], own)
--- a/internal/gateway/accounts.go
+++ b/internal/gateway/accounts.go
@@ -44,21 +44,22 @@
 		return errKeyUnknown
 	}
 	q.account = account
-	// The account remains the same caller when its keys change.
-	q.meta.Caller = "account " + account.Name
+	// The account remains the same caller when its keys change. No header contains a NUL, so
+	// that a caller without an account can't state the identity of one.
+	q.meta.Caller = "account\x00" + account.Name
 	return nil
 }
 
-// reasonKeysUnconfirmed is the reason of the refusal of a request by a gateway that does not
-// know whether its configuration is the newest one.
+// reasonKeysUnconfirmed is the reason of requests that need a key and reach a gateway whose
+// configuration has not been confirmed to be the newest one for longer than RevocationLimit.
 const reasonKeysUnconfirmed = "keys_unconfirmed"
 
-// unconfirmedKeysRetryAfter is when a caller may come back after such a refusal, most likely to
-// another gateway.
+// unconfirmedKeysRetryAfter is the Retry-After of such a refusal. It is short, because another
+// gateway may serve the request.
 const unconfirmedKeysRetryAfter = 500 * time.Millisecond
 
-// keysMayBeWithdrawn reports whether the gateway must not rely on the keys that it knows any
-// more, because its configuration has not been confirmed for too long.
+// keysMayBeWithdrawn reports whether the keys of the configuration in force must not be used,
+// because the configuration has not been confirmed for too long.
 func (g *Gateway) keysMayBeWithdrawn() bool {
 	limit := g.opts.RevocationLimit
 	if limit == 0 || g.configAge == nil {
@@ -91,8 +92,8 @@
 }
 
 // endUnauthorized authenticates the request anew if its account is another one in the
-// configuration in force, because keys may have been withdrawn while it waited. It reports whether it has ended the
-// request, whose last attempt had the given outcome.
+// configuration in force, because keys may have been withdrawn while it waited. It reports
+// whether it has ended the request, whose last attempt had the given outcome.
 func (q *request) endUnauthorized(last *outcome) bool {
 	if q.isAuthorized() {
 		return false
--- a/internal/gateway/config_peers.go
+++ b/internal/gateway/config_peers.go
@@ -14,8 +14,8 @@
 	// configFetchDelay is how long a gateway that is behind another one may take to read
 	// the newer configuration from the store before it asks the other one.
 	configFetchDelay = 400 * time.Millisecond
-	// configFetchTimeout bounds the transfer of a configuration, which may have some
-	// megabytes on a slow link.
+	// configFetchTimeout bounds the transfer of a configuration, which may have a size of
+	// several megabytes and cross a slow link.
 	configFetchTimeout = 5 * time.Second
 )
 
@@ -65,7 +65,7 @@
 	return 0
 }
 
-// fetch gets a configuration from another gateway unless the store has brought it meanwhile.
+// fetch gets a configuration from another gateway unless the store has served it meanwhile.
 func (f *configFetcher) fetch(ctx context.Context, peer, address string, version uint64) {
 	select {
 	case <-time.After(configFetchDelay):
--- a/internal/gateway/config_peers_test.go
+++ b/internal/gateway/config_peers_test.go
@@ -96,7 +96,8 @@
 }
 
 // TestGatewayWithoutStoreGetsConfigFromPeer guards against a withdrawn key that is served
-// for as long as the store turns a gateway away, though other gateways know better.
+// for as long as the store rejects the calls of a gateway, though other gateways have the newer
+// configuration.
 func TestGatewayWithoutStoreGetsConfigFromPeer(t *testing.T) {
 	for name, own := range map[string]*fleet.Config{"just started": nil, "behind": keyedConfig(6, "withdrawn")} {
 		peer := &servingPeer{fetcher: &configFetcher{follower: &fakeConfigFollower{config: keyedConfig(7, "new")}}}
--- a/internal/gateway/duties.go
+++ b/internal/gateway/duties.go
@@ -13,8 +13,8 @@
 
 // Errors of calls to the platform for a duty.
 var (
-	// ErrDutyFenced: the platform knows a higher fencing token.
-	ErrDutyFenced = errors.New("platform knows a higher fencing token")
+	// ErrDutyFenced: the platform has seen a higher fencing token.
+	ErrDutyFenced = errors.New("platform has seen a higher fencing token")
 	// ErrDutyBusy: the call had no effect and may be repeated.
 	ErrDutyBusy = errors.New("platform accepts no call at present")
 	// ErrDutyRefused: the call had no effect, and neither would a repeat.
@@ -71,7 +71,7 @@
 type DutyOptions struct {
 	Platform DutyPlatform
 	Leases   lease.Store
-	// LeaseDuration is the time within which holders must not take turns.
+	// LeaseDuration is the time within which holders must not act in the order A, B, A.
 	LeaseDuration time.Duration
 	// Fenced is set if the platform rejects calls with a lower fencing token than it has
 	// seen.
@@ -93,8 +93,8 @@
 	interval time.Duration
 
 	mu sync.Mutex
-	// nextCall is the earliest time of the next call, and backoff what is added to it if
-	// the next one fails too.
+	// nextCall is the earliest time of the next call, and backoff the delay after the latest
+	// failure, which doubles with each further one; 0 after a success.
 	nextCall, backoff time.Duration
 }
 
@@ -111,7 +111,7 @@
 }
 
 // errNotHolder is returned for a call that is not made because this gateway does not hold the
-// duties, or not for long enough, or because the platform wants no call yet.
+// duties, or not for long enough, or because it is too early for the next call.
 var errNotHolder = errors.New("not the holder of the duties, or too soon")
 
 // call makes one call with the fencing token of a tenure of the duties. It ends the call when
@@ -193,8 +193,7 @@
 	}
 }
 
-// RunDuties performs the duties until ctx ends, from the moment on at which a configuration
-// asks for one.
+// RunDuties performs the duties until ctx ends. It begins when a configuration requires one.
 func (g *Gateway) RunDuties(ctx context.Context) {
 	if g.duties == nil {
 		return
@@ -221,10 +220,10 @@
 // generation has 0.
 const neverRestored = 1
 
-// dutyPollInterval is how often a gateway looks whether a configuration asks for duties.
+// dutyPollInterval is how often a gateway checks whether its configuration requires duties.
 const dutyPollInterval = 500 * time.Millisecond
 
-// needsDuties reports whether the configuration gives rise to calls to the platform.
+// needsDuties reports whether the configuration requires calls to the platform.
 func (g *Gateway) needsDuties() bool {
 	config := g.state.Load().config
 	if config == nil {
--- a/internal/gateway/explain.go
+++ b/internal/gateway/explain.go
@@ -12,8 +12,8 @@
 	"github.com/marigoldwing/marigoldwing/internal/telemetry"
 )
 
-// serveExplain serves telemetry.PathExplain. It reads no header, so that a key that was
-// sent along goes nowhere.
+// serveExplain serves telemetry.PathExplain. It reads no header, so that a key in one is
+// neither used nor logged.
 func (g *Gateway) serveExplain(w http.ResponseWriter, r *http.Request) {
 	request, err := explanation.Parse(r.URL.Query())
 	if err != nil {
@@ -23,7 +23,7 @@
 	telemetry.WriteState(w, g.Explain(request))
 }
 
-// Explain returns what the gateway would do with a request, without sending it. It asks
+// Explain returns what the gateway would do with a request, without sending it. It calls
 // the functions that decide on requests, in their order, and changes nothing by which
 // requests are decided or counted.
 func (g *Gateway) Explain(r explanation.Request) explanation.Explanation {
@@ -68,7 +68,7 @@
 
 func inMS(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
 
-// explainer explains what becomes of one request.
+// explainer builds the explanation of one request.
 type explainer struct {
 	q *request
 	e explanation.Explanation
@@ -103,7 +103,7 @@
 	}
 }
 
-// explainService explains what becomes of a request that was found to be valid, as
+// explainService explains how a valid request would be handled, as
 // request.readBody and request.serve decide it.
 func (x *explainer) explainService() {
 	q := x.q
@@ -124,7 +124,7 @@
 	x.explainRefusal(choice, chosen)
 }
 
-// explainRefusal finds out whether the request would be refused, in the order of
+// explainRefusal determines whether the request would be refused, in the order of
 // request.serve.
 func (x *explainer) explainRefusal(choice placement.Choice, chosen bool) {
 	q := x.q
--- a/internal/gateway/fairshare.go
+++ b/internal/gateway/fairshare.go
@@ -19,8 +19,8 @@
 	// returnShare is the part of the time left after which callers still come back.
 	// Retry-After is up to half longer than its value (see retryAfterHeader).
 	returnShare = 2.0 / 9
-	// initialStreamSeconds is the time that a stream occupies a slot, assumed until
-	// streams have ended, and streamSmoothing the weight of each that does.
+	// initialStreamSeconds is the initial estimate of the time that a stream occupies a
+	// slot, and streamSmoothing the weight of each stream that has ended.
 	initialStreamSeconds = 0.3
 	streamSmoothing      = 0.05
 	// minSpareDivisor bounds the time that a request may wait from below, as a part of its
@@ -143,9 +143,8 @@
 	return shares{fair: limits.NewFairShare(maxSharingAccounts, placement.PriorityLevels), streamSeconds: initialStreamSeconds}
 }
 
-// demand returns the demand of a request for a share of the service.
-// Its cost is 1 for a plain service; for engines the time that one works on the prompt, and
-// the part of an engine's time that a stream in one of its slots takes. The caller holds
+// demand returns the demand of a request for a share of the service. Its cost is 1 for a
+// plain service; for engines the time that one works on the prompt, and the part of an engine's time that a stream in one of its slots takes. The caller holds
 // s.mu.
 func (s *service) demand(now time.Duration, streamSeconds float64, r limits.Request, d shareDemand) limits.Demand {
 	idle := s.table.EstimateIdle(now, d.choice, d.promptTokens)
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -16,7 +16,7 @@
 	g        *Gateway
 	follower *registry.Follower
 	// ctx ends with the process. It bounds the fetches of configurations that heartbeats
-	// give rise to.
+	// start.
 	ctx     context.Context
 	configs *configFetcher
 }
--- a/internal/gateway/scaling.go
+++ b/internal/gateway/scaling.go
@@ -18,7 +18,7 @@
 	service, failureDomain string
 }
 
-// scaling is what the holder of the duty remembers of a scaledDomain.
+// scaling is the state of a scaledDomain at the holder of the duty.
 type scaling struct {
 	state autoscale.State
 	// ordered is the number that the platform has accepted last from this holder; 0 if
--- a/internal/gateway/usage.go
+++ b/internal/gateway/usage.go
@@ -18,8 +18,7 @@
 )
 
 const (
-	// usageTickInterval is how often the holder of the usage duty looks for something to
-	// do.
+	// usageTickInterval is how often the holder of the usage duty checks what is due.
 	usageTickInterval = 100 * time.Millisecond
 	// collectionsPerWindow is the number of collections per window. What a gateway counts
 	// between two of them is lost if it is killed.
@@ -123,8 +122,8 @@
 	opts   UsageOptions
 	caller *dutyCaller
 
-	// generation is that of the store at the latest tenure. A process that has just started
-	// takes the store for one that was never restored.
+	// generation is that of the store at the latest tenure; at first that of a store that
+	// was never restored.
 	generation uint64
 	// fence is the fencing token of the tenure to which the following belongs; 0 if this
 	// gateway does not hold the duty.
@@ -171,8 +170,8 @@
 			return
 		}
 		if closed {
-			// All gateways learn how far windows are final before a report is sent, because
-			// the store may forget the ledger.
+			// All gateways receive the first window that is not final before a report is
+			// sent, because the store may lose the ledger.
 			r.collect(ctx)
 		}
 	}
@@ -194,13 +193,13 @@
 func (r *usageReporter) load(ctx context.Context) bool {
 	object, err := r.opts.Store.Get(ctx, r.key())
 	if err != nil && !errors.Is(err, platform.ErrNotFound) {
-		r.g.log.Write(logevent.UsageLedgerNotStored("read", err))
+		r.g.log.Write(logevent.UsageLedgerUnavailable("read", err))
 		return false
 	}
 	message := &peerv1.UsageLedger{}
 	if err == nil {
 		if err := errors.Join(object.Err, proto.Unmarshal(object.Value, message)); err != nil {
-			r.g.log.Write(logevent.UsageLedgerNotStored("decode", err))
+			r.g.log.Write(logevent.UsageLedgerUnavailable("decode", err))
 			message = &peerv1.UsageLedger{}
 		}
 	}
@@ -230,7 +229,7 @@
 func (r *usageReporter) save(ctx context.Context) bool {
 	value, err := proto.Marshal(ledgerToProto(r.ledger.State()))
 	if err != nil {
-		r.g.log.Write(logevent.UsageLedgerNotStored("encode", err))
+		r.g.log.Write(logevent.UsageLedgerUnavailable("encode", err))
 		return false
 	}
 	if _, held := r.caller.duty.Token(); !held {
@@ -242,7 +241,7 @@
 		r.ledger.Stored()
 		return true
 	}
-	r.g.log.Write(logevent.UsageLedgerNotStored("write", err))
+	r.g.log.Write(logevent.UsageLedgerUnavailable("write", err))
 	if !errors.Is(err, platform.ErrUnavailable) {
 		// The write may have had an effect, or another holder has written.
 		r.ledger = nil
@@ -250,8 +249,8 @@
 	return false
 }
 
-// collectionDue reports whether the counts are to be collected: some times per window, and
-// shortly after its end.
+// collectionDue reports whether the counts are to be collected: collectionsPerWindow times per
+// window, and collectDelay after its end.
 func (r *usageReporter) collectionDue(now time.Time) bool {
 	settled := func(t time.Time) int64 { return windowOf(t.Add(-collectDelay), r.opts.Window) }
 	elapsed := now.Sub(r.collectedAt)
@@ -260,16 +259,16 @@
 
 // collect asks all gateways for their counts, and reports whether all have answered.
 func (r *usageReporter) collect(ctx context.Context) bool {
-	own := r.g.usage.CollectUsage(r.question(r.g.opts.Name))
+	own := r.g.usage.CollectUsage(r.collectMessage(r.g.opts.Name))
 	peers := r.opts.Peers()
 	replies := make([]*peerv1.CollectUsageReply, len(peers))
 	var calls sync.WaitGroup
 	for i, peer := range peers {
-		question := r.question(peer.Name)
+		message := r.collectMessage(peer.Name)
 		calls.Go(func() {
 			ctx, cancel := context.WithTimeout(ctx, collectTimeout)
 			defer cancel()
-			reply, err := r.opts.Client.CollectUsage(ctx, peer.Address, question)
+			reply, err := r.opts.Client.CollectUsage(ctx, peer.Address, message)
 			if err != nil {
 				r.g.log.Write(logevent.UsageNotCollected(peer.Name, err))
 				return
@@ -290,8 +289,8 @@
 	return complete
 }
 
-// question returns the question to a gateway.
-func (r *usageReporter) question(gateway string) *peerv1.CollectUsage {
+// collectMessage returns the message that asks a gateway for its counts.
+func (r *usageReporter) collectMessage(gateway string) *peerv1.CollectUsage {
 	acknowledged := r.ledger.Acknowledged(gateway)
 	return &peerv1.CollectUsage{Incarnation: acknowledged.Incarnation, Acknowledged: acknowledged.Number, NextWindow: r.ledger.Next()}
 }
@@ -310,8 +309,9 @@
 	r.unsaved = r.ledger.Apply(gateway, batch) || r.unsaved
 }
 
-// closeWindows makes the counts of windows final that all gateways have answered for, or that
-// have waited for the others for long enough. It reports whether there are any.
+// closeWindows makes the counts of windows final that ended long enough ago: collectDelay if
+// all gateways have answered, and otherwise closeShare of the time until the report is due. It
+// reports whether there are any.
 func (r *usageReporter) closeWindows(now time.Time, complete bool) bool {
 	wait := time.Duration(closeShare * float64(r.opts.Due))
 	if complete {
--- a/internal/limits/fair.go
+++ b/internal/limits/fair.go
@@ -57,7 +57,7 @@
 	// maxLevelChange bounds the factor by which the level changes in one period.
 	maxLevelChange = 2
 	// minLevelShare bounds the level from below, as a share of what is offered. A
-	// level that more urgent requests have pressed to 0 could not rise again.
+	// level that more urgent requests have reduced to 0 could not rise again.
 	minLevelShare = 1e-5
 )
 
--- a/internal/limits/fairshare.go
+++ b/internal/limits/fairshare.go
@@ -32,7 +32,8 @@
 	// startedAt is the time of the first request, before which nothing can have been
 	// completed; 0 if there was none.
 	startedAt time.Duration
-	// peak is the highest completed cost per second of late, as of peakAt.
+	// peak is the highest recent value of the completed cost per second, as of peakAt. It
+	// decays with the time constant peakWindow.
 	peak   float64
 	peakAt time.Duration
 	// capacityAt is when the capacity was set.
@@ -56,13 +57,13 @@
 	// predicted wait causes pressure and causes all of it. The ramp between them
 	// keeps gateways that see an old queue from all refusing, and all admitting, at
 	// the same time. The rest of the time is for what arrives before the level has
-	// adjusted, and for what predictions do not know.
+	// adjusted, and for errors of the predictions.
 	noPressure, fullPressure = 0.1, 0.5
 	// maxPressure bounds the pressure. Above 1 less than the capacity is given away, so
 	// that the queue becomes shorter.
 	maxPressure = 3
 	// minSpare is the least time to spare, so that requests that can hardly be in
-	// time on an idle server do not count as pressed by a short wait.
+	// time on an idle server are not under pressure after a short wait.
 	minSpare = 50 * time.Millisecond
 	// pressureWindow is the time constant of the average pressure, and
 	// minPressureGap the least time that one request stands for in it.
@@ -83,13 +84,13 @@
 	// capacity.
 	fairLevelPeriod   = 250 * time.Millisecond
 	fairLevelRequests = 8
-	// fairLevelMemory makes a level rest on some three periods. Single periods of a
+	// fairLevelMemory bases a level on about three periods. Single periods of a
 	// gateway with few requests differ from each other by a third.
 	fairLevelMemory = 0.7
-	// minOfPeak is the part of the peak, which is forgotten with the time constant
+	// minOfPeak is the part of the peak, which decays with the time constant
 	// peakWindow, that the capacity does not fall below. What is refused is not
 	// completed either: if predictions are too long for a while, the capacity and the
-	// level would press each other down to 0.
+	// level would reduce each other to 0.
 	minOfPeak  = 0.5
 	peakWindow = time.Minute
 	// capacityInterval is the time between changes of the capacity, of which the level
--- a/internal/limits/fairshare_test.go
+++ b/internal/limits/fairshare_test.go
@@ -236,7 +236,7 @@
 }
 
 // TestImmediateRetriesGainNothing guards against a client that repeats each refused
-// request at once ten times getting more than one that comes back when it is told to.
+// request at once ten times getting more than one that comes back after its Retry-After.
 func TestImmediateRetriesGainNothing(t *testing.T) {
 	const capacity = 200.0
 	small, names := smallClients(70, 0.6*capacity)
--- a/internal/logevent/request.go
+++ b/internal/logevent/request.go
@@ -279,12 +279,12 @@
 // become short of capacity, or no longer is. The pressure is the average of its requests',
 // completed the cost per second that it has completed at this gateway recently.
 func CapacityShortage(service string, short bool, pressure, completed float64) Event {
-	message := info("service is no longer short of capacity", slog.String(keyService, service))
+	event := info("service is no longer short of capacity", slog.String(keyService, service))
 	if short {
-		message = info("service is short of capacity, accounts are held to their fair shares",
+		event = info("service is short of capacity, accounts are held to their fair shares",
 			slog.String(keyService, service), slog.Float64("pressure", pressure), slog.Float64("completed_per_s", completed))
 	}
-	return message
+	return event
 }
 
 // HandleReleaseFailed reports that an engine keeps the KV cache of a prefilled
--- a/internal/logevent/system.go
+++ b/internal/logevent/system.go
@@ -32,10 +32,10 @@
 // DutySurrendered reports that the platform has rejected the fencing token of this gateway,
 // which therefore gives the duty up.
 func DutySurrendered(duty string, fencingToken uint64) Event {
-	return info("duty surrendered, the platform knows a higher token", slog.String(keyDuty, duty), slog.Uint64(keyFencingToken, fencingToken))
+	return info("duty surrendered, the platform has seen a higher token", slog.String(keyDuty, duty), slog.Uint64(keyFencingToken, fencingToken))
 }
 
-// DutyUnknown reports a duty in the settings that this program does not know.
+// DutyUnknown reports a duty in the settings that does not exist.
 func DutyUnknown(duty string) Event {
 	return failure("duty in the settings is unknown, not performed", slog.String(keyDuty, duty))
 }
@@ -55,7 +55,7 @@
 	Err error
 }
 
-// UsageReported reports such a call.
+// UsageReported reports a call that reports the usage of a window.
 func UsageReported(r UsageReport) Event {
 	e := info("usage of a window reported", slog.Int64("window", r.Window), slog.Uint64(keyFencingToken, r.Fence), slog.Int("clients", r.Accounts),
 		slog.Int64("runs", r.Runs), milliseconds("since_end_ms", r.SinceEnd), slog.Bool("accepted", r.Err == nil))
@@ -77,9 +77,9 @@
 	return e
 }
 
-// UsageLedgerNotStored reports that the usage ledger could not be read or written, which is
-// tried again.
-func UsageLedgerNotStored(action string, err error) Event {
+// UsageLedgerUnavailable reports that the usage ledger could not be read, decoded, encoded or
+// written, which is tried again.
+func UsageLedgerUnavailable(action string, err error) Event {
 	return info("usage ledger is not available", slog.String("action", action), errorText(err))
 }
 
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -107,7 +107,7 @@
 		first := service + wait
 		t.keepBetter(directStep, &best, &found, candidate{
 			Choice: t.newChoice(now, s, first),
-			score:  (service+wait*s.loadAversion)*s.trialCost(now)/s.weight + t.domainCost(t.opts.FailureDomain, s, r.BodyBytes),
+			score:  (service+wait*s.loadCostFactor)*s.trialCost(now)/s.weight + t.domainCost(t.opts.FailureDomain, s, r.BodyBytes),
 		})
 	}
 	if !found {
--- a/internal/placement/cost.go
+++ b/internal/placement/cost.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/cespare/xxhash/v2"
+	"github.com/marigoldwing/marigoldwing/internal/serverspeed"
 )
 
 // expectedServiceWaits returns the expected number of service times that a new
@@ -82,19 +82,17 @@
 // transferSetupSeconds is the time before a KV transfer starts.
 const transferSetupSeconds = 0.003
 
-// loadAversion returns the factor by which a gateway weighs the cost of other requests
-// at a server, between 1 and 1+aversionSpread. Gateways know each other's requests only
-// after a while. With the same weights all of them would choose the same server
+// loadCostFactor returns the factor by which a gateway weighs the cost of other requests
+// at a server, between 1 and 1+loadCostSpread. Gateways know each other's requests only
+// after a delay. With the same weights all of them would choose the same server
 // meanwhile.
-func loadAversion(gateway, server string) float64 {
+func loadCostFactor(gateway, server string) float64 {
 	if gateway == "" {
 		return 1
 	}
-	const positions = 1024
-	return 1 + aversionSpread*float64(xxhash.Sum64String(gateway+"\x00"+server)%positions)/positions
+	return 1 + loadCostSpread*serverspeed.Position(gateway, server)
 }
 
-// aversionSpread is the spread of the weights. With 1, 32 gateways in front of 18 engines
-// at 70 % of their capacity serve as many requests in time at equal speeds as without
-// any speeds learned; a larger one is worse with 8 gateways.
-const aversionSpread = 1
+// loadCostSpread is the spread of the weights. With a larger one, few gateways serve fewer
+// requests in time.
+const loadCostSpread = 1
--- a/internal/placement/engines.go
+++ b/internal/placement/engines.go
@@ -48,7 +48,7 @@
 		c := candidate{Choice: t.newChoice(q.now, s, first)}
 		c.UncachedTokens, c.FetchFrom, c.Priority = int(uncached), hit.sourceAddress, priority
 		c.score = first*s.trialCost(q.now)/s.weight + t.domainCost(q.OriginDomain, s, q.BodyBytes) + t.recomputeCost(q, hit.tokens) + t.opts.OvertakingWeight*behind/rate*factor +
-			t.opts.FetchPenaltyPerToken*float64(hit.fetched) + t.interferenceCost(prefill*factor, requests)*s.loadAversion
+			t.opts.FetchPenaltyPerToken*float64(hit.fetched) + t.interferenceCost(prefill*factor, requests)*s.loadCostFactor
 		t.keepBetter(directStep, &best, &found, c)
 	}
 	return best, found
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -103,7 +103,7 @@
 type Options struct {
 	FailureDomain string
 	// Gateway is the name of this gateway. It determines when the gateway begins to use
-	// a server that has started anew.
+	// a server that has started anew, and how it weighs other requests at each server.
 	Gateway string
 	// NonHomePenalty applies to an engine that is not the home of the prompt,
 	// which rendezvous hashing of the prompt's first part determines. It keeps
--- a/internal/placement/speed.go
+++ b/internal/placement/speed.go
@@ -112,20 +112,20 @@
 	serverspeed.Report
 }
 
-// SpeedReports returns at most n reports for one other gateway, of those servers
-// whose speed is the greatest news first.
+// SpeedReports returns at most n reports for one other gateway, of the servers with the
+// highest report priority first.
 func (t *Table) SpeedReports(now time.Duration, n int) []SpeedReport {
-	var withNews []*server
+	var unreported []*server
 	for _, s := range t.servers {
-		if s.speed.estimate.News() > 0 {
-			withNews = append(withNews, s)
+		if s.speed.estimate.ReportPriority() > 0 {
+			unreported = append(unreported, s)
 		}
 	}
-	slices.SortStableFunc(withNews, func(a, b *server) int {
-		return cmp.Compare(b.speed.estimate.News(), a.speed.estimate.News())
+	slices.SortStableFunc(unreported, func(a, b *server) int {
+		return cmp.Compare(b.speed.estimate.ReportPriority(), a.speed.estimate.ReportPriority())
 	})
 	reports := make([]SpeedReport, 0, n)
-	for _, s := range withNews[:min(n, len(withNews))] {
+	for _, s := range unreported[:min(n, len(unreported))] {
 		reports = append(reports, SpeedReport{ServerID: s.ID, StartedUnixMs: s.StartedUnixMs, Report: s.speed.estimate.Report(now)})
 	}
 	return reports
--- a/internal/placement/table.go
+++ b/internal/placement/table.go
@@ -52,9 +52,9 @@
 	peers map[string]peerLoad
 	// speed is what is known of the server's speed.
 	speed speed
-	// loadAversion is the factor of the cost of other requests at the server, which
+	// loadCostFactor is the factor of the cost of other requests at the server, which
 	// differs between gateways.
-	loadAversion float64
+	loadCostFactor float64
 	// weight is the fraction of its usual load that the server should get.
 	weight float64
 	// weights is the version of the weights that the server stated last; empty if none.
@@ -109,7 +109,7 @@
 		}
 	}
 	added := &server{
-		Server: registered, hash: xxhash.Sum64String(registered.ID), weight: 1, loadAversion: loadAversion(t.opts.Gateway, registered.ID),
+		Server: registered, hash: xxhash.Sum64String(registered.ID), weight: 1, loadCostFactor: loadCostFactor(t.opts.Gateway, registered.ID),
 		cache: newCache(), peers: make(map[string]peerLoad),
 	}
 	if len(old) > 0 {
--- a/internal/registry/backoff_test.go
+++ b/internal/registry/backoff_test.go
@@ -55,8 +55,8 @@
 }
 
 // TestOutageOfLargeFleetMakesFewCalls guards against calls to a store that is down which grow
-// with the fleet, and against a gateway that calls again at each heartbeat of one that knows
-// more.
+// with the fleet, and against a gateway that calls again at each heartbeat of one with a newer
+// configuration.
 func TestOutageOfLargeFleetMakesFewCalls(t *testing.T) {
 	relay, other := callsInOutage(t, 40, true), callsInOutage(t, 40, false)
 	require.Less(t, other, relay*2/3)
--- a/internal/serverspeed/conditions.go
+++ b/internal/serverspeed/conditions.go
@@ -14,10 +14,9 @@
 	// conditions. Without it the factors of all servers drift together, since a faster
 	// usual server with slower servers predicts the same.
 	centering = 1
-	// commonHalfLife is the time after which half of what is common to all servers is
-	// forgotten, and commonPriorPerServer the weight of no deviation, per server. With
-	// them predictions exceed those for usual servers as far as they did while each
-	// server had an average of its own with a weight of 0.1 for one observation.
+	// commonHalfLife is the half-life of observations of what is common to all servers, and
+	// commonPriorPerServer the weight of no deviation, per server, so that a few
+	// observations do not change the predictions for many servers.
 	commonHalfLife       = 4 * time.Second
 	commonPriorPerServer = 10
 )
@@ -61,7 +60,7 @@
 func (c *Conditions) Observe(now time.Duration, ratio float64) float64 {
 	// The same bound as in Estimate.Observe: with another one, the difference of the means
 	// would accumulate in the factors.
-	limit := math.Log(MaxSurprise)
+	limit := math.Log(MaxDeviation)
 	logRatio := min(max(math.Log(ratio), -limit), limit)
 	c.bias.add(now, biasHalfLife, logRatio+centering*c.center, 1)
 	c.common.add(now, commonHalfLife, logRatio, 1)
--- a/internal/serverspeed/crowding.go
+++ b/internal/serverspeed/crowding.go
@@ -14,7 +14,7 @@
 	// crowdingPrior the weight of no crowding.
 	crowdingHalfLife = 2 * time.Minute
 	crowdingPrior    = 6
-	// minCrowding is the slowdown that is not told from noise.
+	// minCrowding is the logarithm of a slowdown up to which it is taken for noise.
 	minCrowding = 0.1
 )
 
--- a/internal/serverspeed/serverspeed.go
+++ b/internal/serverspeed/serverspeed.go
@@ -2,10 +2,10 @@
 // than on a usual one.
 //
 // An Estimate belongs to one start of one server. It consists of a long-term part, which
-// is kept while the server lives, and of a short-term deviation, which follows changes
-// within seconds and is forgotten towards the long-term part. Gateways tell each other
-// what they have observed themselves, never what they have heard, so that no observation
-// comes back to the gateway that made it.
+// is kept while the server runs, and of a short-term deviation, which follows changes
+// within seconds and then decays. Gateways report to each other only their own
+// observations, not those reported by others, so that no observation returns to the
+// gateway that made it.
 //
 // The package does no I/O and takes all times as arguments, as durations since an origin
 // that the caller fixes once. Its types are not safe for concurrent use.
@@ -25,8 +25,9 @@
 	// deviation. It keeps single outliers from moving the factor far.
 	recentPrior = 1
 	// deviationNoise is the logarithm of a short-term deviation up to which it is taken for
-	// noise. Greater ones count the more the greater they are. All gateways hear of the same deviations, so that without it they
-	// go together to the server that has been lucky.
+	// noise. Of a greater one a part is subtracted, which is smaller the greater it is.
+	// All gateways receive the same reports, so that without it they would all prefer the
+	// server whose latest requests happened to be fast.
 	deviationNoise = 0.4
 	// longHalfLife is the time after which an observation counts half in the long-term
 	// part, if there are newer ones. A server that is slow for 10 s changes it little.
@@ -36,18 +37,18 @@
 	// keptWeight is the weight that what is known of a server keeps at least, so that one
 	// observation after a long pause does not replace it.
 	keptWeight = 8
-	// MinFactor and MaxFactor bound the factor, and MaxSurprise the ratio by which a
-	// single observation may differ from it.
+	// MinFactor and MaxFactor bound the factor, and MaxDeviation the ratio by which a
+	// single observation may differ from it. Greater deviations are limited to it.
 	MinFactor, MaxFactor = 0.25, 8.0
-	MaxSurprise          = 3.0
+	MaxDeviation         = 3.0
 	// maxReportedWeight bounds the weight of a report, so that no gateway outvotes all
 	// others. It is that of 14 observations per second.
 	maxReportedWeight = 24
 	// minNewWeight is the weight of new observations from which a report changes
 	// anything. Below it the mean of the new ones is lost in rounding.
 	minNewWeight = 0.25
-	// maxReporters bounds the gateways whose latest reports are remembered for a server,
-	// and reporterMemory for how long. After that time nothing is left of a report that
+	// maxReporters bounds the gateways whose latest reports are kept for a server, and
+	// reporterMemory for how long. After that time nothing is left of a report that
 	// is repeated.
 	maxReporters   = 32
 	reporterMemory = 7 * recentHalfLife
@@ -56,16 +57,16 @@
 	maxTransitJitter = 250 * time.Millisecond
 	// KnownWeight is the weight of observations from which a server is known.
 	KnownWeight = 4
-	// newsPerObservation is the news in an observation that surprises nobody, and
-	// newsPerReport what is left of the news when it has been reported once. A report
-	// reaches one gateway.
-	newsPerObservation = 0.05
-	newsPerReport      = 0.85
-	minNews            = 0.01
+	// priorityPerObservation is what an observation that agrees with the estimate adds to
+	// the report priority, and priorityAfterReport the factor by which each report reduces
+	// it. A report reaches one gateway only. Below minReportPriority nothing is reported.
+	priorityPerObservation = 0.05
+	priorityAfterReport    = 0.85
+	minReportPriority      = 0.01
 )
 
 // Estimate is the factor by which work takes longer on one start of a server. The zero
-// value knows nothing and has the factor 1.
+// value has no observations and the factor 1.
 type Estimate struct {
 	// recent and long are the means of the logarithms of observed factors, own those of
 	// this gateway's own observations only.
@@ -75,8 +76,8 @@
 	// logLong and longFactor are the long-term part.
 	logLong, longFactor float64
 	reporters           []reporter
-	// news is how much this gateway has to report.
-	news float64
+	// reportPriority grows with observations that have not been reported.
+	reportPriority float64
 }
 
 // reporter is the latest report of another gateway.
@@ -109,12 +110,12 @@
 	}
 	logFactor := math.Log(factor)
 	expected := math.Log(e.Factor(now))
-	limit := math.Log(MaxSurprise)
+	limit := math.Log(MaxDeviation)
 	logFactor = clampLog(min(max(logFactor, expected-limit), expected+limit))
 	e.own.add(now, recentHalfLife, logFactor, 1)
 	e.own.bound(maxReportedWeight)
 	e.add(now, logFactor, 1)
-	e.news += newsPerObservation + math.Abs(logFactor-e.logLong)
+	e.reportPriority += priorityPerObservation + math.Abs(logFactor-e.logLong)
 }
 
 // add adds observations of this gateway or of others.
@@ -167,18 +168,19 @@
 	return max(0, now-e.recent.at)
 }
 
-// News returns how much this gateway has to report: more after observations that differ
-// from what is known, and less after each report.
-func (e *Estimate) News() float64 {
-	if e.news < minNews {
+// ReportPriority returns how urgent a report of this gateway's observations is: higher after
+// observations that differ from the estimate, and lower after each report. It is 0 if there
+// is nothing to report.
+func (e *Estimate) ReportPriority() float64 {
+	if e.reportPriority < minReportPriority {
 		return 0
 	}
-	return e.news
+	return e.reportPriority
 }
 
 // Report returns what this gateway itself has observed, to be sent to one other gateway.
 func (e *Estimate) Report(now time.Duration) Report {
-	e.news *= newsPerReport
+	e.reportPriority *= priorityAfterReport
 	return Report{Factor: math.Exp(e.own.value(0)), Weight: e.own.weight, Age: max(0, now-e.own.at)}
 }
 
@@ -214,13 +216,13 @@
 		}
 		return false
 	}
-	mean := clampLog((latest.weight*latest.logFactor - left*previous.logFactor) / added)
+	logFactor := clampLog((latest.weight*latest.logFactor - left*previous.logFactor) / added)
 	*previous = latest
-	e.add(at, mean, added)
+	e.add(at, logFactor, added)
 	return true
 }
 
-// makeRoom forgets old reports. It reports false if there is no room for another one.
+// makeRoom discards old reports. It reports false if there is no room for another one.
 func (e *Estimate) makeRoom(now time.Duration) bool {
 	if len(e.reporters) < maxReporters {
 		return true
--- a/internal/serverspeed/serverspeed_test.go
+++ b/internal/serverspeed/serverspeed_test.go
@@ -78,7 +78,7 @@
 }
 
 // TestReportsCommuteAndRepeatsChangeNothing guards against an estimate that depends on the
-// order in which heartbeats arrive, or that counts what it hears twice as two observations.
+// order in which heartbeats arrive, or that counts a repeated report as new observations.
 func TestReportsCommuteAndRepeatsChangeNothing(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		merges := reportsOf(t)
@@ -116,7 +116,7 @@
 	}
 	require.Equal(t, before, a.Weight())
 	require.LessOrEqual(t, b.Weight(), before)
-	require.Zero(t, b.News(), "only own observations are reported")
+	require.Zero(t, b.ReportPriority(), "only own observations are reported")
 }
 
 // TestReportsAddWhatIsNew checks that a gateway learns all that another one observes from a
@@ -147,15 +147,16 @@
 	require.LessOrEqual(t, len(e.reporters), maxReporters)
 }
 
-// TestNewsFirst checks that what surprises is reported first, and that news end.
-func TestNewsFirst(t *testing.T) {
+// TestDeviationsAreReportedFirst checks that observations that differ from the estimate are
+// reported first, and that reports end without new observations.
+func TestDeviationsAreReportedFirst(t *testing.T) {
 	usual, now := observed(1, 3)
 	slow, _ := observed(3, 1)
-	require.Greater(t, slow.News(), usual.News())
+	require.Greater(t, slow.ReportPriority(), usual.ReportPriority())
 	for range 200 {
 		slow.Report(now)
 	}
-	require.Zero(t, slow.News())
+	require.Zero(t, slow.ReportPriority())
 }
 
 // TestTrialOfNewStart checks the bounds for a new start: gateways begin apart, with one request
--- a/internal/serverspeed/stated.go
+++ b/internal/serverspeed/stated.go
@@ -3,8 +3,8 @@
 import "time"
 
 const (
-	// statedHalfLife is the time after which half of the difference between what a server
-	// has stated and its average is forgotten: the load of shared instances changes many
+	// statedHalfLife is the half-life of the difference between what a server has stated
+	// and its average: the load of shared instances changes many
 	// times a second.
 	statedHalfLife = 100 * time.Millisecond
 	// statedAverageHalfLife and statedPrior determine the average of what it has stated.
--- a/internal/serverspeed/trial.go
+++ b/internal/serverspeed/trial.go
@@ -28,9 +28,14 @@
 
 // NewTrial returns the trial by one gateway of a server that has started anew.
 func NewTrial(gateway, server string) Trial {
+	return Trial{isNew: true, delay: time.Duration(float64(trialSpread) * Position(gateway, server))}
+}
+
+// Position returns a number in [0, 1) that depends only on a gateway and a server, and that
+// differs between gateways.
+func Position(gateway, server string) float64 {
 	const positions = 1024
-	position := xxhash.Sum64String(gateway+"\x00"+server) % positions
-	return Trial{isNew: true, delay: trialSpread * time.Duration(position) / positions}
+	return float64(xxhash.Sum64String(gateway+"\x00"+server)%positions) / positions
 }
 
 // CostFactor returns the factor by which the cost of using the server is to be
--- a/internal/usage/counter.go
+++ b/internal/usage/counter.go
@@ -5,8 +5,8 @@
 // numbered batches and keeps the sums of all gateways in a Ledger, which it stores. A counter
 // discards a batch only when the ledger that contains it is stored, and the ledger knows the
 // number of the latest batch of each counter, so that a count is neither lost nor added twice
-// by messages that are lost or holders that change. What dies with a gateway is what it has
-// counted since the latest collection.
+// by messages that are lost or holders that change. If a gateway is killed, what it has
+// counted since the latest collection is lost.
 //
 // The package does no I/O. Counter is safe for concurrent use, Ledger is not.
 package usage
--- a/internal/usage/ledger.go
+++ b/internal/usage/ledger.go
@@ -98,12 +98,13 @@
 // restored from an older copy. Their reports may have been sent with counts that nobody has
 // any more, so that they are not reported again.
 func (l *Ledger) Apply(gateway string, b Batch) bool {
-	if b.Next > l.next && l.next > 0 {
+	skipped := b.Next > l.next && l.next > 0
+	if skipped {
 		l.skipTo(b.Next)
 	}
 	known := l.stored[gateway]
 	if l.sources[gateway] != known || b.Incarnation == known.Incarnation && b.Number <= known.Number {
-		return false
+		return skipped
 	}
 	l.sources[gateway] = Source{Gateway: gateway, Incarnation: b.Incarnation, Number: b.Number}
 	for window, counts := range b.Windows {
@@ -123,7 +124,7 @@
 	if l.next == 0 {
 		return
 	}
-	// After a very long outage the oldest windows are given up rather than the memory.
+	// After a very long outage the oldest windows are dropped, which bounds the memory.
 	if oldest := before - maxUnsent; l.next < oldest {
 		l.next = oldest
 	}
@@ -144,16 +145,16 @@
 	maps.DeleteFunc(l.open, func(number int64, _ Counts) bool { return number < window })
 }
 
-// Unsent returns the closed windows that are not known to be reported, oldest first.
-func (l *Ledger) Unsent() []Window { return l.closed }
+// Unsent returns a copy of the list of closed windows that are not known to be reported, oldest
+// first. Answered may be called while the caller iterates over it.
+func (l *Ledger) Unsent() []Window { return slices.Clone(l.closed) }
 
 // Answered removes a closed window, because its report was accepted.
 func (l *Ledger) Answered(window int64) {
 	l.closed = slices.DeleteFunc(l.closed, func(w Window) bool { return w.Number == window })
 }
 
-// Forget drops the sources of gateways that are gone for good, so that the ledger does not
-// grow with each gateway that ever was.
+// Forget drops the sources of gateways that will not return, which bounds the ledger.
 func (l *Ledger) Forget(isKnown func(gateway string) bool) {
 	for gateway := range l.sources {
 		if !isKnown(gateway) {
--- a/internal/usage/usage_test.go
+++ b/internal/usage/usage_test.go
@@ -44,6 +44,31 @@
 	require.EqualValues(t, 1, l.Late())
 }
 
+// TestAnsweredDuringIterationSkipsNoWindow guards against a window that is skipped, or reported
+// without number and counts, if several windows are reported one after the other.
+func TestAnsweredDuringIterationSkipsNoWindow(t *testing.T) {
+	l := NewLedger(State{})
+	l.Begin(10)
+	l.Close(13)
+	var reported []int64
+	for _, w := range l.Unsent() {
+		reported = append(reported, w.Number)
+		l.Answered(w.Number)
+	}
+	require.Equal(t, []int64{10, 11, 12}, reported)
+	require.Empty(t, l.Unsent())
+}
+
+// TestSkippedWindowsChangeTheLedger guards against a ledger that is not stored after windows were
+// skipped because another gateway states that they are final.
+func TestSkippedWindowsChangeTheLedger(t *testing.T) {
+	l := NewLedger(State{})
+	l.Begin(10)
+	require.True(t, l.Apply("gw", Batch{Next: 12}))
+	require.EqualValues(t, 12, l.Next())
+	require.False(t, l.Apply("gw", Batch{Next: 12}), "nothing is new")
+}
+
 // fleet is a model of gateways whose counters a holder collects.
 type fleet struct {
 	ledger      *Ledger
