--- a/internal/usage/ledger.go
+++ b/internal/usage/ledger.go
@@ -154,16 +154,6 @@
 	l.closed = slices.DeleteFunc(l.closed, func(w Window) bool { return w.Number == window })
 }
 
-// Forget drops the sources of gateways that will not return, which bounds the ledger.
-func (l *Ledger) Forget(isKnown func(gateway string) bool) {
-	for gateway := range l.sources {
-		if !isKnown(gateway) {
-			delete(l.sources, gateway)
-			delete(l.stored, gateway)
-		}
-	}
-}
-
 // Late returns the number of runs that came after their window was closed, and are in no
 // report.
 func (l *Ledger) Late() int64 { return l.late }
