--- a/internal/gateway/true_time.go
+++ b/internal/gateway/true_time.go
@@ -59,6 +59,6 @@
 	c.clock.Now(now, own)
 }
 
-// trueTime returns the time of day on which the gateways agree, whatever that of this
+// trueTime returns the time of day on which the gateways agree, regardless of that of this
 // instance is. It is safe for concurrent use.
 func (g *Gateway) trueTime() time.Time { return g.trueClock.now() }
--- a/internal/gateway/usage.go
+++ b/internal/gateway/usage.go
@@ -154,7 +154,7 @@
 func (r *usageReporter) tick(ctx context.Context) {
 	token, held := r.caller.duty.Token()
 	if !held {
-		// The same tenure goes on if the lease is renewed late.
+		// The tenure continues if the lease is renewed late.
 		r.ledger = nil
 		return
 	}
