--- a/review/_lab/main.go
+++ b/review/_lab/main.go
@@ -32,8 +32,8 @@
 	"cut-answers":    cutAnswers,
 	"removed-server": removedServer,
 	"descriptors":    descriptors,
-	"leaving":        leavingStreams,
 	"encoded-path":   encodedPath,
+	"same-id":        sameID,
 }
 
 func main() {
