Take the end of a connection for the end of an answer only after the whole request was sent

Callers that uploaded 6 MB or more got a part of an answer with status 200 as the whole one, on all kinds of routes of plain servers and through agents: the server answered at once without a length, and reset or closed the connection in the middle of its answer while the upload was being written. A KV cache was used in the same way whose prefill had ended with its prompt unsent.

Cause: the kernel reports a reset once for each socket. If the write in progress gets the report, the next read returns what had arrived and then a plain end of file. The readers of answers that their connection ends asked whether the server lives, which it does, but not how the sending of their own request had ended: Exchange kept that for the reuse of the connection only, and net/http does not tell.

Both clients now return io.EOF at the end of such a body only if the request was sent completely (package sending): a write that got the report of a reset has failed, so the part is an error like any other broken body. A writer that has written all shortly before gets up to 1 s to say so; an upload that is still being written after that proves nothing, and the answer is broken. All readers of bodies are covered, as the check is in the body itself: callers' answers and streams, prefills, reports, orders and health checks (internal/upstream), agents, engines, the store, duties and the operator API (internal/httpclient). net/http reports a request as written before it has flushed the rest of its buffer, so that connections of httpclient also remember writes that failed.

Callers of a request that may not be repeated get a 502, which does not say that it has not run; others are answered by another server. Tests that held before as well: answers that mark their end and come before their upload was read, answers without a length after an upload of up to 16 MB, and a server that closes only its own side and then reads the rest.

--- a/internal/agent/probe.go
+++ b/internal/agent/probe.go
@@ -11,6 +11,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/marigoldwing/marigoldwing/internal/bodyend"
 )
 
 // errUnconfirmedEnd is why an answer that the end of its connection delimits is not
@@ -176,10 +178,10 @@
 	switch {
 	case method == http.MethodHead || resp.StatusCode == http.StatusNoContent || resp.StatusCode == http.StatusNotModified:
 		return noBody
-	case resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0 || resp.TLS != nil:
-		return endMarked
-	default:
+	case bodyend.IsConnectionEnd(resp):
 		return endOfConnection
+	default:
+		return endMarked
 	}
 }
 
--- a/internal/agent/runner_plain.go
+++ b/internal/agent/runner_plain.go
@@ -35,7 +35,7 @@
 	dial := (&net.Dialer{Timeout: dialTimeout}).DialContext
 	// Decompression by the transport would hide the length of an answer.
 	transport := &http.Transport{DialContext: dial, DisableKeepAlives: true, DisableCompression: true}
-	return &http.Client{Transport: httpclient.Transport{Transport: transport}, CheckRedirect: returnRedirect}
+	return &http.Client{Transport: httpclient.New(transport), CheckRedirect: returnRedirect}
 }
 
 // returnRedirect passes redirects on to the caller instead of following them.
--- a/internal/bodyend/bodyend.go
+++ b/internal/bodyend/bodyend.go
@@ -5,6 +5,16 @@
 // The decision is pure.
 package bodyend
 
+import "net/http"
+
+// IsConnectionEnd reports whether nothing but the end of its connection ends the body of a
+// response: it has neither a length nor chunks, and no checksum of TLS or of a compression
+// that the transport has removed.
+func IsConnectionEnd(r *http.Response) bool {
+	isMarked := r.ContentLength >= 0 || len(r.TransferEncoding) > 0 || r.TLS != nil || r.Uncompressed
+	return !isMarked && r.Body != http.NoBody
+}
+
 // Server is what a server's answer to a question after the end of its response shows.
 type Server int
 
--- a/internal/engine/http.go
+++ b/internal/engine/http.go
@@ -50,7 +50,7 @@
 	}
 	client, err := khttp.NewClient(context.Background(),
 		khttp.WithEndpoint(baseURL),
-		khttp.WithTransport(httpclient.Transport{Transport: transport}),
+		khttp.WithTransport(httpclient.New(transport)),
 		khttp.WithTimeout(0),
 		khttp.WithErrorDecoder(func(context.Context, *http.Response) error { return nil }),
 	)
--- a/internal/operatorapi/client.go
+++ b/internal/operatorapi/client.go
@@ -53,7 +53,7 @@
 	client, err := khttp.NewClient(context.Background(),
 		khttp.WithEndpoint(baseURL),
 		khttp.WithTimeout(DefaultTimeout),
-		khttp.WithTransport(httpclient.Transport{Transport: http.DefaultTransport.(*http.Transport).Clone()}),
+		khttp.WithTransport(httpclient.New(http.DefaultTransport.(*http.Transport).Clone())),
 		khttp.WithErrorDecoder(func(context.Context, *http.Response) error { return nil }),
 	)
 	if err != nil {
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -13,6 +13,7 @@
 
 	"github.com/marigoldwing/marigoldwing/internal/fleet"
 	"github.com/marigoldwing/marigoldwing/internal/responsecheck"
+	"github.com/marigoldwing/marigoldwing/internal/sending"
 )
 
 // ErrNoResponse is returned if at least a part of the request may have been
@@ -57,7 +58,7 @@
 //
 // Its caller owns the connection until Release or Abort, reads the response, and is
 // the only one to close it. A long body is sent by a goroutine of the exchange that
-// owns the connection's writer until sent is closed. The end of an exchange waits
+// owns the connection's writer until the sending has ended. The end of an exchange waits
 // for it: closing the connection interrupts the write, so that the wait is short,
 // and nothing refers to the request afterwards.
 type Exchange struct {
@@ -73,9 +74,8 @@
 	conn   *Conn
 	beside beside
 	ended  bool
-	// sent is closed when the request has been written; sendErr is set before.
-	sent      chan struct{}
-	sendErr   error
+	// sending tells how the writing of the request has ended.
+	sending   *sending.Tracker
 	stopWatch func() bool
 	// unrelated is the number of responses to other requests that were discarded.
 	unrelated int
@@ -97,7 +97,7 @@
 		return nil, ErrNotPermitted
 	}
 	conn.carry(r.ID)
-	e := &Exchange{pool: p, server: server, requestID: r.ID, conn: conn, beside: p.besideOf(server), sent: make(chan struct{})}
+	e := &Exchange{pool: p, server: server, requestID: r.ID, conn: conn, beside: p.besideOf(server), sending: sending.NewTracker()}
 	// A deadline in the past interrupts reads and writes in progress.
 	e.stopWatch = context.AfterFunc(ctx, func() { _ = conn.netConn.SetDeadline(time.Unix(1, 0)) })
 	if err := e.send(r); err != nil {
@@ -116,16 +116,13 @@
 
 // send writes the request; a long body is written in the background.
 func (e *Exchange) send(r Request) error {
-	w := e.conn.writer
+	w, tracker := e.conn.writer, e.sending
 	if len(r.Body) < asyncBodyBytes {
-		e.sendErr = r.write(w)
-		close(e.sent)
-		return e.sendErr
+		err := r.write(w)
+		tracker.End(err)
+		return err
 	}
-	go func() {
-		e.sendErr = r.write(w)
-		close(e.sent)
-	}()
+	go func() { tracker.End(r.write(w)) }()
 	return nil
 }
 
@@ -242,13 +239,25 @@
 // exchangeBody records when the response's body has been read to its end.
 type exchangeBody Exchange
 
-// Read implements io.Reader.
+// Read implements io.Reader. It returns io.EOF only at the end of a complete body.
 func (b *exchangeBody) Read(p []byte) (int, error) {
 	n, err := b.body.Read(p)
-	if err == io.EOF {
-		b.complete = true
+	if err != io.EOF {
+		return n, err
+	}
+	if err := (*Exchange)(b).confirmEnd(); err != nil {
+		return n, err
+	}
+	b.complete = true
+	return n, io.EOF
+}
+
+// confirmEnd returns an error if the end of the response's body may be a broken connection.
+func (e *Exchange) confirmEnd() error {
+	if e.body == http.NoBody || selfDelimiting(e.Response) {
+		return nil
 	}
-	return n, err
+	return e.sending.Confirm()
 }
 
 // Close implements io.Closer.
@@ -283,12 +292,7 @@
 	if !e.complete || e.Response.Close || e.conn.reader.Buffered() > 0 {
 		return false
 	}
-	select {
-	case <-e.sent:
-		return e.sendErr == nil
-	default:
-		return false
-	}
+	return e.sending.Sent()
 }
 
 // Abort ends the exchange and closes the connection, which cancels the request
@@ -300,7 +304,7 @@
 	e.ended = true
 	e.stopWatch()
 	e.conn.Close()
-	<-e.sent
+	<-e.sending.Done()
 }
 
 // parseKeepAlive returns how long a connection may be idle according to the
