Take whole answers that come before their upload was read

Callers got a 502 or "unknown" for answers that were whole: the server stated a length, answered before it had read the upload and closed the connection.

Cause: the failure to send decided, not the answer. A gateway gave up an exchange whose request of less than 16 KB could not be written to the end, and net/http closes a connection as soon as a write on it fails, whatever has arrived.

A gateway now reads the response in any case; the error of the write is reported if there is none. Connections of httpclient that carry one call only, those of agents to their servers, hide from net/http that a write has failed, so that the response decides; at a body that ends with its connection the error counts (confirmWrites). Connections of the clients that keep them, to the store, for duties and for operators, still end with a failed write: the transport would use them again. A whole answer to an unread upload may be lost there; the outcome of such a call is reported as unknown.

--- a/internal/agent/early_answer_test.go
+++ b/internal/agent/early_answer_test.go
@@ -91,17 +91,19 @@
 }
 
 // TestWholeEarlyAnswerIsRelayed checks that an answer that marks its end is an answer, although
-// the service has not read the upload yet.
+// the service has not read the upload, and ends the connection at once or shortly after.
 func TestWholeEarlyAnswerIsRelayed(t *testing.T) {
 	for _, length := range longUploads {
-		s := startRawService(t, false, func(_ *rawService, conn net.Conn) {
-			_, _ = io.WriteString(conn, markedAnswer)
-			time.Sleep(timeToCut)
-		})
-		for range 5 {
-			answer := uploadTo(t, s.listener.Addr().String(), length)
-			require.True(t, answer.complete, "%d bytes", length)
-			require.Equal(t, "whole", answer.body.String(), "%d bytes", length)
+		for _, wait := range []time.Duration{0, timeToCut} {
+			s := startRawService(t, false, func(_ *rawService, conn net.Conn) {
+				_, _ = io.WriteString(conn, markedAnswer)
+				time.Sleep(wait)
+			})
+			for range 20 {
+				answer := uploadTo(t, s.listener.Addr().String(), length)
+				require.True(t, answer.complete, "%d bytes, %v", length, wait)
+				require.Equal(t, "whole", answer.body.String(), "%d bytes, %v", length, wait)
+			}
 		}
 	}
 }
--- a/internal/httpclient/conn.go
+++ b/internal/httpclient/conn.go
@@ -16,8 +16,8 @@
 type dialFunc func(ctx context.Context, network, address string) (net.Conn, error)
 
 // observed returns a function that dials observed connections with dial, or with a net.Dialer
-// if dial is nil.
-func observed(dial dialFunc) dialFunc {
+// if dial is nil. With singleCall, each connection carries one call only.
+func observed(dial dialFunc, singleCall bool) dialFunc {
 	if dial == nil {
 		dial = (&net.Dialer{}).DialContext
 	}
@@ -26,13 +26,18 @@
 		if err != nil {
 			return nil, err
 		}
-		return &observedConn{Conn: inner, writing: make(chan struct{}, 1)}, nil
+		return &observedConn{Conn: inner, singleCall: singleCall, writing: make(chan struct{}, 1)}, nil
 	}
 }
 
 // observedConn is a connection that remembers whether a write has failed.
 type observedConn struct {
 	net.Conn
+	// singleCall is whether writes that fail are reported by confirmWrites only. The transport
+	// closes a connection as soon as a write fails, also if the server has answered before it
+	// closed it; with the error hidden, the response decides. A connection that could carry
+	// another call must not hide it, since the transport would use the connection again.
+	singleCall bool
 	// writing holds an element while a write is in progress, or writeErr is read.
 	writing chan struct{}
 	// writeErr is the error of the first write that failed.
@@ -43,11 +48,14 @@
 func (c *observedConn) Write(p []byte) (int, error) {
 	c.writing <- struct{}{}
 	defer func() { <-c.writing }()
-	n, err := c.Conn.Write(p)
+	n := 0
 	if c.writeErr == nil {
-		c.writeErr = err
+		n, c.writeErr = c.Conn.Write(p)
 	}
-	return n, err
+	if c.writeErr != nil && c.singleCall {
+		return len(p), nil
+	}
+	return n, c.writeErr
 }
 
 // confirmWrites returns an error that wraps sending.ErrIncomplete if a write has failed, or
--- a/internal/httpclient/conn_test.go
+++ b/internal/httpclient/conn_test.go
@@ -44,20 +44,28 @@
 		"reset shortly":   {script: scriptedConn{takes: writeTimeout / 2, err: syscall.ECONNRESET}},
 		"does not end":    {script: scriptedConn{takes: 3 * writeTimeout}},
 	} {
-		synctest.Test(t, func(t *testing.T) {
-			dial := observed(func(context.Context, string, string) (net.Conn, error) { return &c.script, nil })
-			conn, err := dial(t.Context(), "tcp", "")
-			require.NoError(t, err)
-			var writing sync.WaitGroup
-			writing.Go(func() { _, _ = io.WriteString(conn, "request") })
-			defer writing.Wait()
-			synctest.Wait()
-			err = conn.(*observedConn).confirmWrites()
-			if c.isSent {
-				require.NoError(t, err, name)
-				return
-			}
-			require.ErrorIs(t, err, sending.ErrIncomplete, name)
-		})
+		for _, singleCall := range []bool{true, false} {
+			synctest.Test(t, func(t *testing.T) { checkWrite(t, name, &c.script, singleCall, c.isSent) })
+		}
 	}
 }
+
+// checkWrite writes to a connection with a script and checks what it confirms. A connection
+// for a single call hides that the write failed from the transport.
+func checkWrite(t *testing.T, name string, script *scriptedConn, singleCall, isSent bool) {
+	dial := observed(func(context.Context, string, string) (net.Conn, error) { return script, nil }, singleCall)
+	conn, err := dial(t.Context(), "tcp", "")
+	require.NoError(t, err)
+	var writing sync.WaitGroup
+	var writeErr error
+	writing.Go(func() { _, writeErr = io.WriteString(conn, "request") })
+	synctest.Wait()
+	err = conn.(*observedConn).confirmWrites()
+	writing.Wait()
+	if isSent {
+		require.NoError(t, err, name)
+	} else {
+		require.ErrorIs(t, err, sending.ErrIncomplete, name)
+	}
+	require.Equal(t, script.err != nil && !singleCall, writeErr != nil, name)
+}
--- a/internal/httpclient/httpclient.go
+++ b/internal/httpclient/httpclient.go
@@ -23,7 +23,7 @@
 // New returns a Transport that sends calls with inner, whose connections it observes. Inner
 // must not be used otherwise.
 func New(inner *http.Transport) Transport {
-	inner.DialContext = observed(inner.DialContext)
+	inner.DialContext = observed(inner.DialContext, inner.DisableKeepAlives)
 	return Transport{inner: inner}
 }
 
--- a/internal/upstream/early_answer_test.go
+++ b/internal/upstream/early_answer_test.go
@@ -31,7 +31,7 @@
 // its server ends the connection before it has read the request, of any length.
 func TestWholeResponseToUnreadRequestIsTaken(t *testing.T) {
 	const tries = 20
-	for _, length := range []int{asyncBodyBytes, longBodyBytes} {
+	for _, length := range []int{1 << 10, 12 << 10, asyncBodyBytes, longBodyBytes} {
 		taken := 0
 		for range tries {
 			text, err := postTo(t, length, func(conn *net.TCPConn, _ *bufio.Reader) { write(conn, completeResponse) })
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -100,21 +100,30 @@
 	e := &Exchange{pool: p, server: server, requestID: r.ID, conn: conn, beside: p.besideOf(server), sending: sending.NewTracker()}
 	// A deadline in the past interrupts reads and writes in progress.
 	e.stopWatch = context.AfterFunc(ctx, func() { _ = conn.netConn.SetDeadline(time.Unix(1, 0)) })
-	if err := e.send(r); err != nil {
-		e.Abort()
-		return nil, fmt.Errorf("%w: send: %w", ErrNoResponse, err)
-	}
+	// The server may have answered before it ended the connection on which sending failed.
+	sendErr := e.send(r)
 	if err := e.readHeader(r.Method); err != nil {
 		e.Abort()
-		if errors.Is(err, ErrNoResponse) {
-			return nil, err
-		}
-		return nil, fmt.Errorf("%w: %w", ErrNoResponse, err)
+		return nil, noResponse(sendErr, err)
 	}
 	return e, nil
 }
 
-// send writes the request; a long body is written in the background.
+// noResponse returns the error of an exchange without a response, which wraps ErrNoResponse,
+// from the errors of sending the request, which may be nil, and of reading the response.
+func noResponse(sendErr, readErr error) error {
+	switch {
+	case errors.Is(readErr, ErrNoResponse):
+		return readErr
+	case sendErr != nil:
+		return fmt.Errorf("%w: send: %w", ErrNoResponse, sendErr)
+	default:
+		return fmt.Errorf("%w: %w", ErrNoResponse, readErr)
+	}
+}
+
+// send writes the request; a long body is written in the background, and its error is known
+// to the tracker only.
 func (e *Exchange) send(r Request) error {
 	w, tracker := e.conn.writer, e.sending
 	if len(r.Body) < asyncBodyBytes {
