Take no answer whose status is none

Callers got an answer that was not the engine's: after a head with status 000 a gateway read the next bytes as the head that follows, and where the body looked like an answer it reached the caller with 200. The same happened after a 101, which no request asks for. Behind an agent, a caller's connection was closed without an answer for 000 to 099 (the HTTP server of Go panics there).

Cause: each reader had a rule of its own. Gateways took each status under 200 for an interim answer; net/http hands a status under 100 over as a final one, and agents, engine, store, duty and operator clients took it as such.

The package responsehead now decides for all clients: 100 and 102 to 199 are interim, 200 to 999 final, everything else is no answer. Gateways and the agents' probes read with it, the transport of httpclient checks with it, and entries check the status of what agents send, which may run older code. The request may have run, nothing that such a head states is believed, and its connection is closed.

600 to 999 stay what they were: relayed unchanged with the engine's seal, after another server was asked where that is permitted. RFC 9110 lets clients process them as a status of the class 5xx, the users' protocol returns the engine's status unchanged, and a client can read them; 000 to 099 can't even be written by common servers.

--- a/internal/agent/probe_conn.go
+++ b/internal/agent/probe_conn.go
@@ -3,12 +3,14 @@
 import (
 	"bufio"
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"net/url"
 	"time"
 
 	"github.com/marigoldwing/marigoldwing/internal/connstate"
+	"github.com/marigoldwing/marigoldwing/internal/responsehead"
 )
 
 const (
@@ -24,6 +26,9 @@
 	renewalsPerLifetime = 4
 	// minLifetime bounds the further connections of a probe to one every 20 ms.
 	minLifetime = 2 * renewalsPerLifetime * linkTime
+	// maxProbeHeadBytes bounds the header of an answer to a probe, with the interim answers
+	// before it.
+	maxProbeHeadBytes = 64 << 10
 	// maxProbeConns bounds the open connections of a probe.
 	maxProbeConns = 6
 )
@@ -89,7 +94,7 @@
 	if err := request.Write(c); err != nil {
 		return err
 	}
-	response, err := http.ReadResponse(bufio.NewReader(c), request)
+	response, err := responsehead.Read(bufio.NewReader(io.LimitReader(c, maxProbeHeadBytes)), request)
 	if err != nil {
 		return err
 	}
--- a/internal/engine/cut_test.go
+++ b/internal/engine/cut_test.go
@@ -13,6 +13,7 @@
 	"github.com/stretchr/testify/require"
 
 	enginev1 "github.com/marigoldwing/marigoldwing/api/engine/v1"
+	"github.com/marigoldwing/marigoldwing/internal/standin/oddhead"
 )
 
 // startWriting starts an engine that writes text after each call and closes the connection,
@@ -146,3 +147,15 @@
 		}
 	}
 }
+
+// TestAnswerWithoutStatusHasUnknownOutcome guards against answers whose status is none, and
+// that are taken for refusals, which say that a call had no effect.
+func TestAnswerWithoutStatusHasUnknownOutcome(t *testing.T) {
+	for name, c := range calls {
+		for _, status := range oddhead.Statuses {
+			err := sendCall(t.Context(), c.call, startWriting(t, "HTTP/1.1 "+status+" Trouble\r\n"+c.header+"\r\n"+c.body, nil))
+			require.ErrorIs(t, err, ErrInterrupted, "%s: %s", name, status)
+			require.NotErrorIs(t, err, ErrRefused, "%s: %s", name, status)
+		}
+	}
+}
--- a/internal/httpclient/call.go
+++ b/internal/httpclient/call.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"io"
+	"net"
+	"net/http"
 	"net/http/httptrace"
 	"sync"
 
@@ -12,8 +14,8 @@
 // call observes how the request of one call is sent. It is safe for concurrent use.
 type call struct {
 	mu sync.Mutex
-	// conn is the connection of the call; nil before there is one, and with TLS.
-	conn *observedConn
+	// conn is the connection of the call; nil before there is one.
+	conn net.Conn
 	// sending tells how the writing of the request on that connection has ended.
 	sending *sending.Tracker
 }
@@ -31,7 +33,7 @@
 func (c *call) begin(info httptrace.GotConnInfo) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.conn, _ = info.Conn.(*observedConn)
+	c.conn = info.Conn
 	c.sending = sending.NewTracker()
 }
 
@@ -42,20 +44,33 @@
 }
 
 // confirmSent returns an error unless the request has been sent completely. The transport
-// reports the writing as ended before it writes the rest that it has buffered.
+// reports the writing as ended before it writes the rest that it has buffered. A connection
+// with TLS is not observed, and shows by itself where a response ends.
 func (c *call) confirmSent() error {
 	if err := c.tracker().Confirm(); err != nil {
 		return err
 	}
 	c.mu.Lock()
-	conn := c.conn
+	conn, isObserved := c.conn.(*observedConn)
 	c.mu.Unlock()
-	if conn == nil {
+	if !isObserved {
 		return nil
 	}
 	return conn.confirmWrites()
 }
 
+// abandon closes the connection of a response that is no answer. The transport would use it
+// again if the body of the response is empty.
+func (c *call) abandon(resp *http.Response) {
+	// There is nothing to do about a connection that does not close in order.
+	_ = resp.Body.Close()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.conn != nil {
+		_ = c.conn.Close()
+	}
+}
+
 // unmarkedBody is a body that ends with its connection. It returns io.EOF only if the request
 // has been sent completely.
 type unmarkedBody struct {
--- a/internal/httpclient/httpclient.go
+++ b/internal/httpclient/httpclient.go
@@ -3,19 +3,15 @@
 package httpclient
 
 import (
-	"errors"
 	"net/http"
 
 	"github.com/marigoldwing/marigoldwing/internal/bodyend"
+	"github.com/marigoldwing/marigoldwing/internal/responsehead"
 )
 
-// ErrProtocolSwitched is returned for a response that switches to another protocol, which
-// no call asks for. It is no answer, and the call may have had an effect.
-var ErrProtocolSwitched = errors.New("server switched to another protocol")
-
-// Transport is a transport whose responses are all final, and whose bodies return io.EOF only
-// where the response ends. net/http hands over a connection whose protocol the server has
-// switched, and its reads then ignore the call's deadline.
+// Transport is a transport whose responses all have a header that is one, and whose bodies
+// return io.EOF only where the response ends. Errors that wrap responsehead.ErrMalformed are
+// about responses that are no answer.
 type Transport struct {
 	inner *http.Transport
 }
@@ -34,9 +30,9 @@
 	if err != nil {
 		return nil, err
 	}
-	if resp.StatusCode == http.StatusSwitchingProtocols {
-		_ = resp.Body.Close()
-		return nil, ErrProtocolSwitched
+	if err := responsehead.CheckFinal(resp); err != nil {
+		c.abandon(resp)
+		return nil, err
 	}
 	if bodyend.IsConnectionEnd(resp) {
 		resp.Body = &unmarkedBody{ReadCloser: resp.Body, call: c}
--- /dev/null
+++ b/internal/httpclient/httpclient_test.go
@@ -0,0 +1,97 @@
+package httpclient
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/marigoldwing/marigoldwing/internal/responsehead"
+	"github.com/marigoldwing/marigoldwing/internal/standin/oddhead"
+)
+
+// soundResponse is a response after which the connection may be used again.
+const soundResponse = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+
+// startServer starts a server that answers the first request with a text and each later one
+// with soundResponse, on connections that it keeps open. It returns the URL of the server and
+// the number of connections.
+func startServer(t *testing.T, first string) (string, *atomic.Int64) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	var requests, connections atomic.Int64
+	serve := func(conn net.Conn) {
+		defer func() { _ = conn.Close() }()
+		for r := bufio.NewReader(conn); ; {
+			request, err := http.ReadRequest(r)
+			if err != nil {
+				return
+			}
+			_, _ = io.Copy(io.Discard, request.Body)
+			text := soundResponse
+			if requests.Add(1) == 1 {
+				text = first
+			}
+			_, _ = io.WriteString(conn, text)
+		}
+	}
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			connections.Add(1)
+			go serve(conn)
+		}
+	}()
+	return "http://" + listener.Addr().String(), &connections
+}
+
+// get makes one call and returns the body of its response.
+func get(client *http.Client, url string) (string, error) {
+	resp, err := client.Get(url)
+	if err != nil {
+		return "", err
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	return string(body), err
+}
+
+// brokenResponses are responses whose headers net/http accepts although they are none.
+func brokenResponses() []string {
+	var texts []string
+	for _, status := range oddhead.Statuses {
+		texts = append(texts,
+			"HTTP/1.1 "+status+" Trouble\r\nContent-Length: 0\r\n\r\n",
+			strings.Replace(soundResponse, "200", status, 1),
+			"HTTP/1.1 "+status+" Trouble\r\nContent-Length: 0\r\n\r\n"+soundResponse)
+	}
+	return texts
+}
+
+// TestConnectionOfBrokenResponseIsNotUsedAgain guards against responses that are read from a
+// connection on which nobody knows where one begins.
+func TestConnectionOfBrokenResponseIsNotUsedAgain(t *testing.T) {
+	for _, text := range brokenResponses() {
+		url, connections := startServer(t, text)
+		client := &http.Client{Transport: New(&http.Transport{})}
+		_, err := get(client, url)
+		require.ErrorIs(t, err, responsehead.ErrMalformed, "%q", text)
+		for range 3 {
+			body, err := get(client, url)
+			require.NoError(t, err, "%q", text)
+			require.Equal(t, "ok", body, "%q", text)
+		}
+		require.Equal(t, int64(2), connections.Load(), "%q", text)
+		client.CloseIdleConnections()
+	}
+}
--- a/internal/operatorapi/client_test.go
+++ b/internal/operatorapi/client_test.go
@@ -14,6 +14,7 @@
 
 	statusv1 "github.com/marigoldwing/marigoldwing/api/status/v1"
 	"github.com/marigoldwing/marigoldwing/internal/explanation"
+	"github.com/marigoldwing/marigoldwing/internal/standin/oddhead"
 )
 
 // startWriting starts a process that writes text after each call and closes the connection,
@@ -112,3 +113,17 @@
 		}
 	}
 }
+
+// TestAnswerWithoutStatusIsNoAnswer guards against an answer whose status is none, and that is
+// shown as the refusal of a process.
+func TestAnswerWithoutStatusIsNoAnswer(t *testing.T) {
+	const body = `{"title":"Service Unavailable","status":503,"not_run":"true"}`
+	for name, call := range calls {
+		for _, status := range oddhead.Statuses {
+			err := call(t.Context(), startWriting(t, "HTTP/1.1 "+status+" Trouble\r\n\r\n"+body, nil))
+			require.Error(t, err, "%s: %s", name, status)
+			var problem *ProblemError
+			require.NotErrorAs(t, err, &problem, "%s: %s", name, status)
+		}
+	}
+}
--- a/internal/request/assembler.go
+++ b/internal/request/assembler.go
@@ -4,6 +4,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	peerv1 "github.com/marigoldwing/marigoldwing/api/peer/v1"
+	"github.com/marigoldwing/marigoldwing/internal/responsehead"
 )
 
 // Progress is the part of a response that the caller has received, over all
@@ -41,8 +42,8 @@
 	// FrameDuplicate: the frame was received before, or came after the last frame
 	// or after FrameCorrupt, and was dropped.
 	FrameDuplicate
-	// FrameCorrupt: the stream has a gap or a wrong checksum. No later frame of
-	// the attempt is accepted.
+	// FrameCorrupt: the stream has a gap, a wrong checksum or a status that is none. No
+	// later frame of the attempt is accepted.
 	FrameCorrupt
 )
 
@@ -110,7 +111,7 @@
 	case peerv1.FrameKind_FRAME_KIND_STARTED:
 		return FrameResult{Verdict: FrameAccepted}
 	case peerv1.FrameKind_FRAME_KIND_HEAD:
-		return a.acceptHead()
+		return a.acceptHead(f)
 	case peerv1.FrameKind_FRAME_KIND_DATA:
 		return a.acceptData(f)
 	case peerv1.FrameKind_FRAME_KIND_END:
@@ -123,10 +124,13 @@
 }
 
 // acceptHead accepts a single head frame before any data.
-func (a *Assembler) acceptHead() FrameResult {
+func (a *Assembler) acceptHead(f *peerv1.Frame) FrameResult {
 	if a.headReceived || a.stream.Bytes > 0 {
 		return a.fail("head out of order")
 	}
+	if err := responsehead.CheckFinalStatus(int(f.GetStatus())); err != nil {
+		return a.fail(err.Error())
+	}
 	a.headReceived = true
 	return FrameResult{Verdict: FrameAccepted}
 }
--- a/internal/request/assembler_test.go
+++ b/internal/request/assembler_test.go
@@ -194,3 +194,18 @@
 		a.Accept(f.Data(data, 8))
 	}
 }
+
+// TestHeadWithoutStatusIsCorrupt checks that a response whose status is none, or one of an
+// interim response, is not relayed.
+func TestHeadWithoutStatusIsCorrupt(t *testing.T) {
+	for status, want := range map[int32]FrameVerdict{
+		-1: FrameCorrupt, 0: FrameCorrupt, 99: FrameCorrupt, 100: FrameCorrupt, 150: FrameCorrupt, 199: FrameCorrupt, 1000: FrameCorrupt,
+		200: FrameAccepted, 404: FrameAccepted, 500: FrameAccepted, 599: FrameAccepted, 999: FrameAccepted,
+	} {
+		f := NewFramer("a", 0)
+		a := NewAssembler(AssemblerOptions{AttemptID: "a", Prior: NewProgress()})
+		require.Equal(t, FrameAccepted, a.Accept(f.Started(nil)).Verdict)
+		require.Equal(t, want, a.Accept(f.Head(status, "text/plain")).Verdict, status)
+		require.Equal(t, want == FrameAccepted, a.Accept(f.End(nil)).Complete, status)
+	}
+}
--- /dev/null
+++ b/internal/responsehead/responsehead_test.go
@@ -0,0 +1,36 @@
+package responsehead
+
+import (
+	"bufio"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/marigoldwing/marigoldwing/internal/standin/oddhead"
+)
+
+// read reads the final header of a text.
+func read(text string) (*http.Response, error) {
+	return Read(bufio.NewReader(strings.NewReader(text)), &http.Request{Method: http.MethodPost})
+}
+
+// TestReadStatus checks which statuses are those of a final response, and that nothing after
+// another one is read as a response.
+func TestReadStatus(t *testing.T) {
+	const final = "HTTP/1.1 204 No Content\r\n\r\n"
+	for _, status := range append([]string{"101"}, oddhead.Statuses...) {
+		_, err := read("HTTP/1.1 " + status + " Trouble\r\n\r\n" + final)
+		require.ErrorIs(t, err, ErrMalformed, status)
+	}
+	for _, status := range []string{"100", "102", "103", "199"} {
+		response, err := read("HTTP/1.1 " + status + " Interim\r\n\r\n" + final)
+		require.NoError(t, err, status)
+		require.Equal(t, http.StatusNoContent, response.StatusCode, status)
+	}
+	for _, status := range []string{"200", "204", "304", "421", "599", "600", "999"} {
+		_, err := read("HTTP/1.1 " + status + "\r\n\r\n")
+		require.NoError(t, err, status)
+	}
+}
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -13,6 +13,7 @@
 
 	"github.com/marigoldwing/marigoldwing/internal/fleet"
 	"github.com/marigoldwing/marigoldwing/internal/responsecheck"
+	"github.com/marigoldwing/marigoldwing/internal/responsehead"
 	"github.com/marigoldwing/marigoldwing/internal/sending"
 )
 
@@ -182,12 +183,7 @@
 func (e *Exchange) nextResponse(request *http.Request) (*http.Response, error) {
 	e.conn.head.left = maxHeadBytes
 	defer func() { e.conn.head.left = unlimited }()
-	for {
-		response, err := http.ReadResponse(e.conn.reader, request)
-		if err != nil || response.StatusCode >= http.StatusOK {
-			return response, err
-		}
-	}
+	return responsehead.Read(e.conn.reader, request)
 }
 
 // OtherConnections returns how many of the other connections to the server, which were idle
