Take no answer whose field names are no tokens

Callers got answers in whose head the name of a field held a blank: with a body that its server had delimited otherwise ("2\r\nok\r\n0\r\n\r\n" for a body in chunks, or a part where a length was meant), on all kinds of routes and through agents, and with what such a head stated (the departure, limit and load of the server) believed by the gateway. The line itself did not reach callers: the HTTP server of Go drops such names on the way out, and entries relay the type of the content only.

Cause: net/http rejects control bytes and tabs in names, but accepts blanks and leaves the name as it is, so that "Content-Length : 2" is the field of nobody. No reader looked at the names of a head, an interim head or a trailer.

Control bytes were handled before; they stay in the tests.

responsehead now checks the names of every head with httpguts, those of interim answers and trailers too, before anything else is read from it: a broken one is no answer, the request may have run, and nothing that it states is used. Trailers are checked where the body ends. The transport of httpclient closes the connection of such an answer itself, since net/http would use it again after an empty body, and limits the number of interim answers, which net/http no longer does when they are looked at.

--- a/internal/engine/cut_test.go
+++ b/internal/engine/cut_test.go
@@ -148,14 +148,23 @@
 	}
 }
 
-// TestAnswerWithoutStatusHasUnknownOutcome guards against answers whose status is none, and
-// that are taken for refusals, which say that a call had no effect.
-func TestAnswerWithoutStatusHasUnknownOutcome(t *testing.T) {
+// TestAnswerWithBrokenHeadHasUnknownOutcome guards against answers whose status is none, or in
+// whose head the name of a field is none, and that are taken for refusals, which say that a call
+// had no effect, or are believed.
+func TestAnswerWithBrokenHeadHasUnknownOutcome(t *testing.T) {
 	for name, c := range calls {
+		var texts []string
 		for _, status := range oddhead.Statuses {
-			err := sendCall(t.Context(), c.call, startWriting(t, "HTTP/1.1 "+status+" Trouble\r\n"+c.header+"\r\n"+c.body, nil))
-			require.ErrorIs(t, err, ErrInterrupted, "%s: %s", name, status)
-			require.NotErrorIs(t, err, ErrRefused, "%s: %s", name, status)
+			texts = append(texts, "HTTP/1.1 "+status+" Trouble\r\n"+c.header+"\r\n"+c.body)
+		}
+		for _, line := range oddhead.AllLines {
+			texts = append(texts, "HTTP/1.1 200 OK\r\nServer: s\r\n"+line+"\r\n"+c.header+"\r\n"+c.body)
+			texts = append(texts, "HTTP/1.1 503 Busy\r\nServer: s\r\n"+line+"\r\n"+c.header+"\r\n"+c.body)
+		}
+		for _, text := range texts {
+			err := sendCall(t.Context(), c.call, startWriting(t, text, nil))
+			require.ErrorIs(t, err, ErrInterrupted, "%s: %q", name, text)
+			require.NotErrorIs(t, err, ErrRefused, "%s: %q", name, text)
 		}
 	}
 }
--- a/internal/httpclient/httpclient.go
+++ b/internal/httpclient/httpclient.go
@@ -31,11 +31,13 @@
 		return nil, err
 	}
 	if err := responsehead.CheckFinal(resp); err != nil {
-		c.abandon(resp)
+		// There is nothing to do about a body that does not close in order.
+		_ = resp.Body.Close()
+		c.abandon()
 		return nil, err
 	}
-	if bodyend.IsConnectionEnd(resp) {
-		resp.Body = &unmarkedBody{ReadCloser: resp.Body, call: c}
+	if resp.Body != http.NoBody {
+		resp.Body = &body{ReadCloser: resp.Body, call: c, response: resp, isUnmarked: bodyend.IsConnectionEnd(resp)}
 	}
 	return resp, nil
 }
--- a/internal/httpclient/httpclient_test.go
+++ b/internal/httpclient/httpclient_test.go
@@ -75,6 +75,15 @@
 			strings.Replace(soundResponse, "200", status, 1),
 			"HTTP/1.1 "+status+" Trouble\r\nContent-Length: 0\r\n\r\n"+soundResponse)
 	}
+	for _, line := range []string{"X Odd: a", "X-Odd : a", "Content-Length : 2"} {
+		odd := line + "\r\n"
+		texts = append(texts,
+			"HTTP/1.1 200 OK\r\n"+odd+"Content-Length: 0\r\n\r\n",
+			strings.Replace(soundResponse, "\r\n", "\r\n"+odd, 1),
+			"HTTP/1.1 204 No Content\r\n"+odd+"\r\n",
+			"HTTP/1.1 103 Early Hints\r\n"+odd+"\r\n"+soundResponse,
+			"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n"+odd+"\r\n")
+	}
 	return texts
 }
 
@@ -95,3 +104,15 @@
 		client.CloseIdleConnections()
 	}
 }
+
+// TestEndlessInterimResponsesEnd guards against calls that read interim responses without end.
+func TestEndlessInterimResponsesEnd(t *testing.T) {
+	const interim = "HTTP/1.1 102 Processing\r\n\r\n"
+	url, _ := startServer(t, strings.Repeat(interim, maxInterim+1)+soundResponse)
+	_, err := get(&http.Client{Transport: New(&http.Transport{})}, url)
+	require.ErrorIs(t, err, errManyInterim)
+	url, _ = startServer(t, strings.Repeat(interim, maxInterim)+soundResponse)
+	body, err := get(&http.Client{Transport: New(&http.Transport{})}, url)
+	require.NoError(t, err)
+	require.Equal(t, "ok", body)
+}
--- a/internal/operatorapi/client_test.go
+++ b/internal/operatorapi/client_test.go
@@ -114,16 +114,25 @@
 	}
 }
 
-// TestAnswerWithoutStatusIsNoAnswer guards against an answer whose status is none, and that is
-// shown as the refusal of a process.
-func TestAnswerWithoutStatusIsNoAnswer(t *testing.T) {
-	const body = `{"title":"Service Unavailable","status":503,"not_run":"true"}`
+// TestAnswerWithBrokenHeadIsNoAnswer guards against an answer whose status is none, or in whose
+// head the name of a field is none, and that is shown as the refusal of a process, or as its
+// state.
+func TestAnswerWithBrokenHeadIsNoAnswer(t *testing.T) {
+	const refusal, state = `{"title":"Service Unavailable","status":503,"not_run":"true"}`, `{"revision":"12"}`
+	var texts []string
+	for _, status := range oddhead.Statuses {
+		texts = append(texts, "HTTP/1.1 "+status+" Trouble\r\n\r\n"+refusal)
+	}
+	for _, line := range oddhead.AllLines {
+		texts = append(texts, "HTTP/1.1 200 OK\r\nServer: s\r\n"+line+"\r\n\r\n"+state)
+		texts = append(texts, "HTTP/1.1 503 Service Unavailable\r\nServer: s\r\n"+line+"\r\n\r\n"+refusal)
+	}
 	for name, call := range calls {
-		for _, status := range oddhead.Statuses {
-			err := call(t.Context(), startWriting(t, "HTTP/1.1 "+status+" Trouble\r\n\r\n"+body, nil))
-			require.Error(t, err, "%s: %s", name, status)
+		for _, text := range texts {
+			err := call(t.Context(), startWriting(t, text, nil))
+			require.Error(t, err, "%s: %q", name, text)
 			var problem *ProblemError
-			require.NotErrorAs(t, err, &problem, "%s: %s", name, status)
+			require.NotErrorAs(t, err, &problem, "%s: %q", name, text)
 		}
 	}
 }
--- a/internal/responsehead/responsehead.go
+++ b/internal/responsehead/responsehead.go
@@ -7,6 +7,8 @@
 	"errors"
 	"fmt"
 	"net/http"
+
+	"golang.org/x/net/http/httpguts"
 )
 
 // ErrMalformed is returned for a header that net/http accepts and that is none. It is no
@@ -33,6 +35,9 @@
 		if !isInterim(response.StatusCode) {
 			return response, CheckFinal(response)
 		}
+		if err := CheckFields(response.Header); err != nil {
+			return nil, err
+		}
 	}
 }
 
@@ -42,7 +47,12 @@
 }
 
 // CheckFinal returns an error unless the header is that of a final response.
-func CheckFinal(response *http.Response) error { return CheckFinalStatus(response.StatusCode) }
+func CheckFinal(response *http.Response) error {
+	if err := CheckFinalStatus(response.StatusCode); err != nil {
+		return err
+	}
+	return CheckFields(response.Header)
+}
 
 // CheckFinalStatus returns an error unless a status is that of a final response.
 func CheckFinalStatus(status int) error {
@@ -55,3 +65,18 @@
 		return nil
 	}
 }
+
+// CheckFields returns an error unless the names of all fields of a header, or of a trailer, are
+// tokens. net/http accepts names that hold blanks, and would take a field that delimits the
+// body for another one.
+func CheckFields(fields http.Header) error {
+	for name := range fields {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return fmt.Errorf("%w: field name %.*q is no token", ErrMalformed, maxQuotedBytes, name)
+		}
+	}
+	return nil
+}
+
+// maxQuotedBytes is how much of a malformed name an error quotes.
+const maxQuotedBytes = 40
--- a/internal/responsehead/responsehead_test.go
+++ b/internal/responsehead/responsehead_test.go
@@ -34,3 +34,28 @@
 		require.NoError(t, err, status)
 	}
 }
+
+// TestReadFields checks that names that are no tokens make no header, in interim responses
+// neither, and that unusual ones do.
+func TestReadFields(t *testing.T) {
+	const final = "HTTP/1.1 204 No Content\r\n\r\n"
+	for _, line := range oddhead.AllLines {
+		_, err := read("HTTP/1.1 200 OK\r\nX-A: a\r\n" + line + "\r\nContent-Length: 2\r\n\r\nok")
+		require.Error(t, err, "%q", line)
+		_, err = read("HTTP/1.1 103 Early Hints\r\nX-A: a\r\n" + line + "\r\n\r\n" + final)
+		require.Error(t, err, "%q", line)
+	}
+	for _, line := range oddhead.SoundLines {
+		_, err := read("HTTP/1.1 200 OK\r\n" + line + "\r\nContent-Length: 2\r\n\r\nok")
+		require.NoError(t, err, "%q", line)
+		_, err = read("HTTP/1.1 103 Early Hints\r\n" + line + "\r\n\r\n" + final)
+		require.NoError(t, err, "%q", line)
+	}
+}
+
+// TestErrorQuotesLittleOfName checks that a long name does not fill the log.
+func TestErrorQuotesLittleOfName(t *testing.T) {
+	err := CheckFields(http.Header{strings.Repeat("x ", 10_000): {"a"}})
+	require.ErrorIs(t, err, ErrMalformed)
+	require.Less(t, len(err.Error()), 200)
+}
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -238,7 +238,7 @@
 	if n == maxUnrelatedBytes {
 		return errors.New("answer of another request is too long")
 	}
-	return nil
+	return responsehead.CheckFields(response.Trailer)
 }
 
 // exchangeBody records when the response's body has been read to its end.
@@ -257,11 +257,15 @@
 	return n, io.EOF
 }
 
-// confirmEnd returns an error if the end of the response's body may be a broken connection.
+// confirmEnd returns an error if the end of the response's body may be a broken connection, or
+// what follows the body is no trailer.
 func (e *Exchange) confirmEnd() error {
-	if e.body == http.NoBody || selfDelimiting(e.Response) {
+	if e.body == http.NoBody {
 		return nil
 	}
+	if selfDelimiting(e.Response) {
+		return responsehead.CheckFields(e.Response.Trailer)
+	}
 	return e.sending.Confirm()
 }
 
