--- a/internal/httpclient/call.go
+++ b/internal/httpclient/call.go
@@ -77,12 +77,12 @@
 		return err
 	}
 	c.mu.Lock()
-	conn, isObserved := c.conn.(*observedConn)
+	conn, isObserved := c.conn.(*sending.Conn)
 	c.mu.Unlock()
 	if !isObserved {
 		return nil
 	}
-	return conn.confirmWrites()
+	return conn.Confirm()
 }
 
 // abandon closes the connection of a response that is no answer, which the transport would
--- a/internal/httpclient/httpclient.go
+++ b/internal/httpclient/httpclient.go
@@ -3,10 +3,13 @@
 package httpclient
 
 import (
+	"context"
+	"net"
 	"net/http"
 
 	"github.com/marigoldwing/marigoldwing/internal/bodyend"
 	"github.com/marigoldwing/marigoldwing/internal/responsehead"
+	"github.com/marigoldwing/marigoldwing/internal/sending"
 )
 
 // Transport is a transport whose responses all have a header that is one, and whose bodies
@@ -23,6 +26,33 @@
 	return Transport{inner: inner}
 }
 
+// dialFunc is the type of http.Transport.DialContext.
+type dialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
+// observed returns a function that dials observed connections with dial, or with a net.Dialer
+// if dial is nil.
+//
+// The transport closes a connection as soon as a write fails, also if the server has answered
+// before it closed the connection. The errors of connections for a single call are therefore
+// hidden, so that the response decides. Others must not hide them, since the transport would
+// use the connection again.
+func observed(dial dialFunc, singleCall bool) dialFunc {
+	if dial == nil {
+		dial = (&net.Dialer{}).DialContext
+	}
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		inner, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		conn := sending.NewConn(inner)
+		if singleCall {
+			conn.HideErrors()
+		}
+		return conn, nil
+	}
+}
+
 // RoundTrip implements http.RoundTripper.
 func (t Transport) RoundTrip(r *http.Request) (*http.Response, error) {
 	c := &call{}
--- a/internal/httpclient/conn_test.go
+++ b/internal/sending/conn_test.go
@@ -1,7 +1,6 @@
-package httpclient
+package sending
 
 import (
-	"context"
 	"io"
 	"net"
 	"sync"
@@ -11,8 +10,6 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
-
-	"github.com/marigoldwing/marigoldwing/internal/sending"
 )
 
 // scriptedConn is a connection whose writes take a time and return an error.
@@ -32,40 +29,40 @@
 }
 
 // TestWritesConfirmSending checks that a connection whose last write failed, or does not end,
-// does not confirm that a request was sent.
+// does not confirm that a request was sent, whether or not it hides the error.
 func TestWritesConfirmSending(t *testing.T) {
 	for name, c := range map[string]struct {
 		script scriptedConn
 		isSent bool
 	}{
 		"written":         {isSent: true},
-		"written shortly": {script: scriptedConn{takes: writeTimeout / 2}, isSent: true},
+		"written shortly": {script: scriptedConn{takes: confirmTimeout / 2}, isSent: true},
 		"reset":           {script: scriptedConn{err: syscall.ECONNRESET}},
-		"reset shortly":   {script: scriptedConn{takes: writeTimeout / 2, err: syscall.ECONNRESET}},
-		"does not end":    {script: scriptedConn{takes: 3 * writeTimeout}},
+		"reset shortly":   {script: scriptedConn{takes: confirmTimeout / 2, err: syscall.ECONNRESET}},
+		"does not end":    {script: scriptedConn{takes: 3 * confirmTimeout}},
 	} {
-		for _, singleCall := range []bool{true, false} {
-			synctest.Test(t, func(t *testing.T) { checkWrite(t, name, &c.script, singleCall, c.isSent) })
+		for _, hidesErrors := range []bool{true, false} {
+			synctest.Test(t, func(t *testing.T) { checkWrite(t, name, &c.script, hidesErrors, c.isSent) })
 		}
 	}
 }
 
-// checkWrite writes to a connection with a script and checks what it confirms. A connection
-// for a single call hides that the write failed from the transport.
-func checkWrite(t *testing.T, name string, script *scriptedConn, singleCall, isSent bool) {
-	dial := observed(func(context.Context, string, string) (net.Conn, error) { return script, nil }, singleCall)
-	conn, err := dial(t.Context(), "tcp", "")
-	require.NoError(t, err)
+// checkWrite writes to a connection with a script and checks what it confirms.
+func checkWrite(t *testing.T, name string, script *scriptedConn, hidesErrors, isSent bool) {
+	conn := NewConn(script)
+	if hidesErrors {
+		conn.HideErrors()
+	}
 	var writing sync.WaitGroup
 	var writeErr error
 	writing.Go(func() { _, writeErr = io.WriteString(conn, "request") })
 	synctest.Wait()
-	err = conn.(*observedConn).confirmWrites()
+	err := conn.Confirm()
 	writing.Wait()
 	if isSent {
 		require.NoError(t, err, name)
 	} else {
-		require.ErrorIs(t, err, sending.ErrIncomplete, name)
+		require.ErrorIs(t, err, ErrIncomplete, name)
 	}
-	require.Equal(t, script.err != nil && !singleCall, writeErr != nil, name)
+	require.Equal(t, script.err != nil && !hidesErrors, writeErr != nil, name)
 }
--- a/internal/sending/sending.go
+++ b/internal/sending/sending.go
@@ -17,6 +17,9 @@
 // request was not sent completely.
 var ErrIncomplete = errors.New("connection ended before the request was sent completely")
 
+// errStillSending is the error while a request is still being sent.
+var errStillSending = fmt.Errorf("%w: it is still being sent", ErrIncomplete)
+
 // confirmTimeout is how long Confirm waits for the end of the sending. The connection has
 // ended by then, and a write in progress on it either fails at once or completes.
 const confirmTimeout = time.Second
@@ -61,11 +64,17 @@
 	defer timeout.Stop()
 	select {
 	case <-t.done:
+		return incomplete(t.err)
 	case <-timeout.C:
-		return fmt.Errorf("%w: it is still being sent", ErrIncomplete)
+		return errStillSending
 	}
-	if t.err != nil {
-		return fmt.Errorf("%w: %w", ErrIncomplete, t.err)
+}
+
+// incomplete returns the error of a request whose sending ended with an error; nil if there was
+// none.
+func incomplete(err error) error {
+	if err == nil {
+		return nil
 	}
-	return nil
+	return fmt.Errorf("%w: %w", ErrIncomplete, err)
 }
