Look at connections without taking the report of a reset

The kernel reports a reset once for each socket. After an answer that its connection ended, a gateway looks at the other connections to the server, those that carry other requests by then included, with recvfrom(MSG_PEEK), which takes the report like any other call. If it came before the reader of that other request, the reader got the part and a plain end of file, and the server, which is asked, is alive.

connstate now asks with poll, which reports errors and ends without clearing them, and with the number of unread bytes. The states are the same (TestPeek, TestPeekCountsBytesBeforeEnd).

--- a/internal/connstate/connstate.go
+++ b/internal/connstate/connstate.go
@@ -3,7 +3,6 @@
 package connstate
 
 import (
-	"errors"
 	"net"
 	"syscall"
 
@@ -26,7 +25,8 @@
 )
 
 // Peek returns the state of a connection. It does not block and may be called while
-// another goroutine reads from the connection.
+// another goroutine reads from the connection. It leaves the report of a reset, which the
+// kernel makes once, to that goroutine.
 func Peek(conn net.Conn) State {
 	tcp, ok := conn.(syscall.Conn)
 	if !ok {
@@ -43,17 +43,23 @@
 	return state
 }
 
+// ended are the events of a connection that the other side has closed or reset.
+const ended = unix.POLLERR | unix.POLLHUP | unix.POLLRDHUP
+
 func peek(fd int) State {
-	var one [1]byte
-	n, _, err := unix.Recvfrom(fd, one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	events := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN | unix.POLLRDHUP}}
+	if _, err := unix.Poll(events, 0); err != nil || events[0].Revents&unix.POLLNVAL != 0 {
+		return Unknown
+	}
+	unread, err := unix.IoctlGetInt(fd, unix.TIOCINQ)
 	switch {
-	case errors.Is(err, unix.EAGAIN):
-		return Idle
-	case errors.Is(err, unix.EINTR):
+	case err != nil:
 		return Unknown
-	case err != nil || n == 0:
+	case unread > 0:
+		return Readable
+	case events[0].Revents&ended != 0:
 		return Closed
 	default:
-		return Readable
+		return Idle
 	}
 }
--- a/internal/connstate/connstate_test.go
+++ b/internal/connstate/connstate_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"syscall"
 	"testing"
 	"time"
 
@@ -57,3 +58,36 @@
 	pipe, _ := net.Pipe()
 	require.Equal(t, Unknown, Peek(pipe))
 }
+
+// TestPeekLeavesResetToReader guards against a reset that Peek takes, so that the next read
+// returns an ordinary end: the kernel reports a reset once.
+func TestPeekLeavesResetToReader(t *testing.T) {
+	client, server := connect(t)
+	require.NoError(t, client.SetLinger(0))
+	require.NoError(t, client.Close())
+	becomes(t, server, Closed)
+	becomes(t, server, Closed)
+	_, err := server.Read(make([]byte, 1))
+	require.ErrorIs(t, err, syscall.ECONNRESET)
+	becomes(t, server, Closed)
+}
+
+// TestPeekCountsBytesBeforeEnd checks that bytes that have arrived come before the end of the
+// connection, also before a reset.
+func TestPeekCountsBytesBeforeEnd(t *testing.T) {
+	for _, resets := range []bool{true, false} {
+		client, server := connect(t)
+		_, err := client.Write([]byte("x"))
+		require.NoError(t, err)
+		becomes(t, server, Readable)
+		if resets {
+			require.NoError(t, client.SetLinger(0))
+		}
+		require.NoError(t, client.Close())
+		time.Sleep(10 * time.Millisecond)
+		require.Equal(t, Readable, Peek(server))
+		_, err = server.Read(make([]byte, 1))
+		require.NoError(t, err)
+		becomes(t, server, Closed)
+	}
+}
--- a/internal/upstream/early_answer_test.go
+++ b/internal/upstream/early_answer_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -70,3 +71,44 @@
 	require.ErrorIs(t, err, sending.ErrIncomplete)
 	require.Less(t, time.Since(begun), 2*time.Second)
 }
+
+// TestOtherExchangeLeavesReset guards against a part of a response that is taken for the whole,
+// because another exchange with the server has looked at the connection after its reset.
+func TestOtherExchangeLeavesReset(t *testing.T) {
+	key, _ := startServer(t, func(conn net.Conn, r *bufio.Reader, _ func() bool) {
+		for {
+			request, err := http.ReadRequest(r)
+			if err != nil {
+				return
+			}
+			id := request.Header.Get("Id")
+			if id == "reset" {
+				write(conn, strings.Replace(unmarkedResponse, "mine", id, 1))
+				time.Sleep(10 * time.Millisecond)
+				_ = conn.(*net.TCPConn).SetLinger(0)
+				return
+			}
+			write(conn, strings.Replace(completeResponse, "mine", id, 1))
+		}
+	})
+	p := NewPool(responseID)
+	first, err := p.Do(t.Context(), key, getWithID("first"))
+	require.NoError(t, err)
+	second, err := p.Do(t.Context(), key, getWithID("second"))
+	require.NoError(t, err)
+	for _, e := range []*Exchange{first, second} {
+		_, err := readBody(t, e)
+		require.NoError(t, err)
+	}
+	other, err := p.Do(t.Context(), key, getWithID("other"))
+	require.NoError(t, err)
+	defer other.Release()
+	cut, err := p.Do(t.Context(), key, getWithID("reset"))
+	require.NoError(t, err)
+	require.Equal(t, int64(2), p.ConnectionsOpened())
+	time.Sleep(50 * time.Millisecond)
+	_, closed := other.OtherConnections()
+	require.Equal(t, 1, closed)
+	text, err := readBody(t, cut)
+	require.Error(t, err, "%q is taken for the whole response", text)
+}
