Test that marigoldctl takes no broken answer for a refusal

apply reports an unknown outcome where the head of the refusal is broken. With the code of the refusal would have been believed; the transport of httpclient rejects it since "Take no answer whose status is none" and "Take no answer whose field names are no tokens".

--- a/cmd/marigoldctl/main_test.go
+++ b/cmd/marigoldctl/main_test.go
@@ -195,6 +195,26 @@
 	}
 }
 
+// TestOutcomeOfBrokenAnswerIsUnknown guards against files that count as not accepted though they
+// may be: the head of the refusal that says so is broken.
+func TestOutcomeOfBrokenAnswerIsUnknown(t *testing.T) {
+	const refusal = `{"title":"Service Unavailable","status":503,"not_run":"true"}`
+	for _, head := range []string{"000 Trouble", "099 Trouble", "503 Busy\r\nX Odd: a", "503 Busy\r\nContent-Length : 2"} {
+		srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			_, _ = io.Copy(io.Discard, r.Body)
+			conn, _, err := w.(http.Hijacker).Hijack()
+			if err != nil {
+				return
+			}
+			defer conn.Close()
+			fmt.Fprintf(conn, "HTTP/1.1 %s\r\n\r\n%s", head, refusal)
+		}))
+		code, _, _ := runCtl(t, "apply", "-server", srv.URL, "-base", "4", "-apply-id", "x", validFile)
+		require.Equal(t, exitUnknown, code, "%q", head)
+		srv.Close()
+	}
+}
+
 func TestExplainDumpAndHiddenTokens(t *testing.T) {
 	_, _, url := serve(t)
 	code, out, _ := runCtl(t, "explain", "-server", url, "guide-lm")
