--- a/cmd/marigoldctl/main_test.go
+++ b/cmd/marigoldctl/main_test.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -179,39 +178,38 @@
 		"": exitUnknown, refusal[:20]: exitUnknown, certain[:len(certain)-1]: exitUnknown, refusal: exitUnknown, "<html>": exitUnknown,
 		certain: exitUnavailable,
 	} {
-		srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-			// Closing a connection with unread data resets it.
-			_, _ = io.Copy(io.Discard, r.Body)
-			conn, _, err := w.(http.Hijacker).Hijack()
-			if err != nil {
-				return
-			}
-			defer conn.Close()
-			fmt.Fprintf(conn, "HTTP/1.1 503 Service Unavailable\r\n\r\n%s", body)
-		}))
-		code, _, _ := runCtl(t, "apply", "-server", srv.URL, "-base", "4", "-apply-id", "x", validFile)
+		url := serveText(t, "HTTP/1.1 503 Service Unavailable\r\n\r\n"+body)
+		code, _, _ := runCtl(t, "apply", "-server", url, "-base", "4", "-apply-id", "x", validFile)
 		require.Equal(t, want, code, "%q", body)
-		srv.Close()
 	}
 }
 
+// serveText returns the URL of a server that writes a text in place of each answer and closes
+// the connection.
+func serveText(t *testing.T, text string) string {
+	t.Helper()
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		// Closing a connection with unread data resets it.
+		_, _ = io.Copy(io.Discard, r.Body)
+		conn, _, err := w.(http.Hijacker).Hijack()
+		if err != nil {
+			return
+		}
+		defer conn.Close()
+		_, _ = io.WriteString(conn, text)
+	}))
+	t.Cleanup(srv.Close)
+	return srv.URL
+}
+
 // TestOutcomeOfBrokenAnswerIsUnknown guards against files that count as not accepted though they
 // may be: the head of the refusal that says so is broken.
 func TestOutcomeOfBrokenAnswerIsUnknown(t *testing.T) {
 	const refusal = `{"title":"Service Unavailable","status":503,"not_run":"true"}`
 	for _, head := range []string{"000 Trouble", "099 Trouble", "503 Busy\r\nX Odd: a", "503 Busy\r\nContent-Length : 2"} {
-		srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-			_, _ = io.Copy(io.Discard, r.Body)
-			conn, _, err := w.(http.Hijacker).Hijack()
-			if err != nil {
-				return
-			}
-			defer conn.Close()
-			fmt.Fprintf(conn, "HTTP/1.1 %s\r\n\r\n%s", head, refusal)
-		}))
-		code, _, _ := runCtl(t, "apply", "-server", srv.URL, "-base", "4", "-apply-id", "x", validFile)
+		url := serveText(t, "HTTP/1.1 "+head+"\r\n\r\n"+refusal)
+		code, _, _ := runCtl(t, "apply", "-server", url, "-base", "4", "-apply-id", "x", validFile)
 		require.Equal(t, exitUnknown, code, "%q", head)
-		srv.Close()
 	}
 }
 
--- a/internal/agent/early_answer_test.go
+++ b/internal/agent/early_answer_test.go
@@ -14,6 +14,7 @@
 	"github.com/stretchr/testify/require"
 
 	peerv1 "github.com/marigoldwing/marigoldwing/api/peer/v1"
+	"github.com/marigoldwing/marigoldwing/internal/standin/rawserver"
 )
 
 // longUploads are the lengths in bytes of uploads: those of which the buffers of a connection
@@ -56,15 +57,12 @@
 	}
 }
 
-// startReadingService starts a service that reads each upload before it sends an answer.
-func startReadingService(t *testing.T, answer string) net.Listener {
+// startReadingService starts a service that reads each upload before it sends an answer, and
+// returns its address.
+func startReadingService(t *testing.T, answer string) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	t.Cleanup(func() { _ = listener.Close() })
-	go acceptEach(listener, func(conn net.Conn) {
-		defer func() { _ = conn.Close() }()
-		r, err := http.ReadRequest(bufio.NewReader(conn))
+	return rawserver.Start(t, func(conn *net.TCPConn, reader *bufio.Reader) {
+		r, err := http.ReadRequest(reader)
 		if err != nil {
 			return
 		}
@@ -72,7 +70,6 @@
 			_, _ = io.WriteString(conn, answer)
 		}
 	})
-	return listener
 }
 
 // TestAnswerAfterUploadIsRelayed checks that an answer is one, with and without a length, if
@@ -80,9 +77,9 @@
 func TestAnswerAfterUploadIsRelayed(t *testing.T) {
 	for _, length := range longUploads {
 		for _, text := range []string{unmarkedAnswer, markedAnswer} {
-			listener := startReadingService(t, text)
+			address := startReadingService(t, text)
 			for range 5 {
-				answer := uploadTo(t, listener.Addr().String(), length)
+				answer := uploadTo(t, address, length)
 				require.True(t, answer.complete, "%d bytes, %q", length, text)
 				require.Equal(t, "whole", answer.body.String(), "%d bytes, %q", length, text)
 			}
--- a/internal/engine/cut_test.go
+++ b/internal/engine/cut_test.go
@@ -14,35 +14,23 @@
 
 	enginev1 "github.com/marigoldwing/marigoldwing/api/engine/v1"
 	"github.com/marigoldwing/marigoldwing/internal/standin/oddhead"
+	"github.com/marigoldwing/marigoldwing/internal/standin/rawserver"
 )
 
 // startWriting starts an engine that writes text after each call and closes the connection,
 // once hold is closed unless it is nil.
 func startWriting(t *testing.T, text string, hold <-chan bool) Engine {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	t.Cleanup(func() { _ = listener.Close() })
-	serve := func(conn net.Conn) {
-		defer func() { _ = conn.Close() }()
-		if !readCall(bufio.NewReader(conn)) {
+	address := rawserver.Start(t, func(conn *net.TCPConn, r *bufio.Reader) {
+		if !readCall(r) {
 			return
 		}
 		_, _ = io.WriteString(conn, text)
 		if hold != nil {
 			<-hold
 		}
-	}
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go serve(conn)
-		}
-	}()
-	return NewHTTP("http://" + listener.Addr().String())
+	})
+	return NewHTTP("http://" + address)
 }
 
 // calls are the calls to an engine, each with the body of a sound answer.
--- a/internal/httpclient/httpclient_test.go
+++ b/internal/httpclient/httpclient_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/marigoldwing/marigoldwing/internal/responsehead"
 	"github.com/marigoldwing/marigoldwing/internal/standin/oddhead"
+	"github.com/marigoldwing/marigoldwing/internal/standin/rawserver"
 )
 
 // soundResponse is a response after which the connection may be used again.
@@ -23,13 +24,10 @@
 // the number of connections.
 func startServer(t *testing.T, first string) (string, *atomic.Int64) {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	t.Cleanup(func() { _ = listener.Close() })
 	var requests, connections atomic.Int64
-	serve := func(conn net.Conn) {
-		defer func() { _ = conn.Close() }()
-		for r := bufio.NewReader(conn); ; {
+	address := rawserver.Start(t, func(conn *net.TCPConn, r *bufio.Reader) {
+		connections.Add(1)
+		for {
 			request, err := http.ReadRequest(r)
 			if err != nil {
 				return
@@ -41,18 +39,8 @@
 			}
 			_, _ = io.WriteString(conn, text)
 		}
-	}
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			connections.Add(1)
-			go serve(conn)
-		}
-	}()
-	return "http://" + listener.Addr().String(), &connections
+	})
+	return "http://" + address, &connections
 }
 
 // get makes one call and returns the body of its response.
--- a/internal/operatorapi/client_test.go
+++ b/internal/operatorapi/client_test.go
@@ -15,18 +15,15 @@
 	statusv1 "github.com/marigoldwing/marigoldwing/api/status/v1"
 	"github.com/marigoldwing/marigoldwing/internal/explanation"
 	"github.com/marigoldwing/marigoldwing/internal/standin/oddhead"
+	"github.com/marigoldwing/marigoldwing/internal/standin/rawserver"
 )
 
 // startWriting starts a process that writes text after each call and closes the connection,
 // once hold is closed unless it is nil. It returns a client of its operator API.
 func startWriting(t *testing.T, text string, hold <-chan bool) *Client {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	t.Cleanup(func() { _ = listener.Close() })
-	serve := func(conn net.Conn) {
-		defer func() { _ = conn.Close() }()
-		r, err := http.ReadRequest(bufio.NewReader(conn))
+	address := rawserver.Start(t, func(conn *net.TCPConn, reader *bufio.Reader) {
+		r, err := http.ReadRequest(reader)
 		if err != nil {
 			return
 		}
@@ -35,17 +32,8 @@
 		if hold != nil {
 			<-hold
 		}
-	}
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go serve(conn)
-		}
-	}()
-	client, err := NewClient("http://" + listener.Addr().String())
+	})
+	client, err := NewClient("http://" + address)
 	require.NoError(t, err)
 	return client
 }
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -11,6 +11,7 @@
 	"strings"
 	"time"
 
+	"github.com/marigoldwing/marigoldwing/internal/bodyend"
 	"github.com/marigoldwing/marigoldwing/internal/fleet"
 	"github.com/marigoldwing/marigoldwing/internal/responsecheck"
 	"github.com/marigoldwing/marigoldwing/internal/responsehead"
@@ -81,7 +82,9 @@
 	// unrelated is the number of responses to other requests that were discarded.
 	unrelated int
 	body      io.ReadCloser
-	complete  bool
+	// isUnmarked is set if nothing but the end of the connection ends the body.
+	isUnmarked bool
+	complete   bool
 }
 
 // Do sends a request and returns when the header of its response has been
@@ -167,7 +170,7 @@
 		}
 		switch responsecheck.OwnerOf(e.requestID, e.pool.responseID(response.Header)) {
 		case responsecheck.Own:
-			e.Response, e.body = response, response.Body
+			e.Response, e.body, e.isUnmarked = response, response.Body, bodyend.IsConnectionEnd(response)
 			response.Body = (*exchangeBody)(e)
 			return nil
 		case responsecheck.Unidentified:
@@ -191,36 +194,6 @@
 // of their idle time.
 func (e *Exchange) OtherConnections() (open, closed int) { return e.beside.states() }
 
-// Framing is how a response delimits its body.
-type Framing string
-
-const (
-	// FramingLength is a body of a stated length.
-	FramingLength Framing = "length"
-	// FramingChunked is a body in chunks, the last of which is marked.
-	FramingChunked Framing = "chunked"
-	// FramingClose is a body that ends with its connection.
-	FramingClose Framing = "close"
-)
-
-// Framing returns how the response delimits its body.
-func (e *Exchange) Framing() Framing {
-	switch {
-	case e.Response.ContentLength >= 0:
-		return FramingLength
-	case len(e.Response.TransferEncoding) > 0:
-		return FramingChunked
-	default:
-		return FramingClose
-	}
-}
-
-// selfDelimiting reports whether the end of a response can be recognized
-// without waiting for the end of its connection.
-func selfDelimiting(response *http.Response) bool {
-	return response.ContentLength >= 0 || len(response.TransferEncoding) > 0
-}
-
 // errUnrelated is returned if the responses to other requests are too many, or one of
 // them does not show where the next response begins.
 var errUnrelated = errors.New("answer belongs to another request")
@@ -228,7 +201,7 @@
 // discard reads the body of a response that belongs to another request.
 func (e *Exchange) discard(response *http.Response) error {
 	e.unrelated++
-	if e.unrelated > maxUnrelatedResponses || response.Close || !selfDelimiting(response) {
+	if e.unrelated > maxUnrelatedResponses || response.Close || bodyend.IsConnectionEnd(response) {
 		return errUnrelated
 	}
 	n, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxUnrelatedBytes))
@@ -241,40 +214,6 @@
 	return responsehead.CheckFields(response.Trailer)
 }
 
-// exchangeBody records when the response's body has been read to its end.
-type exchangeBody Exchange
-
-// Read implements io.Reader. It returns io.EOF only at the end of a complete body.
-func (b *exchangeBody) Read(p []byte) (int, error) {
-	n, err := b.body.Read(p)
-	if err != io.EOF {
-		return n, err
-	}
-	if err := (*Exchange)(b).confirmEnd(); err != nil {
-		return n, err
-	}
-	b.complete = true
-	return n, io.EOF
-}
-
-// confirmEnd returns an error if the end of the response's body may be a broken connection, or
-// what follows the body is no trailer.
-func (e *Exchange) confirmEnd() error {
-	if e.body == http.NoBody {
-		return nil
-	}
-	if selfDelimiting(e.Response) {
-		return responsehead.CheckFields(e.Response.Trailer)
-	}
-	return e.sending.Confirm()
-}
-
-// Close implements io.Closer.
-func (b *exchangeBody) Close() error {
-	(*Exchange)(b).Release()
-	return nil
-}
-
 // Release ends the exchange. The connection is kept if the request has an ID, its response
 // was the only one and was read completely, and both sides permit it; otherwise it is
 // closed.
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -15,40 +15,28 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/marigoldwing/marigoldwing/internal/fleet"
+	"github.com/marigoldwing/marigoldwing/internal/standin/rawserver"
 )
 
 // startServer accepts connections and runs script on each until the test ends.
 // It returns the server's key and the number of requests read.
 func startServer(t *testing.T, script func(conn net.Conn, r *bufio.Reader, reads func() bool)) (fleet.Key, *atomic.Int64) {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	t.Cleanup(func() { _ = listener.Close() })
 	var read atomic.Int64
-	go func() {
-		for {
-			conn, err := listener.Accept()
+	address := rawserver.Start(t, func(conn *net.TCPConn, r *bufio.Reader) {
+		script(conn, r, func() bool {
+			request, err := http.ReadRequest(r)
 			if err != nil {
-				return
+				return false
 			}
-			go func() {
-				defer func() { _ = conn.Close() }()
-				r := bufio.NewReader(conn)
-				script(conn, r, func() bool {
-					request, err := http.ReadRequest(r)
-					if err != nil {
-						return false
-					}
-					if _, err := io.Copy(io.Discard, request.Body); err != nil {
-						return false
-					}
-					read.Add(1)
-					return true
-				})
-			}()
-		}
-	}()
-	return fleet.Key{ID: "s", Address: listener.Addr().String()}, &read
+			if _, err := io.Copy(io.Discard, request.Body); err != nil {
+				return false
+			}
+			read.Add(1)
+			return true
+		})
+	})
+	return fleet.Key{ID: "s", Address: address}, &read
 }
 
 func write(conn net.Conn, text string) { _, _ = io.WriteString(conn, text) }
